--- /dev/null
+++ b/Libraries/LibHTTP/http_client.h
@@ -0,0 +1,93 @@
+#ifndef PARSLEYSPINDLE_LIBHTTP_HTTP_CLIENT_H
+#define PARSLEYSPINDLE_LIBHTTP_HTTP_CLIENT_H
+
+#include "LibCore/endpoint.h"
+#include "LibHTTP/http_message.h"
+#include "LibRuntime/fiber_runtime.h"
+
+#include <cstddef>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace spindle {
+
+/// Deadlines of one call, each on the monotonic clock.
+struct http_call_limits {
+  milliseconds Connect{1'000};
+  /// From the request's last byte to the response's head.
+  milliseconds FirstByte{10'000};
+  /// Between two parts of the body.
+  milliseconds BetweenBytes{10'000};
+  std::size_t HeaderBytes = 16 * 1024;
+};
+
+/// How a call uses pooled connections.
+enum class connection_use {
+  /// A pooled connection if there is one. If it proves closed before any byte
+  /// of the answer, the call is sent once more on a new connection. Only for
+  /// idempotent calls.
+  PooledIdempotent,
+  /// Only a connection just opened, never sent twice.
+  FreshOnce,
+};
+
+/// A call whose response is being read. Destroying it before its end closes
+/// the connection, so that a late answer meets nobody. Used by one fiber.
+class http_call {
+public:
+  virtual ~http_call() = default;
+  virtual const http_response_head &head() const = 0;
+  /// Reads a part of the body; 0 means that it ended properly.
+  /// \throws spindle_error AnswerCutShort or UpstreamTimeout.
+  virtual std::size_t readSome(std::span<char> Buffer) = 0;
+  /// Reads the rest of the body.
+  /// \throws spindle_error as readSome(), and BodyTooLarge.
+  virtual std::string readAll(std::size_t LimitBytes) = 0;
+};
+
+/// Counts of what a client has done, for metrics and tests.
+struct http_client_counts {
+  std::size_t Opened = 0;
+  std::size_t Reused = 0;
+  /// Idle connections closed because their peer fell under suspicion.
+  std::size_t Discarded = 0;
+};
+
+/// Calls to HTTP/1.1 servers over pooled connections, kept per thread and
+/// peer. Thread-safe; calls block the calling fiber, which must run on a
+/// thread of a fiber_runtime.
+class http_client {
+public:
+  http_client();
+  ~http_client();
+  http_client(const http_client &) = delete;
+  http_client &operator=(const http_client &) = delete;
+
+  /// Sends a request and waits for the head of its response.
+  /// \throws spindle_error UpstreamUnreachable (no byte was sent),
+  /// UpstreamLost, UpstreamTimeout (the request may have run).
+  std::unique_ptr<http_call> start(const endpoint &Peer,
+                                   const http_request_head &Request,
+                                   std::string_view Body,
+                                   const http_call_limits &Limits,
+                                   connection_use Use);
+  /// Sends a request and reads the whole response.
+  /// \throws spindle_error as start() and http_call::readAll().
+  http_response call(const endpoint &Peer, const http_request_head &Request,
+                     std::string_view Body, const http_call_limits &Limits,
+                     connection_use Use, std::size_t BodyLimitBytes);
+  /// Marks \p Peer as suspect: none of its idle connections is used again;
+  /// they are closed at their thread's next use of the peer.
+  void discardIdle(const endpoint &Peer);
+  http_client_counts counts() const;
+
+private:
+  struct state;
+  std::shared_ptr<state> State;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHTTP_HTTP_CLIENT_H
--- /dev/null
+++ b/Libraries/LibHTTP/http_server.h
@@ -0,0 +1,101 @@
+#ifndef PARSLEYSPINDLE_LIBHTTP_HTTP_SERVER_H
+#define PARSLEYSPINDLE_LIBHTTP_HTTP_SERVER_H
+
+#include "LibCore/endpoint.h"
+#include "LibHTTP/http_message.h"
+#include "LibRuntime/fiber_runtime.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace spindle {
+
+/// Bounds on what one caller may use.
+struct http_server_limits {
+  std::size_t HeaderBytes = 16 * 1024;
+  /// How long an idle keep-alive connection is kept.
+  milliseconds IdleTimeout{60'000};
+  /// How long one read or write of a body may make no progress.
+  milliseconds ProgressTimeout{15'000};
+};
+
+/// One request and its response on a connection. Used by one fiber.
+class http_exchange {
+public:
+  virtual ~http_exchange() = default;
+
+  virtual const http_request_head &request() const = 0;
+  /// Reads the whole body.
+  /// \throws spindle_error BodyTooLarge, BodyIncomplete, CallerTooSlow.
+  virtual std::string readBody(std::size_t LimitBytes) = 0;
+  /// Reads a part of the body into \p Buffer; 0 means the body has ended.
+  /// \throws spindle_error BodyIncomplete, CallerTooSlow.
+  virtual std::size_t readSome(std::span<char> Buffer) = 0;
+  /// Sends a whole response. Precondition: nothing was sent before.
+  virtual void respond(const http_response_head &Head,
+                       std::string_view Body) = 0;
+  /// Starts a chunked response. Precondition: nothing was sent before.
+  virtual void startStream(const http_response_head &Head) = 0;
+  /// Sends a part of a chunked response.
+  /// \throws spindle_error CallerTooSlow if the caller doesn't read, or has
+  /// gone. Precondition: startStream() was called, finishStream() not.
+  virtual void writeSome(std::string_view Data) = 0;
+  /// Ends a chunked response properly.
+  virtual void finishStream() = 0;
+  /// Closes the connection after this exchange without ending a started
+  /// stream, so that the caller sees that the answer is cut.
+  virtual void abort() = 0;
+  /// Tells whether anything of a response was sent.
+  virtual bool started() const = 0;
+  /// Tells whether the caller has closed the connection. Never blocks.
+  virtual bool callerGone() = 0;
+  /// The caller's address.
+  virtual std::string remoteAddress() const = 0;
+};
+
+/// Handles one exchange in a fiber of its own. A spindle_error that escapes is
+/// answered by the server's error writer if nothing was sent, else the
+/// connection is cut.
+using http_handler = std::function<void(http_exchange &)>;
+/// Answers an exchange that failed before or in the handler.
+using http_error_writer =
+    std::function<void(http_exchange &, const std::exception &)>;
+
+/// An HTTP/1.1 server with keep-alive, whose connections are spread over the
+/// runtime's threads.
+class http_server {
+public:
+  /// Listens at \p Address; port 0 lets the kernel choose.
+  /// \throws std::system_error if the address can't be bound.
+  http_server(fiber_runtime &Runtime, const endpoint &Address,
+              http_server_limits Limits, http_handler Handler,
+              http_error_writer ErrorWriter);
+  /// Closes every connection and waits for their fibers.
+  ~http_server();
+  http_server(const http_server &) = delete;
+  http_server &operator=(const http_server &) = delete;
+
+  /// Where the server listens. Thread-safe.
+  endpoint address() const;
+  /// Stops accepting, lets every running exchange end, closes idle
+  /// connections, and answers "Connection: close" on the others. Thread-safe.
+  void startDrain();
+  /// The number of exchanges that are running. Thread-safe.
+  std::size_t runningExchanges() const;
+
+private:
+  struct state;
+  std::shared_ptr<state> State;
+};
+
+/// Writes \p Error as the JSON body {"error":{code,name,state,message}} with
+/// the code's HTTP status; other exceptions count as Internal. Thread-safe.
+void writeErrorResponse(http_exchange &Exchange, const std::exception &Error);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHTTP_HTTP_SERVER_H
--- /dev/null
+++ b/Libraries/LibLog/log.cpp
@@ -0,0 +1,133 @@
+#include "LibLog/log.h"
+
+#include <algorithm>
+#include <iostream>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <nlohmann/json.hpp>
+
+namespace spindle {
+
+namespace logging = boost::log;
+using logger = logging::sources::severity_logger_mt<log_severity>;
+
+static constexpr log_event_info Table[] = {
+#define LOG_EVENT(Number, Name, Severity, Meaning)                             \
+  {log_event::Name, #Name, log_severity::Severity, Meaning},
+#include "LibLog/LogEvents.def"
+#undef LOG_EVENT
+};
+
+static constexpr std::string_view SeverityNames[] = {"debug", "info", "warning",
+                                                     "error"};
+
+static log_settings Current;
+
+static logger &theLogger() {
+  static logger Logger;
+  return Logger;
+}
+
+static const log_event_info &infoOf(log_event Event) {
+  return *std::lower_bound(std::begin(Table), std::end(Table), Event,
+                           [](const log_event_info &Info, log_event Wanted) {
+                             return Info.Event < Wanted;
+                           });
+}
+
+static std::string timeText() {
+  const std::chrono::system_clock::time_point Now =
+      std::chrono::system_clock::now();
+  const std::time_t Seconds = std::chrono::system_clock::to_time_t(Now);
+  const long long Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Now.time_since_epoch())
+          .count() %
+      1000;
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  char Text[40];
+  const std::size_t Length =
+      std::strftime(Text, sizeof Text, "%Y-%m-%dT%H:%M:%S", &Parts);
+  char Fraction[8];
+  std::snprintf(Fraction, sizeof Fraction, ".%03lldZ", Milliseconds);
+  return std::string(Text, Length) + Fraction;
+}
+
+static std::string jsonLine(const log_event_info &Info,
+                            std::initializer_list<log_field> Fields) {
+  nlohmann::ordered_json Line;
+  Line["time"] = timeText();
+  Line["severity"] = SeverityNames[static_cast<std::size_t>(Info.Severity)];
+  Line["event"] = static_cast<int>(Info.Event);
+  Line["name"] = Info.Name;
+  for (const log_field &Field : Fields)
+    Line[std::string(Field.Name)] = Field.Value;
+  return Line.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
+}
+
+static std::string textLine(const log_event_info &Info,
+                            std::initializer_list<log_field> Fields) {
+  std::string Line = timeText();
+  Line += ' ';
+  Line += SeverityNames[static_cast<std::size_t>(Info.Severity)];
+  Line += ' ';
+  Line += std::to_string(static_cast<int>(Info.Event));
+  Line += ' ';
+  Line += Info.Name;
+  for (const log_field &Field : Fields) {
+    Line += ' ';
+    Line += Field.Name;
+    Line += '=';
+    Line += Field.Value;
+  }
+  return Line;
+}
+
+std::span<const log_event_info> logEvents() { return Table; }
+
+bool parseSeverity(std::string_view Text, log_severity &Severity) {
+  const auto Found =
+      std::find(std::begin(SeverityNames), std::end(SeverityNames), Text);
+  if (Found == std::end(SeverityNames))
+    return false;
+  Severity = static_cast<log_severity>(Found - std::begin(SeverityNames));
+  return true;
+}
+
+void startLogging(const log_settings &Settings) {
+  Current = Settings;
+  using backend = logging::sinks::text_ostream_backend;
+  using frontend = logging::sinks::synchronous_sink<backend>;
+  const boost::shared_ptr<frontend> Sink = boost::make_shared<frontend>();
+  const boost::shared_ptr<std::ostream> Stream(&std::cerr, [](auto *) {});
+  Sink->locked_backend()->add_stream(Stream);
+  Sink->locked_backend()->auto_flush(true);
+  Sink->set_formatter(logging::expressions::stream
+                      << logging::expressions::smessage);
+  logging::core::get()->remove_all_sinks();
+  logging::core::get()->add_sink(Sink);
+}
+
+void logEvent(log_event Event,
+              std::initializer_list<log_field> Fields) noexcept {
+  try {
+    const log_event_info &Info = infoOf(Event);
+    if (Info.Severity < Current.Least)
+      return;
+    BOOST_LOG_SEV(theLogger(), Info.Severity)
+        << (Current.AsJson ? jsonLine(Info, Fields) : textLine(Info, Fields));
+  } catch (const std::exception &) {
+    // A line that can't be written must not end the work that it tells of.
+    return;
+  }
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibRuntime/event_loop_scheduler.cpp
@@ -0,0 +1,41 @@
+#include "LibRuntime/event_loop_scheduler.h"
+
+#include <boost/asio/post.hpp>
+
+namespace spindle {
+
+void event_loop_scheduler::awakened(boost::fibers::context *Context) noexcept {
+  Context->ready_link(Ready);
+}
+
+boost::fibers::context *event_loop_scheduler::pick_next() noexcept {
+  if (++Switches >= SwitchesBetweenPolls) {
+    Switches = 0;
+    Loop.poll();
+  }
+  if (Ready.empty())
+    return nullptr;
+  boost::fibers::context *const Next = &Ready.front();
+  Ready.pop_front();
+  return Next;
+}
+
+bool event_loop_scheduler::has_ready_fibers() const noexcept {
+  return !Ready.empty();
+}
+
+void event_loop_scheduler::suspend_until(
+    const std::chrono::steady_clock::time_point &Until) noexcept {
+  // Handlers that run here only mark fibers as ready.
+  if (Until == std::chrono::steady_clock::time_point::max())
+    Loop.run_one();
+  else
+    Loop.run_one_until(Until);
+  Loop.poll();
+}
+
+void event_loop_scheduler::notify() noexcept {
+  boost::asio::post(Loop, [] {});
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Tests/Support/fake_platform.cpp
@@ -0,0 +1,132 @@
+#include "Support/fake_platform.h"
+
+#include "LibCore/result_code.h"
+
+namespace spindle {
+
+using lock = std::lock_guard<std::mutex>;
+
+platform_port fake_platform::port() {
+  platform_port Port;
+  Port.Get = [this](std::string_view Kind,
+                    std::string_view Name) -> std::optional<platform_object> {
+    const lock Lock(Mutex);
+    ++Reads;
+    checkUp();
+    const auto Found = Objects.find({std::string(Kind), std::string(Name)});
+    if (Found == Objects.end())
+      return std::nullopt;
+    return Found->second;
+  };
+  Port.List = [this](std::string_view Kind) {
+    const lock Lock(Mutex);
+    ++Reads;
+    checkUp();
+    platform_list List;
+    List.Version = LastVersion;
+    for (const auto &[Key, Object] : Objects)
+      if (Key.first == Kind)
+        List.Objects.push_back(Object);
+    return List;
+  };
+  Port.Create = [this](std::string_view Kind, std::string_view Name,
+                       std::string_view Body) {
+    const lock Lock(Mutex);
+    ++Writes;
+    checkUp();
+    const object_key Key{std::string(Kind), std::string(Name)};
+    if (Objects.count(Key) != 0)
+      throw spindle_error(result_code::PlatformConflict,
+                          "object exists: " + Key.second);
+    return write(Key, Body, platform_change::Added);
+  };
+  Port.Update = [this](std::string_view Kind, std::string_view Name,
+                       std::uint64_t Version, std::string_view Body) {
+    const lock Lock(Mutex);
+    ++Writes;
+    checkUp();
+    const object_key Key{std::string(Kind), std::string(Name)};
+    const auto Found = Objects.find(Key);
+    if (Found == Objects.end())
+      throw spindle_error(result_code::PlatformNotFound,
+                          "no object " + Key.second);
+    if (Found->second.Version != Version)
+      throw spindle_error(result_code::PlatformConflict,
+                          "object has changed: " + Key.second);
+    return write(Key, Body, platform_change::Modified);
+  };
+  Port.Remove = [this](std::string_view Kind, std::string_view Name,
+                       std::uint64_t Version) {
+    const lock Lock(Mutex);
+    ++Writes;
+    checkUp();
+    const object_key Key{std::string(Kind), std::string(Name)};
+    const auto Found = Objects.find(Key);
+    if (Found == Objects.end())
+      throw spindle_error(result_code::PlatformNotFound,
+                          "no object " + Key.second);
+    if (Found->second.Version != Version)
+      throw spindle_error(result_code::PlatformConflict,
+                          "object has changed: " + Key.second);
+    write(Key, Found->second.Body, platform_change::Deleted);
+  };
+  Port.Watch = [this](std::string_view Kind, std::uint64_t FromVersion,
+                      milliseconds,
+                      const std::function<bool(const platform_event &)> &On) {
+    std::vector<platform_event> Events;
+    {
+      const lock Lock(Mutex);
+      ++Reads;
+      checkUp();
+      for (const auto &[Version, Event] : History)
+        if (Version > FromVersion && Event.Object.Kind == Kind)
+          Events.push_back(Event);
+    }
+    for (const platform_event &Event : Events)
+      if (!On(Event))
+        return;
+  };
+  return Port;
+}
+
+void fake_platform::setFaults(fake_platform_faults NewFaults) {
+  const lock Lock(Mutex);
+  Faults = NewFaults;
+}
+
+std::size_t fake_platform::reads() const {
+  const lock Lock(Mutex);
+  return Reads;
+}
+
+std::size_t fake_platform::writes() const {
+  const lock Lock(Mutex);
+  return Writes;
+}
+
+void fake_platform::checkUp() {
+  if (Faults.Down)
+    throw spindle_error(result_code::PlatformUnavailable, "platform is down");
+}
+
+std::uint64_t fake_platform::write(const object_key &Key, std::string_view Body,
+                                   platform_change Change) {
+  if (Faults.FailWrites > 0) {
+    --Faults.FailWrites;
+    throw spindle_error(result_code::PlatformUnavailable, "write not made");
+  }
+  const platform_object Object{Key.first, Key.second, ++LastVersion,
+                               std::string(Body)};
+  History.push_back({LastVersion, {Change, Object}});
+  if (Change == platform_change::Deleted)
+    Objects.erase(Key);
+  else
+    Objects[Key] = Object;
+  if (Faults.LoseAnswers > 0) {
+    --Faults.LoseAnswers;
+    throw spindle_error(result_code::PlatformUnavailable, "answer lost");
+  }
+  return LastVersion;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Tests/Support/fake_platform.h
@@ -0,0 +1,52 @@
+#ifndef PARSLEYSPINDLE_TESTS_SUPPORT_FAKE_PLATFORM_H
+#define PARSLEYSPINDLE_TESTS_SUPPORT_FAKE_PLATFORM_H
+
+#include "LibPlatform/platform_port.h"
+
+#include <map>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace spindle {
+
+/// Faults that a test switches on in a fake_platform.
+struct fake_platform_faults {
+  /// Calls fail without effect.
+  bool Down = false;
+  /// The next writes, this many, take effect but their answers are lost.
+  int LoseAnswers = 0;
+  /// The next writes, this many, fail without effect.
+  int FailWrites = 0;
+};
+
+/// An object API in memory, for tests of decisions. Thread-safe. Watch()
+/// delivers what has happened and returns at once.
+class fake_platform {
+public:
+  /// Makes a port to this object, which must outlive it.
+  platform_port port();
+
+  void setFaults(fake_platform_faults Faults);
+  std::size_t reads() const;
+  std::size_t writes() const;
+
+private:
+  using object_key = std::pair<std::string, std::string>;
+
+  void checkUp();
+  std::uint64_t write(const object_key &Key, std::string_view Body,
+                      platform_change Change);
+
+  mutable std::mutex Mutex;
+  std::map<object_key, platform_object> Objects;
+  std::vector<std::pair<std::uint64_t, platform_event>> History;
+  std::uint64_t LastVersion = 0;
+  std::size_t Reads = 0;
+  std::size_t Writes = 0;
+  fake_platform_faults Faults;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_TESTS_SUPPORT_FAKE_PLATFORM_H
--- /dev/null
+++ b/Tests/Support/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
