--- /dev/null
+++ b/Libraries/LibConfiguration/intent.h
@@ -0,0 +1,145 @@
+#ifndef PARSLEYSPINDLE_LIBCONFIGURATION_INTENT_H
+#define PARSLEYSPINDLE_LIBCONFIGURATION_INTENT_H
+
+#include "LibCore/endpoint.h"
+#include "LibCore/runtime_clock.h"
+#include "LibCore/strong_id.h"
+#include "LibCore/tokens.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace spindle {
+
+/// The order in which a tenant's own requests are served, first to last.
+enum class priority_class : std::uint8_t { Rush, Chat, Plain, Batch };
+
+/// What a host that can't confirm its configuration does with a tenant's keys.
+enum class isolated_key_policy { Serve, Refuse };
+
+struct tenant_declaration {
+  std::string Name;
+  token_rate Rate;
+  tokens Burst;
+  /// The tenant's part of contended engines, relative to others.
+  std::uint32_t Weight = 1;
+  /// The highest class that the tenant's requests may claim.
+  priority_class HighestPriority = priority_class::Rush;
+  isolated_key_policy WhenIsolated = isolated_key_policy::Serve;
+  /// How long an unconfirmed configuration is trusted under Refuse.
+  seconds IsolationLimit{30};
+};
+
+/// A granted key. The key itself is never stored.
+struct key_grant {
+  std::string Name;
+  std::string Tenant;
+  /// SHA-256 of the key, in hexadecimal.
+  std::string Digest;
+};
+
+/// One version of an adapter, the unit that engines load.
+struct adapter_declaration {
+  std::string Name;
+  std::string Version;
+  std::string Model;
+  /// The tenant that may use it; empty: every tenant.
+  std::string Tenant;
+  /// Whether the bare name, without "@version", means this version.
+  bool IsDefault = false;
+};
+
+enum class upstream_kind { Engine, Service };
+
+struct upstream_declaration {
+  std::string Name;
+  upstream_kind Kind = upstream_kind::Engine;
+  endpoint Address;
+  std::string Zone;
+  /// Engines: the base model.
+  std::string Model;
+  /// Engines: how many adapters fit.
+  std::uint32_t Slots = 8;
+  /// Engines: how many requests run in one batch.
+  std::uint32_t BatchSize = 16;
+  /// Engines: whether an order with an old fencing number is refused.
+  bool HonoursFencing = true;
+};
+
+enum class route_kind {
+  /// OpenAI-style completions on engines.
+  Model,
+  /// A plain service.
+  Service
+};
+
+struct route_declaration {
+  std::string Name;
+  route_kind Kind = route_kind::Service;
+  std::string PathPrefix;
+  std::vector<std::string> Methods;
+  std::vector<std::string> Upstreams;
+  /// Open to callers without a key.
+  bool Open = false;
+  /// Whether a call may be repeated by the system.
+  bool Idempotent = false;
+  /// Not idempotent: whether an Idempotency-Key is required.
+  bool OrderKeyRequired = true;
+  /// The service itself runs one order key once, so that orders may be sent
+  /// while the platform can't record them.
+  bool ServiceDeduplicates = false;
+  std::size_t BodyLimitBytes = 1 << 20;
+  milliseconds FirstByteTimeout{30'000};
+  milliseconds BetweenBytesTimeout{10'000};
+  /// Tokens charged for a call to a service.
+  tokens Cost{1};
+};
+
+struct zone_declaration {
+  std::string Name;
+  std::string Region;
+  /// The zone's part of every tenant's rate, relative to other zones. The
+  /// zone keeps it when it is cut off.
+  std::uint32_t Weight = 1;
+};
+
+/// How the users' measures are weighed against each other.
+struct policy_declaration {
+  /// "residency", "least-loaded", "random" or "consistent-hash".
+  std::string Routing = "residency";
+  /// "value" or "lru".
+  std::string Residency = "value";
+  /// "fair" or "fifo".
+  std::string Queueing = "fair";
+  /// Loads a second that the weight store allows to the whole fleet.
+  double WeightStoreLoadsPerSecond = 2;
+  /// Loads in flight at full speed in the whole fleet.
+  std::uint32_t WeightStoreLoadsInFlight = 8;
+  /// Requests of one tenant that wait on one host.
+  std::uint32_t QueueLimit = 256;
+  /// The longest that a request waits on a host.
+  milliseconds QueueTimeout{10'000};
+  /// A waiting request rises by one class each time this passes.
+  milliseconds AgeingStep{4'000};
+  /// Retries allowed for each hundred calls of a tenant.
+  std::uint32_t RetryPercent = 10;
+  /// How long a request that crashes upstreams is held back.
+  seconds QuarantineTime{300};
+};
+
+/// Everything an operator declares.
+struct intent {
+  std::vector<zone_declaration> Zones;
+  std::vector<tenant_declaration> Tenants;
+  std::vector<key_grant> Keys;
+  std::vector<adapter_declaration> Adapters;
+  std::vector<upstream_declaration> Upstreams;
+  std::vector<route_declaration> Routes;
+  policy_declaration Policy;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBCONFIGURATION_INTENT_H
