LibLimits: Divide a tenant's rate and burst into shares with loans

Cause: a tenant's rate and burst must hold over all hosts without a call per request and without a host that decides for all. Change: the pure decisions of an escrow. A share is a token bucket whose rate and capacity are the base share less what is lent plus what is borrowed, all in whole millionths.

--- /dev/null
+++ b/Libraries/LibLimits/lending_policy.cpp
@@ -0,0 +1,153 @@
+#include "LibLimits/lending_policy.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+using float_seconds = std::chrono::duration<double>;
+
+/// Rates below this part of the base share are not worth a loan.
+static constexpr std::int64_t LeastRateLoanDivisor = 50;
+/// A borrower asks ahead when fewer than this many large requests fit.
+static constexpr double LargeRequestsKept = 1.0;
+static constexpr double LargeRequestsWanted = 2.0;
+
+static double demandOf(const tenant_share &Share) {
+  return std::max(Share.Demand.MicrosPerSecond, 0.0);
+}
+
+static double inSeconds(milliseconds Duration) {
+  return float_seconds(Duration).count();
+}
+
+static micro_rate rateOfMicros(double Micros) {
+  return {static_cast<std::int64_t>(std::max(Micros, 0.0))};
+}
+
+static micro_tokens tokensOfMicros(double Micros) {
+  return {static_cast<std::int64_t>(std::max(Micros, 0.0))};
+}
+
+static micro_rate wantedRate(const tenant_share &Share,
+                             const lending_settings &Settings) {
+  if (Share.Kind == refill_kind::BySettlement)
+    return {};
+  const micro_rate Wanted =
+      rateOfMicros(demandOf(Share) * Settings.WantedDemand);
+  const micro_rate Missing = Wanted - rateOf(Share);
+  if (Missing.PerSecond <= Wanted.PerSecond / LeastRateLoanDivisor)
+    return {};
+  return Missing;
+}
+
+static micro_tokens wantedLevel(const tenant_share &Share,
+                                const lending_settings &Settings) {
+  const double ForLarge = LargeRequestsWanted * Share.Demand.LargeMicros;
+  const double ForTime = demandOf(Share) * inSeconds(Settings.WantedTime);
+  return tokensOfMicros(std::max(ForLarge, ForTime));
+}
+
+std::optional<loan_wish> wishAhead(const tenant_share &Share,
+                                   const lending_settings &Settings) {
+  const double Demand = demandOf(Share);
+  const double Ahead = inSeconds(Settings.AskAheadTime);
+  const double Rate = static_cast<double>(rateOf(Share).PerSecond);
+  const double Predicted =
+      static_cast<double>(Share.Level.Count) + (Rate - Demand) * Ahead;
+  const double Low = LargeRequestsKept * Share.Demand.LargeMicros;
+  if (Low < 1 || Predicted >= std::max(Low, Demand * Ahead))
+    return std::nullopt;
+  loan_wish Wish{wantedRate(Share, Settings), {}};
+  Wish.Level =
+      std::max(wantedLevel(Share, Settings) - Share.Level, micro_tokens{});
+  if (Wish.Rate.PerSecond == 0 && Wish.Level.Count == 0)
+    return std::nullopt;
+  return Wish;
+}
+
+loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount,
+                         const lending_settings &Settings) {
+  const micro_tokens Wanted = std::max(Amount, wantedLevel(Share, Settings));
+  return {wantedRate(Share, Settings), Wanted - Share.Level};
+}
+
+milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
+                     const lending_settings &Settings) {
+  const bool SoonSpent =
+      Share.Kind == refill_kind::ByRate && Wish.Rate.PerSecond == 0;
+  return SoonSpent ? Settings.TokenLoanTerm : Settings.RateLoanTerm;
+}
+
+static micro_rate spareRate(const tenant_share &Share,
+                            const lending_settings &Settings, bool Draining) {
+  const micro_rate Lendable = lendableRate(Share);
+  if (Draining)
+    return Lendable;
+  const double Floor =
+      static_cast<double>(Share.BaseRate.PerSecond) * Settings.KeptFloor;
+  const micro_rate Kept =
+      rateOfMicros(std::max(Floor, demandOf(Share) * Settings.KeptDemand));
+  return std::clamp(rateOf(Share) - Kept, micro_rate{}, Lendable);
+}
+
+static micro_tokens spareLevel(const tenant_share &Share,
+                               const lending_settings &Settings,
+                               bool Draining) {
+  if (Draining)
+    return std::max(Share.Level, micro_tokens{});
+  const double ForTime = demandOf(Share) * inSeconds(Settings.KeptTime);
+  const micro_tokens Kept =
+      tokensOfMicros(std::max(ForTime, Share.Demand.LargeMicros));
+  return std::max(Share.Level - Kept, micro_tokens{});
+}
+
+/// The part of the base capacity that goes with \p Rate.
+static micro_tokens capacityFor(const tenant_share &Share, micro_rate Rate) {
+  if (Share.BaseRate.PerSecond == 0)
+    return {};
+  const double Part = static_cast<double>(Rate.PerSecond) /
+                      static_cast<double>(Share.BaseRate.PerSecond);
+  return tokensOfMicros(static_cast<double>(Share.BaseCapacity.Count) * Part);
+}
+
+std::optional<loan_amount> offerFor(const tenant_share &Share,
+                                    const loan_wish &Wish,
+                                    const lending_settings &Settings,
+                                    bool Draining) {
+  loan_amount Offer;
+  const micro_tokens Lendable = lendableCapacity(Share);
+  Offer.Rate = std::min(Wish.Rate, spareRate(Share, Settings, Draining));
+  if (Offer.Rate.PerSecond < Share.BaseRate.PerSecond / LeastRateLoanDivisor)
+    Offer.Rate = {};
+  Offer.Level =
+      std::min({Wish.Level, spareLevel(Share, Settings, Draining), Lendable});
+  Offer.Capacity =
+      std::min(std::max(Offer.Level, capacityFor(Share, Offer.Rate)), Lendable);
+  // Tokens that the capacity left over could not hold go with the loan.
+  const micro_tokens Left = capacityOf(Share) - Offer.Capacity;
+  const micro_tokens Surplus = Share.Level - Left;
+  Offer.Level = std::clamp(Surplus, Offer.Level, Offer.Capacity);
+  if (Share.Kind == refill_kind::BySettlement)
+    Offer.Capacity = Offer.Level;
+  if (Offer.Rate.PerSecond == 0 && Offer.Level.Count == 0)
+    return std::nullopt;
+  return Offer;
+}
+
+bool wantsRenewal(const tenant_share &Share, const borrowed_loan &Loan,
+                  const lending_settings &Settings) {
+  if (Share.Kind == refill_kind::BySettlement)
+    return Share.Outstanding > capacityOf(Share) - Loan.Amount.Capacity;
+  if (Loan.Amount.Rate.PerSecond == 0)
+    return false;
+  const micro_rate Without = rateOf(Share) - Loan.Amount.Rate;
+  return Without < rateOfMicros(demandOf(Share) * Settings.WantedDemand);
+}
+
+bool affordsRenewal(const tenant_share &Share) {
+  if (Share.Kind == refill_kind::BySettlement)
+    return true;
+  return rateOf(Share) >= rateOfMicros(demandOf(Share));
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibLimits/peer_choice.cpp
@@ -0,0 +1,57 @@
+#include "LibLimits/peer_choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace spindle {
+
+static constexpr double LeastWeight = 0.05;
+/// A peer that granted less than this part has nothing left.
+static constexpr double LittleGranted = 0.5;
+static constexpr milliseconds ShortestBackoff{50};
+static constexpr milliseconds LongestBackoff{800};
+static constexpr milliseconds SilentBackoff{1'000};
+
+std::vector<std::size_t> chooseLenders(std::span<const lender> Lenders,
+                                       std::size_t Limit, time_point Now,
+                                       std::mt19937_64 &Random) {
+  // Sorting by log(u) / weight draws without replacement in proportion to the
+  // weights.
+  std::vector<std::pair<double, std::size_t>> Keys;
+  std::uniform_real_distribution<double> Uniform(0.0, 1.0);
+  constexpr double OtherZonePenalty = 1e9;
+  for (std::size_t Index = 0; Index < Lenders.size(); ++Index) {
+    const lender &Lender = Lenders[Index];
+    if (Now < Lender.Hint.AskAgainAt)
+      continue;
+    const double Weight = std::max(Lender.Hint.Granted, LeastWeight);
+    const double Key = -std::log1p(-Uniform(Random)) / Weight;
+    Keys.emplace_back(Lender.SameZone ? Key : Key + OtherZonePenalty, Index);
+  }
+  const std::size_t Count = std::min(Limit, Keys.size());
+  std::partial_sort(Keys.begin(),
+                    Keys.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Keys.end());
+  std::vector<std::size_t> Chosen;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Chosen.push_back(Keys[Index].second);
+  return Chosen;
+}
+
+void noteGranted(lender_hint &Hint, double Granted, time_point Now) {
+  Hint.Granted = Granted;
+  if (Granted >= LittleGranted) {
+    Hint.Backoff = milliseconds(0);
+    return;
+  }
+  Hint.Backoff = std::clamp(2 * Hint.Backoff, ShortestBackoff, LongestBackoff);
+  Hint.AskAgainAt = Now + Hint.Backoff;
+}
+
+void noteSilent(lender_hint &Hint, time_point Now) {
+  Hint.Granted = 0;
+  Hint.AskAgainAt = Now + SilentBackoff;
+}
+
+} // namespace spindle
