LibHost: Admit tenants' requests from shares and lend between hosts

Cause: the request path needs one thread-safe object that admits, settles, borrows and lends. Change: rate_limiter on a table of shares in 16 shards, each under its own lock, none held across a call to a peer; share_lender asks, grants, renews and repays. The weight store's budget of loads uses the same shares. Conclusion: TestLibLimits shows that one host can spend the whole burst by loans and no more, that a lost answer loses only until the loan's end, that a share lapses, and that a draining host hands over.

--- /dev/null
+++ b/Libraries/LibHost/share_lender.cpp
@@ -0,0 +1,333 @@
+#include "LibHost/share_lender.h"
+
+#include "LibCore/result_code.h"
+#include "LibHost/rate_limiter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spindle {
+
+using lock = std::lock_guard<std::mutex>;
+
+/// A loan is renewed when less than this part of its term is left.
+static constexpr int RenewalDivisor = 3;
+
+share_lender::share_lender(const runtime_clock &Clock, host_link_port Link,
+                           host_link::Sender Self, share_table &Table,
+                           const rate_limiter_settings &Settings)
+    : Clock(Clock), Link(std::move(Link)), Self(std::move(Self)), Table(Table),
+      Settings(Settings), Peers(std::make_shared<std::vector<peer_host>>()),
+      Random(this->Self.host() ^ this->Self.incarnation()) {}
+
+void share_lender::setPeers(std::span<const peer_host> NewPeers) {
+  peer_list List = std::make_shared<std::vector<peer_host>>(NewPeers.begin(),
+                                                            NewPeers.end());
+  const lock Lock(PeersMutex);
+  Peers = std::move(List);
+}
+
+share_lender::peer_list share_lender::peers() const {
+  const lock Lock(PeersMutex);
+  return Peers;
+}
+
+const peer_host *share_lender::findPeer(const peer_list &List,
+                                        host_id Host) const {
+  const auto Found =
+      std::find_if(List->begin(), List->end(),
+                   [Host](const peer_host &Peer) { return Peer.Id == Host; });
+  return Found == List->end() ? nullptr : &*Found;
+}
+
+std::vector<peer_host> share_lender::choosePeers(const bucket_id &Id) {
+  const peer_list List = peers();
+  std::vector<lender> Lenders;
+  Lenders.reserve(List->size());
+  Table.with(Id, [&](share_entry &Entry) {
+    for (const peer_host &Peer : *List) {
+      const auto Hint = Entry.Hints.find(Peer.Id);
+      const bool SameZone = Peer.Zone.Value == Self.zone();
+      Lenders.push_back(
+          {SameZone, Hint == Entry.Hints.end() ? lender_hint{} : Hint->second});
+    }
+  });
+  std::vector<std::size_t> Chosen;
+  {
+    const lock Lock(RandomMutex);
+    Chosen = chooseLenders(Lenders, Settings.PeersAsked, Clock.now(), Random);
+  }
+  std::vector<peer_host> Result;
+  for (const std::size_t Index : Chosen)
+    Result.push_back((*List)[Index]);
+  return Result;
+}
+
+static host_link::BorrowRequest
+makeRequest(const host_link::Sender &Self, const bucket_id &Id,
+            std::uint64_t Nonce, const loan_wish &Wish, milliseconds Term) {
+  host_link::BorrowRequest Request;
+  *Request.mutable_sender() = Self;
+  Request.set_tenant(Id.Tenant.Value);
+  Request.set_bucket(static_cast<std::uint32_t>(Id.Kind));
+  Request.set_nonce(Nonce);
+  Request.set_wanted_rate_per_second(static_cast<double>(Wish.Rate.PerSecond) /
+                                     MicrosPerToken);
+  Request.set_wanted_tokens((Wish.Level.Count + MicrosPerToken - 1) /
+                            MicrosPerToken);
+  Request.set_term_ms(Term.count());
+  return Request;
+}
+
+/// The part of a wish that was granted, in 0..1.
+static double grantedPart(const loan_wish &Wish, const loan_amount &Amount) {
+  double Part = 1;
+  if (Wish.Level.Count > 0)
+    Part = std::min(Part, static_cast<double>(Amount.Level.Count) /
+                              static_cast<double>(Wish.Level.Count));
+  if (Wish.Rate.PerSecond > 0)
+    Part = std::min(Part, static_cast<double>(Amount.Rate.PerSecond) /
+                              static_cast<double>(Wish.Rate.PerSecond));
+  return Part;
+}
+
+static loan_amount amountOf(const host_link::BorrowReply &Reply) {
+  return {toMicro(token_rate{Reply.rate_per_second()}),
+          toMicro(tokens{Reply.capacity_tokens()}),
+          toMicro(tokens{Reply.level_tokens()})};
+}
+
+/// Asks one peer and adds what it grants; returns whether that was enough.
+bool share_lender::askPeer(const peer_host &Peer, const bucket_id &Id,
+                           const loan_wish &Wish, milliseconds Limit,
+                           const std::function<bool(share_entry &)> &Enough) {
+  milliseconds Term{0};
+  Table.with(Id, [&](share_entry &Entry) {
+    Term = termFor(Entry.Share, Wish, Settings.Lending);
+  });
+  const std::uint64_t Nonce = NextNonce++;
+  const time_point SentAt = Clock.now();
+  bool IsEnough = false;
+  try {
+    const host_link::BorrowReply Reply =
+        Link.Borrow(Peer.Link, makeRequest(Self, Id, Nonce, Wish, Term), Limit);
+    const time_point Now = Clock.now();
+    const loan_amount Amount =
+        Reply.granted() ? amountOf(Reply) : loan_amount{};
+    Table.with(Id, [&](share_entry &Entry) {
+      noteGranted(Entry.Hints[Peer.Id], grantedPart(Wish, Amount), Now);
+      if (!Reply.granted())
+        return;
+      acceptLoan(Entry.Share, {Nonce, Peer.Id, Amount, {}},
+                 milliseconds(Reply.term_ms()), SentAt, Now);
+      IsEnough = Enough(Entry);
+    });
+  } catch (const spindle_error &) {
+    Table.with(Id, [&](share_entry &Entry) {
+      noteSilent(Entry.Hints[Peer.Id], Clock.now());
+    });
+  }
+  return IsEnough;
+}
+
+borrow_outcome share_lender::borrowForRequest(
+    const bucket_id &Id, micro_tokens Amount, time_point End,
+    const std::function<bool(share_entry &)> &Enough) {
+  bool Busy = false;
+  Table.with(Id, [&](share_entry &Entry) {
+    Busy = std::exchange(Entry.Borrowing, true);
+  });
+  if (Busy)
+    return borrow_outcome::OtherFiberAsks;
+  const std::vector<peer_host> Chosen = choosePeers(Id);
+  for (const peer_host &Peer : Chosen) {
+    loan_wish Wish;
+    Table.with(Id, [&](share_entry &Entry) {
+      Wish = wishForRequest(Entry.Share, Amount, Settings.Lending);
+    });
+    const milliseconds Left =
+        std::chrono::ceil<milliseconds>(End - Clock.now());
+    const milliseconds Limit = std::min(Settings.BorrowTimeout, Left);
+    if (Limit < milliseconds(0) || askPeer(Peer, Id, Wish, Limit, Enough))
+      break;
+  }
+  Table.with(Id, [](share_entry &Entry) { Entry.Borrowing = false; });
+  return Chosen.empty() ? borrow_outcome::NobodyToAsk : borrow_outcome::Asked;
+}
+
+static bucket_id bucketOf(std::uint64_t Tenant, std::uint32_t Bucket) {
+  return {tenant_id{Tenant}, static_cast<bucket_kind>(Bucket)};
+}
+
+static loan_key keyOf(const host_link::Sender &Sender, std::uint64_t Nonce) {
+  return {host_id{Sender.host()}, Sender.incarnation(), Nonce};
+}
+
+/// Rounds to what the reply can carry, down, so that nothing is created.
+static loan_amount inWholeTokens(const loan_amount &Amount) {
+  loan_amount Whole;
+  Whole.Rate = Amount.Rate;
+  Whole.Capacity = toMicro(toTokens(Amount.Capacity));
+  Whole.Level = toMicro(toTokens(Amount.Level));
+  return Whole;
+}
+
+static host_link::BorrowReply toReply(const lent_loan &Loan) {
+  host_link::BorrowReply Reply;
+  Reply.set_granted(true);
+  Reply.set_rate_per_second(static_cast<double>(Loan.Amount.Rate.PerSecond) /
+                            MicrosPerToken);
+  Reply.set_capacity_tokens(toTokens(Loan.Amount.Capacity).Count);
+  Reply.set_level_tokens(toTokens(Loan.Amount.Level).Count);
+  Reply.set_term_ms(Loan.Term.count());
+  return Reply;
+}
+
+host_link::BorrowReply
+share_lender::handleBorrow(const host_link::BorrowRequest &Request) {
+  const loan_key Key = keyOf(Request.sender(), Request.nonce());
+  const loan_wish Wish{
+      toMicro(token_rate{Request.wanted_rate_per_second()}),
+      toMicro(tokens{std::max<std::int64_t>(Request.wanted_tokens(), 0)})};
+  host_link::BorrowReply Reply;
+  const bucket_id Id = bucketOf(Request.tenant(), Request.bucket());
+  Table.with(Id, [&](share_entry &Entry) {
+    tenant_share &Share = Entry.Share;
+    const time_point Now = Clock.now();
+    advanceShare(Share, Now);
+    updateDemand(Share.Demand, Now);
+    if (wasRepaid(Share, Key))
+      return;
+    const bool IsOut =
+        std::any_of(Share.Lent.begin(), Share.Lent.end(),
+                    [&Key](const lent_loan &Loan) { return Loan.Key == Key; });
+    std::optional<lent_loan> Loan;
+    if (IsOut && affordsRenewal(Share))
+      Loan = renewLent(Share, Key, Now);
+    const std::optional<loan_amount> Offer =
+        offerFor(Share, Wish, Settings.Lending, Draining);
+    if (!IsOut && Offer)
+      Loan = lend(Share, Key, inWholeTokens(*Offer),
+                  milliseconds(Request.term_ms()), Now);
+    if (Loan)
+      Reply = toReply(*Loan);
+  });
+  return Reply;
+}
+
+host_link::RepayReply
+share_lender::handleRepay(const host_link::RepayRequest &Request) {
+  const loan_key Key = keyOf(Request.sender(), Request.nonce());
+  Table.with(
+      bucketOf(Request.tenant(), Request.bucket()), [&](share_entry &Entry) {
+        takeRepayment(Entry.Share, Key, toMicro(tokens{Request.level_tokens()}),
+                      Clock.now());
+      });
+  return {};
+}
+
+share_lender::chores share_lender::findChores() {
+  chores Chores;
+  const time_point Now = Clock.now();
+  const bool Drains = Draining;
+  Table.forEach([&](const bucket_id &Id, share_entry &Entry) {
+    tenant_share &Share = Entry.Share;
+    advanceShare(Share, Now);
+    updateDemand(Share.Demand, Now);
+    for (const borrowed_loan &Loan : Share.Borrowed) {
+      if (Drains)
+        Chores.Repayments.push_back({Id, Loan});
+      else if (Loan.End - Now < LongestLoanTerm / RenewalDivisor &&
+               wantsRenewal(Share, Loan, Settings.Lending))
+        Chores.Renewals.push_back({Id, Loan});
+    }
+    if (!Drains && wishAhead(Share, Settings.Lending))
+      Chores.Hungry.push_back(Id);
+  });
+  return Chores;
+}
+
+void share_lender::askAhead(const bucket_id &Id) {
+  const time_point End = Clock.now() + Settings.AdmissionWait;
+  bool Busy = false;
+  Table.with(Id, [&](share_entry &Entry) {
+    Busy = std::exchange(Entry.Borrowing, true);
+  });
+  if (Busy)
+    return;
+  for (const peer_host &Peer : choosePeers(Id)) {
+    std::optional<loan_wish> Wish;
+    Table.with(Id, [&](share_entry &Entry) {
+      Wish = wishAhead(Entry.Share, Settings.Lending);
+    });
+    if (!Wish || Clock.now() > End)
+      break;
+    askPeer(Peer, Id, *Wish, Settings.BorrowTimeout,
+            [](share_entry &) { return false; });
+  }
+  Table.with(Id, [](share_entry &Entry) { Entry.Borrowing = false; });
+}
+
+void share_lender::renew(const held_loan &Held) {
+  const peer_list List = peers();
+  const peer_host *Peer = findPeer(List, Held.Loan.Giver);
+  if (Peer == nullptr)
+    return;
+  const loan_wish Wish{Held.Loan.Amount.Rate, {}};
+  const time_point SentAt = Clock.now();
+  try {
+    const host_link::BorrowReply Reply =
+        Link.Borrow(Peer->Link,
+                    makeRequest(Self, Held.Bucket, Held.Loan.Nonce, Wish,
+                                Settings.Lending.RateLoanTerm),
+                    Settings.BorrowTimeout);
+    if (!Reply.granted())
+      return;
+    Table.with(Held.Bucket, [&](share_entry &Entry) {
+      prolongLoan(Entry.Share, Held.Loan.Nonce, milliseconds(Reply.term_ms()),
+                  SentAt, Clock.now());
+    });
+  } catch (const spindle_error &) {
+    Table.with(Held.Bucket, [&](share_entry &Entry) {
+      noteSilent(Entry.Hints[Held.Loan.Giver], Clock.now());
+    });
+  }
+}
+
+void share_lender::repay(const held_loan &Held) {
+  const peer_list List = peers();
+  const peer_host *Peer = findPeer(List, Held.Loan.Giver);
+  if (Peer == nullptr)
+    return;
+  std::optional<micro_tokens> Level;
+  Table.with(Held.Bucket, [&](share_entry &Entry) {
+    Level = dropForRepayment(Entry.Share, Held.Loan.Nonce, Clock.now());
+  });
+  if (!Level)
+    return;
+  host_link::RepayRequest Request;
+  *Request.mutable_sender() = Self;
+  Request.set_tenant(Held.Bucket.Tenant.Value);
+  Request.set_bucket(static_cast<std::uint32_t>(Held.Bucket.Kind));
+  Request.set_nonce(Held.Loan.Nonce);
+  Request.set_level_tokens(toTokens(*Level).Count);
+  try {
+    Link.Repay(Peer->Link, Request, Settings.BorrowTimeout);
+  } catch (const spindle_error &) {
+    // The giver regains the loan at its end.
+  }
+}
+
+void share_lender::maintain() {
+  const chores Chores = findChores();
+  for (const held_loan &Held : Chores.Repayments)
+    repay(Held);
+  for (const held_loan &Held : Chores.Renewals)
+    renew(Held);
+  for (const bucket_id &Id : Chores.Hungry)
+    askAhead(Id);
+}
+
+void share_lender::startDrain() { Draining = true; }
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibHost/share_table.h
@@ -0,0 +1,84 @@
+#ifndef PARSLEYSPINDLE_LIBHOST_SHARE_TABLE_H
+#define PARSLEYSPINDLE_LIBHOST_SHARE_TABLE_H
+
+#include "LibLimits/peer_choice.h"
+#include "LibLimits/tenant_share.h"
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace spindle {
+
+/// What a share limits. The numbers travel between hosts.
+enum class bucket_kind : std::uint32_t {
+  TenantTokens = 0,
+  LoadRate = 1,
+  LoadsInFlight = 2
+};
+
+struct bucket_id {
+  tenant_id Tenant;
+  bucket_kind Kind = bucket_kind::TenantTokens;
+
+  auto operator<=>(const bucket_id &) const = default;
+};
+
+struct bucket_id_hash {
+  std::size_t operator()(const bucket_id &Id) const noexcept {
+    constexpr std::uint64_t OddMultiplier = 0x9E3779B97F4A7C15;
+    const std::uint64_t Kind = static_cast<std::uint32_t>(Id.Kind);
+    return static_cast<std::size_t>(Id.Tenant.Value ^ (Kind * OddMultiplier));
+  }
+};
+
+/// This host's share of one bucket, and what the fleet's whole is.
+struct share_entry {
+  tenant_share Share;
+  std::string Name;
+  micro_rate FleetRate;
+  micro_tokens FleetBurst;
+  /// Tells reservations of an earlier entry of the same tenant apart.
+  std::uint64_t Epoch = 0;
+  std::unordered_map<host_id, lender_hint> Hints;
+  /// A fiber is asking peers for this share.
+  bool Borrowing = false;
+};
+
+/// The shares of all tenants, divided into shards that have a lock each.
+/// Thread-safe in every method; \p Work runs under its shard's lock, must not
+/// wait and must not call the table.
+class share_table {
+public:
+  using work = std::function<void(const bucket_id &, share_entry &)>;
+
+  /// Runs \p Work on the entry if it exists; returns whether it does.
+  bool with(const bucket_id &Id,
+            const std::function<void(share_entry &)> &Work);
+  /// Runs \p Work on the entry, which is made if it doesn't exist.
+  void withNew(const bucket_id &Id,
+               const std::function<void(share_entry &)> &Work);
+  /// Runs \p Work on every entry, one shard after the other.
+  void forEach(const work &Work);
+  /// Removes the entries that \p Remove chooses.
+  void removeIf(const std::function<bool(const bucket_id &,
+                                         const share_entry &)> &Remove);
+
+private:
+  struct shard {
+    std::mutex Mutex;
+    std::unordered_map<bucket_id, share_entry, bucket_id_hash> Entries;
+  };
+  static constexpr std::size_t ShardCount = 16;
+
+  shard &shardOf(const bucket_id &Id);
+
+  std::array<shard, ShardCount> Shards;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHOST_SHARE_TABLE_H
--- /dev/null
+++ b/Tests/LibLimits/limiter_fleet.h
@@ -0,0 +1,109 @@
+#ifndef PARSLEYSPINDLE_TESTS_LIBLIMITS_LIMITER_FLEET_H
+#define PARSLEYSPINDLE_TESTS_LIBLIMITS_LIMITER_FLEET_H
+
+#include "LibCore/result_code.h"
+#include "LibHost/rate_limiter.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace spindle {
+
+/// Several rate_limiters that call each other directly on a paused clock.
+class limiter_fleet {
+public:
+  explicit limiter_fleet(std::size_t HostCount) {
+    Clock.pause();
+    Clock.advance(seconds(1'000));
+    Silent.resize(HostCount);
+    for (std::size_t Index = 0; Index < HostCount; ++Index)
+      Limiters.push_back(makeLimiter(Index));
+    for (std::size_t Index = 0; Index < HostCount; ++Index)
+      assignShare(Index, 1'000'000 / HostCount, seconds(3'600));
+  }
+
+  std::unique_ptr<rate_limiter> makeLimiter(std::size_t Index) {
+    host_link::Sender Self;
+    Self.set_host(Index + 1);
+    Self.set_zone(1);
+    Self.set_incarnation(++Incarnations);
+    rate_limiter_settings Settings;
+    Settings.Sleep = [this](nanoseconds Pause) { Clock.advance(Pause); };
+    return std::make_unique<rate_limiter>(Clock, link(), Self, nullptr,
+                                          Settings);
+  }
+
+  /// Endpoints carry the index of the host as their port.
+  host_link_port link() {
+    host_link_port Link;
+    Link.Borrow = [this](const endpoint &Peer,
+                         const host_link::BorrowRequest &Request,
+                         milliseconds) {
+      const host_link::BorrowReply Reply =
+          Limiters.at(Peer.Port)->handleBorrow(Request);
+      ++Borrows;
+      if (Silent[Peer.Port])
+        throw spindle_error(result_code::PeerUnreachable, "answer lost");
+      return Reply;
+    };
+    Link.Repay = [this](const endpoint &Peer,
+                        const host_link::RepayRequest &Request, milliseconds) {
+      return Limiters.at(Peer.Port)->handleRepay(Request);
+    };
+    return Link;
+  }
+
+  void assignShare(std::size_t Index, std::uint32_t Parts,
+                   nanoseconds Validity) {
+    host_view View;
+    for (std::size_t Peer = 0; Peer < Limiters.size(); ++Peer)
+      if (Peer != Index)
+        View.Peers.push_back(
+            {host_id{Peer + 1}, "", zone_id{1},
+             endpoint{"127.0.0.1", static_cast<std::uint16_t>(Peer)}});
+    View.Share = {Parts, 1, Clock.now() + Validity};
+    Limiters[Index]->applyView(View);
+  }
+
+  /// Moves the clock on, with maintenance every 100 ms.
+  void pass(milliseconds Duration) {
+    constexpr milliseconds Step{100};
+    for (milliseconds Done{0}; Done < Duration; Done += Step) {
+      Clock.advance(Step);
+      for (const std::unique_ptr<rate_limiter> &Limiter : Limiters)
+        Limiter->maintain();
+    }
+  }
+
+  void setTenant(double Rate, std::int64_t Burst) {
+    tenant_declaration Tenant;
+    Tenant.Name = "tenant";
+    Tenant.Rate = {Rate};
+    Tenant.Burst = {Burst};
+    for (const std::unique_ptr<rate_limiter> &Limiter : Limiters)
+      Limiter->applyTenants({&Tenant, 1});
+  }
+
+  /// Tries to admit; returns the code of the refusal, or 0.
+  int reserve(std::size_t Index, std::int64_t Tokens) {
+    try {
+      Limiters[Index]->reserve(tenant_id::ofName("tenant"), {Tokens},
+                               Clock.now() + seconds(60));
+    } catch (const spindle_error &Error) {
+      return static_cast<int>(Error.code());
+    }
+    return 0;
+  }
+
+  runtime_clock Clock;
+  std::vector<std::unique_ptr<rate_limiter>> Limiters;
+  /// Hosts whose answers are lost after they took effect.
+  std::vector<bool> Silent;
+  std::size_t Borrows = 0;
+  std::uint64_t Incarnations = 0;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_TESTS_LIBLIMITS_LIMITER_FLEET_H
--- /dev/null
+++ b/Tests/LibLimits/test_slack_history.cpp
@@ -0,0 +1,36 @@
+#include "LibLimits/tenant_share.h"
+
+#include <catch2/catch.hpp>
+
+using namespace spindle;
+
+static constexpr time_point Start{seconds(1'000)};
+
+static tenant_share fullShare(std::int64_t PerSecond, std::int64_t Capacity) {
+  tenant_share Share;
+  Share.LastRefill = Start;
+  setBase(Share, {PerSecond * MicrosPerToken}, toMicro(tokens{Capacity}),
+          time_point::max(), Start);
+  const milliseconds Filling(1'000 * Capacity / PerSecond);
+  advanceShare(Share, Start + Filling);
+  REQUIRE(Share.Level == toMicro(tokens{Capacity}));
+  return Share;
+}
+
+TEST_CASE("An unused reservation is given back only where it had room") {
+  tenant_share Share = fullShare(100, 1'000);
+  const time_point Full = Start + seconds(10);
+  const micro_tokens Amount = toMicro(tokens{1'000});
+  const std::optional<std::uint64_t> First = tryCharge(Share, Amount, Full);
+  REQUIRE(First);
+  SECTION("at once, all of it") {
+    settleCharge(Share, *First, Amount, toMicro(tokens{200}), Full);
+    CHECK(Share.Level == toMicro(tokens{800}));
+  }
+  SECTION("after the bucket was full again and spent, none of it") {
+    const time_point Later = Full + seconds(10);
+    REQUIRE(tryCharge(Share, Amount, Later));
+    settleCharge(Share, *First, Amount, {}, Later);
+    CHECK(Share.Level == micro_tokens{});
+  }
+}
