LibOrders: Decide what an order's record means for a repeat

Cause: an order must run at most once, whatever host its repeat reaches. Change: the record of an order key as kept at the platform, and the pure decisions on it: whose claim it is, what a repeat is told, whether an attempt may still dispatch, which records are past their retention when the hosts' clocks differ. Conclusion: a claim is never taken over because time has passed, so no pause or skewed clock can lead to a second run.

--- /dev/null
+++ b/Libraries/LibOrders/order_claim.cpp
@@ -0,0 +1,107 @@
+#include "LibOrders/order_claim.h"
+
+#include <algorithm>
+#include <array>
+
+namespace spindle {
+
+/// Fields that belong to one connection or to the framing of one message.
+static constexpr std::array<std::string_view, 8> ConnectionFields{
+    "Connection",       "Keep-Alive", "Transfer-Encoding", "Content-Length",
+    "Proxy-Connection", "Trailer",    "Upgrade",           "Date"};
+
+static claim_finding judgeForeignClaim(const order_record &Stored,
+                                       wall_time Now) {
+  switch (Stored.State) {
+  case order_state::Done:
+    return Stored.AnswerKept ? claim_finding::Replay
+                             : claim_finding::AnswerNotKept;
+  case order_state::Unknown:
+    return claim_finding::OutcomeUnknown;
+  case order_state::Released:
+    return claim_finding::Claimable;
+  case order_state::Claimed:
+    break;
+  }
+  return Now < Stored.InProgressUntil ? claim_finding::InProgress
+                                      : claim_finding::OutcomeUnknown;
+}
+
+claim_finding judgeRecord(const order_record &Stored,
+                          const order_attempt &Attempt, bool HolderGaveUp,
+                          wall_time Now) {
+  if (Stored.Nonce == Attempt.Nonce && Stored.State == order_state::Claimed)
+    return claim_finding::OwnClaim;
+  if (Stored.State == order_state::Claimed && HolderGaveUp)
+    return claim_finding::Claimable;
+  if (Stored.State == order_state::Released)
+    return claim_finding::Claimable;
+  if (Stored.BodyDigest != Attempt.BodyDigest)
+    return claim_finding::KeyMismatch;
+  return judgeForeignClaim(Stored, Now);
+}
+
+bool mayDispatch(time_point ClaimSentAt, milliseconds DispatchWindow,
+                 time_point Now) {
+  return Now < ClaimSentAt + DispatchWindow;
+}
+
+order_record makeClaim(const order_attempt &Attempt, milliseconds CallTimeout,
+                       milliseconds DispatchWindow, wall_time Now) {
+  const milliseconds Longest = DispatchWindow + CallTimeout;
+  order_record Record;
+  Record.Nonce = Attempt.Nonce;
+  Record.BodyDigest = Attempt.BodyDigest;
+  Record.ClaimedAt = Now;
+  Record.InProgressUntil = {Now.Milliseconds + Longest.count()};
+  return Record;
+}
+
+static bool isKept(const http_field &Field) {
+  return std::none_of(ConnectionFields.begin(), ConnectionFields.end(),
+                      [&Field](std::string_view Name) {
+                        return sameFieldName(Field.Name, Name);
+                      });
+}
+
+static std::size_t sizeOf(const http_response &Answer) {
+  std::size_t Bytes = Answer.Body.size();
+  for (const http_field &Field : Answer.Head.Fields)
+    Bytes += Field.Name.size() + Field.Value.size();
+  return Bytes;
+}
+
+order_record makeDone(const order_record &Claim, const http_response &Answer,
+                      std::size_t LimitBytes) {
+  order_record Record = Claim;
+  Record.State = order_state::Done;
+  Record.AnswerKept = sizeOf(Answer) <= LimitBytes;
+  if (!Record.AnswerKept)
+    return Record;
+  Record.Answer = Answer;
+  std::erase_if(Record.Answer.Head.Fields,
+                [](const http_field &Field) { return !isKept(Field); });
+  return Record;
+}
+
+std::vector<record_age> expiredRecords(std::span<const record_age> Records,
+                                       seconds Retention, wall_time Now) {
+  std::vector<record_age> Sorted(Records.begin(), Records.end());
+  std::sort(Sorted.begin(), Sorted.end(),
+            [](const record_age &Left, const record_age &Right) {
+              return Left.Version < Right.Version;
+            });
+  wall_time Newest;
+  for (record_age &Record : Sorted) {
+    Newest = std::max(Newest, Record.ClaimedAt);
+    Record.ClaimedAt = Newest;
+  }
+  const wall_time Present = std::min(Now, Newest);
+  const std::int64_t Kept = milliseconds(Retention).count();
+  std::erase_if(Sorted, [&](const record_age &Record) {
+    return Present.Milliseconds - Record.ClaimedAt.Milliseconds < Kept;
+  });
+  return Sorted;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibOrders/order_record.cpp
@@ -0,0 +1,145 @@
+#include "LibOrders/order_record.h"
+
+#include "LibCore/digest.h"
+#include "LibCore/result_code.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace spindle {
+
+using nlohmann::json;
+
+static constexpr std::array<std::pair<order_state, std::string_view>, 4>
+    StateNames{{{order_state::Claimed, "claimed"},
+                {order_state::Done, "done"},
+                {order_state::Released, "released"},
+                {order_state::Unknown, "unknown"}}};
+
+static std::string_view nameOf(order_state State) {
+  for (const auto &[Known, Name] : StateNames)
+    if (Known == State)
+      return Name;
+  return "unknown";
+}
+
+static order_state stateCalled(std::string_view Text) {
+  for (const auto &[State, Name] : StateNames)
+    if (Name == Text)
+      return State;
+  throw spindle_error(result_code::Internal,
+                      "unknown order state: " + std::string(Text));
+}
+
+std::string orderObjectName(tenant_id Tenant, std::string_view Route,
+                            std::string_view OrderKey) {
+  std::string Text = std::to_string(Tenant.Value);
+  Text.append("\n").append(Route).append("\n").append(OrderKey);
+  return sha256Hex(Text);
+}
+
+static std::string toHex(std::string_view Bytes) {
+  static constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Hex;
+  Hex.reserve(Bytes.size() * 2);
+  for (const char Byte : Bytes) {
+    const unsigned Value = static_cast<unsigned char>(Byte);
+    Hex.push_back(Digits[Value >> 4U]);
+    Hex.push_back(Digits[Value & 0xFU]);
+  }
+  return Hex;
+}
+
+static std::string fromHex(std::string_view Hex) {
+  std::string Bytes;
+  for (std::size_t At = 0; At + 1 < Hex.size(); At += 2) {
+    unsigned Value = 0;
+    std::from_chars(Hex.data() + At, Hex.data() + At + 2, Value, 16);
+    Bytes.push_back(static_cast<char>(Value));
+  }
+  return Bytes;
+}
+
+static bool isUtf8(const std::string &Text) {
+  try {
+    json(Text).dump();
+    return true;
+  } catch (const json::exception &) {
+    return false;
+  }
+}
+
+/// Puts a text into \p Object under \p Name, or under the name with "Hex".
+static void putBytes(json &Object, const std::string &Name,
+                     const std::string &Bytes) {
+  if (isUtf8(Bytes))
+    Object[Name] = Bytes;
+  else
+    Object[Name + "Hex"] = toHex(Bytes);
+}
+
+static std::string getBytes(const json &Object, const std::string &Name) {
+  if (Object.contains(Name))
+    return Object.at(Name).get<std::string>();
+  return fromHex(Object.at(Name + "Hex").get<std::string>());
+}
+
+static json answerToJson(const http_response &Answer) {
+  json Fields = json::array();
+  for (const http_field &Field : Answer.Head.Fields) {
+    json Item;
+    putBytes(Item, "name", Field.Name);
+    putBytes(Item, "value", Field.Value);
+    Fields.push_back(std::move(Item));
+  }
+  json Object{{"status", Answer.Head.Status}, {"fields", std::move(Fields)}};
+  putBytes(Object, "body", Answer.Body);
+  return Object;
+}
+
+static http_response parseAnswer(const json &Object) {
+  http_response Answer;
+  Answer.Head.Status = Object.at("status").get<int>();
+  for (const json &Item : Object.at("fields"))
+    Answer.Head.Fields.push_back(
+        {getBytes(Item, "name"), getBytes(Item, "value")});
+  Answer.Body = getBytes(Object, "body");
+  return Answer;
+}
+
+std::string toJson(const order_record &Record) {
+  json Object{{"nonce", Record.Nonce},
+              {"bodyDigest", Record.BodyDigest},
+              {"state", nameOf(Record.State)},
+              {"claimedAtMs", Record.ClaimedAt.Milliseconds},
+              {"inProgressUntilMs", Record.InProgressUntil.Milliseconds}};
+  if (Record.AnswerKept)
+    Object["answer"] = answerToJson(Record.Answer);
+  return Object.dump();
+}
+
+order_record parseOrderRecord(std::string_view Text) {
+  try {
+    const json Object = json::parse(Text);
+    order_record Record;
+    Record.Nonce = Object.at("nonce").get<std::string>();
+    Record.BodyDigest = Object.at("bodyDigest").get<std::string>();
+    Record.State = stateCalled(Object.at("state").get<std::string>());
+    Record.ClaimedAt = {Object.at("claimedAtMs").get<std::int64_t>()};
+    Record.InProgressUntil = {
+        Object.at("inProgressUntilMs").get<std::int64_t>()};
+    Record.AnswerKept = Object.contains("answer");
+    if (Record.AnswerKept)
+      Record.Answer = parseAnswer(Object.at("answer"));
+    return Record;
+  } catch (const json::exception &Error) {
+    throw spindle_error(result_code::Internal,
+                        std::string("the order's record is not valid: ") +
+                            Error.what());
+  }
+}
+
+} // namespace spindle
