--- /dev/null
+++ b/Libraries/LibHost/order_desk.cpp
@@ -0,0 +1,424 @@
+#include "LibHost/order_desk.h"
+
+#include "LibCore/result_code.h"
+#include "LibCore/retry_after_error.h"
+#include "LibLog/log.h"
+#include "LibRuntime/fiber_runtime.h"
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <exception>
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace spindle {
+
+using lock = std::lock_guard<std::mutex>;
+
+static constexpr milliseconds ShortestRetryAfter{1'000};
+
+namespace {
+
+/// A claim that is certainly this attempt's.
+struct held_claim {
+  std::string Name;
+  std::uint64_t Version = 0;
+  order_record Record;
+};
+
+/// Either a certain claim, or what the record under the key says instead.
+struct claim_result {
+  std::optional<held_claim> Claim;
+  claim_finding Finding = claim_finding::OwnClaim;
+  order_record Stored;
+};
+
+/// What one try at the platform came to.
+enum class write_result { Written, Conflict, NoAnswer };
+
+} // namespace
+
+struct order_desk::state {
+  state(const runtime_clock &RuntimeClock, platform_port Port,
+        std::string Prefix, order_desk_settings NewSettings)
+      : Clock(RuntimeClock), Platform(std::move(Port)),
+        NoncePrefix(std::move(Prefix)), Settings(std::move(NewSettings)) {}
+
+  const runtime_clock &Clock;
+  platform_port Platform;
+  std::string NoncePrefix;
+  order_desk_settings Settings;
+  std::atomic<std::uint64_t> NextNonce{1};
+
+  mutable std::mutex Mutex;
+  /// Outcomes that could not be written yet.
+  std::deque<held_claim> Unwritten;
+  std::size_t UnwrittenBytes = 0;
+  /// Attempts that ended without dispatching, by nonce, although their claim
+  /// may have taken effect.
+  struct abandoned_claim {
+    std::string Name;
+    time_point Until;
+  };
+  std::map<std::string, abandoned_claim> Abandoned;
+  std::deque<record_age> Expired;
+  std::optional<time_point> NextListing;
+
+  claim_result claim(const order_request &Order, time_point SentAt);
+  claim_result claimOnce(held_claim &Wanted, std::optional<std::uint64_t> &Old,
+                         bool &Decided);
+  write_result tryWrite(held_claim &Claim,
+                        const std::optional<std::uint64_t> &OldVersion);
+  std::optional<platform_object> tryRead(std::string_view Name, bool &Answered);
+  http_response dispatch(const held_claim &Claim,
+                         const std::function<http_response()> &Dispatch);
+  http_response answerRepeat(const claim_result &Result);
+  void abandon(const held_claim &Claim);
+  bool gaveUp(const std::string &Nonce) const;
+  void finish(held_claim Claim);
+  bool writeOutcome(held_claim &Claim);
+  void keepUnwritten(held_claim Claim);
+  void writeWaitingOutcomes();
+  void releaseAbandoned();
+  bool resolveAbandoned(const std::string &Nonce, const std::string &Name);
+  void listExpired();
+  void deleteExpired();
+};
+
+order_desk::order_desk(const runtime_clock &Clock, platform_port Platform,
+                       std::uint64_t Incarnation, std::string HostName,
+                       order_desk_settings Settings)
+    : State(std::make_unique<state>(Clock, std::move(Platform),
+                                    std::move(HostName) + ":" +
+                                        std::to_string(Incarnation) + ":",
+                                    std::move(Settings))) {
+  if (!State->Settings.Sleep)
+    State->Settings.Sleep = sleepFor;
+}
+
+order_desk::~order_desk() = default;
+
+http_response order_desk::run(const order_request &Order,
+                              const std::function<http_response()> &Dispatch) {
+  const time_point SentAt = State->Clock.now();
+  claim_result Result;
+  try {
+    Result = State->claim(Order, SentAt);
+  } catch (const spindle_error &Error) {
+    const bool Unrecorded = Error.code() == result_code::OrderStoreUnavailable;
+    if (Unrecorded && Order.ServiceDeduplicates)
+      return Dispatch();
+    throw;
+  }
+  if (!Result.Claim)
+    return State->answerRepeat(Result);
+  if (!mayDispatch(SentAt, State->Settings.DispatchWindow,
+                   State->Clock.now())) {
+    logEvent(log_event::OrderDispatchTooLate, {});
+    held_claim Claim = *std::move(Result.Claim);
+    Claim.Record.State = order_state::Released;
+    State->finish(std::move(Claim));
+    throw spindle_error(result_code::DeadlineUnreachable,
+                        "the order's claim took too long");
+  }
+  return State->dispatch(*Result.Claim, Dispatch);
+}
+
+/// Claims an order key. \throws spindle_error OrderStoreUnavailable if the
+/// claim can't be made certain; the order is then never dispatched.
+claim_result order_desk::state::claim(const order_request &Order,
+                                      time_point SentAt) {
+  const order_attempt Attempt{NoncePrefix + std::to_string(NextNonce++),
+                              Order.BodyDigest};
+  held_claim Wanted{orderObjectName(Order.Tenant, Order.Route, Order.OrderKey),
+                    0,
+                    makeClaim(Attempt, Order.CallTimeout,
+                              Settings.DispatchWindow, Clock.wallNow())};
+  std::optional<std::uint64_t> OldVersion;
+  while (Clock.now() < SentAt + Settings.ClaimTimeout) {
+    bool Decided = false;
+    claim_result Result = claimOnce(Wanted, OldVersion, Decided);
+    if (Decided)
+      return Result;
+    Settings.Sleep(Settings.RetryPause);
+  }
+  abandon(Wanted);
+  throw spindle_error(result_code::OrderStoreUnavailable,
+                      "the platform did not confirm the order's claim");
+}
+
+/// Makes one try: writes the claim and, unless that is answered, reads back
+/// whose claim the record holds. \p OldVersion names the record to replace.
+claim_result
+order_desk::state::claimOnce(held_claim &Wanted,
+                             std::optional<std::uint64_t> &OldVersion,
+                             bool &Decided) {
+  claim_result Result;
+  Decided = tryWrite(Wanted, OldVersion) == write_result::Written;
+  if (Decided) {
+    Result.Claim = Wanted;
+    return Result;
+  }
+  bool Answered = false;
+  const std::optional<platform_object> Object = tryRead(Wanted.Name, Answered);
+  if (!Answered)
+    return Result;
+  OldVersion.reset();
+  if (!Object)
+    return Result;
+  Result.Stored = parseOrderRecord(Object->Body);
+  const order_attempt Attempt{Wanted.Record.Nonce, Wanted.Record.BodyDigest};
+  Result.Finding = judgeRecord(Result.Stored, Attempt,
+                               gaveUp(Result.Stored.Nonce), Clock.wallNow());
+  if (Result.Finding == claim_finding::Claimable) {
+    OldVersion = Object->Version;
+    return Result;
+  }
+  Decided = true;
+  if (Result.Finding == claim_finding::OwnClaim) {
+    Wanted.Version = Object->Version;
+    Result.Claim = Wanted;
+  }
+  return Result;
+}
+
+/// Creates the record, or replaces the one of \p OldVersion.
+write_result
+order_desk::state::tryWrite(held_claim &Claim,
+                            const std::optional<std::uint64_t> &OldVersion) {
+  const std::string Body = toJson(Claim.Record);
+  try {
+    Claim.Version =
+        OldVersion ? Platform.Update(platform_kind::Orders, Claim.Name,
+                                     *OldVersion, Body)
+                   : Platform.Create(platform_kind::Orders, Claim.Name, Body);
+    return write_result::Written;
+  } catch (const spindle_error &Error) {
+    const bool Conflict = Error.code() == result_code::PlatformConflict ||
+                          Error.code() == result_code::PlatformNotFound;
+    return Conflict ? write_result::Conflict : write_result::NoAnswer;
+  }
+}
+
+std::optional<platform_object> order_desk::state::tryRead(std::string_view Name,
+                                                          bool &Answered) {
+  try {
+    std::optional<platform_object> Object =
+        Platform.Get(platform_kind::Orders, Name);
+    Answered = true;
+    return Object;
+  } catch (const spindle_error &) {
+    Answered = false;
+    return std::nullopt;
+  }
+}
+
+/// Dispatches a claimed order once and records what became of it.
+http_response
+order_desk::state::dispatch(const held_claim &Claim,
+                            const std::function<http_response()> &Dispatch) {
+  held_claim Outcome = Claim;
+  http_response Answer;
+  std::exception_ptr Failure;
+  try {
+    Answer = Dispatch();
+    Outcome.Record = makeDone(Claim.Record, Answer, Settings.AnswerLimitBytes);
+  } catch (const spindle_error &Error) {
+    const bool CertainlyNotRun = Error.state() == run_state::NotRun;
+    Outcome.Record.State =
+        CertainlyNotRun ? order_state::Released : order_state::Unknown;
+    Failure = std::current_exception();
+  } catch (const std::exception &) {
+    Outcome.Record.State = order_state::Unknown;
+    Failure = std::current_exception();
+  }
+  finish(std::move(Outcome));
+  if (Failure)
+    std::rethrow_exception(Failure);
+  return Answer;
+}
+
+/// Answers a repeat of an order from its record.
+http_response order_desk::state::answerRepeat(const claim_result &Result) {
+  const auto Fail = [](result_code Code) {
+    return spindle_error(Code, std::string(describe(Code).Meaning));
+  };
+  switch (Result.Finding) {
+  case claim_finding::Replay:
+    break;
+  case claim_finding::AnswerNotKept:
+    throw Fail(result_code::OrderAnswerNotKept);
+  case claim_finding::KeyMismatch:
+    throw Fail(result_code::OrderKeyMismatch);
+  case claim_finding::InProgress: {
+    const milliseconds Left(Result.Stored.InProgressUntil.Milliseconds -
+                            Clock.wallNow().Milliseconds);
+    throw retry_after_error(
+        result_code::OrderInProgress,
+        std::string(describe(result_code::OrderInProgress).Meaning),
+        std::clamp(Left, milliseconds(0), ShortestRetryAfter));
+  }
+  default:
+    throw Fail(result_code::OrderOutcomeUnknown);
+  }
+  http_response Answer = Result.Stored.Answer;
+  Answer.Head.Fields.push_back({"Idempotency-Replayed", "true"});
+  return Answer;
+}
+
+/// Remembers that an attempt ended without dispatching.
+void order_desk::state::abandon(const held_claim &Claim) {
+  logEvent(log_event::OrderClaimAbandoned, {{"order", Claim.Name}});
+  const lock Lock(Mutex);
+  Abandoned[Claim.Record.Nonce] = {Claim.Name,
+                                   Clock.now() + Settings.AbandonedLimit};
+}
+
+bool order_desk::state::gaveUp(const std::string &Nonce) const {
+  const lock Lock(Mutex);
+  return Abandoned.contains(Nonce);
+}
+
+/// Writes an outcome, once here and later in sweep() if that fails. The caller
+/// of the order doesn't wait for more: what protects against a second run is
+/// the claim, not the outcome.
+void order_desk::state::finish(held_claim Claim) {
+  if (!writeOutcome(Claim))
+    keepUnwritten(std::move(Claim));
+}
+
+/// Tries to write an outcome; returns false if that is to be tried again.
+bool order_desk::state::writeOutcome(held_claim &Claim) {
+  const write_result Result = tryWrite(Claim, Claim.Version);
+  if (Result == write_result::Written)
+    return true;
+  bool Answered = false;
+  const std::optional<platform_object> Object = tryRead(Claim.Name, Answered);
+  if (!Answered)
+    return false;
+  if (!Object)
+    return true;
+  const order_record Stored = parseOrderRecord(Object->Body);
+  const bool StillClaimed = Stored.Nonce == Claim.Record.Nonce &&
+                            Stored.State == order_state::Claimed;
+  Claim.Version = Object->Version;
+  return !StillClaimed;
+}
+
+void order_desk::state::keepUnwritten(held_claim Claim) {
+  logEvent(log_event::OrderOutcomeWaits, {{"order", Claim.Name}});
+  const lock Lock(Mutex);
+  UnwrittenBytes += Claim.Record.Answer.Body.size();
+  if (UnwrittenBytes > Settings.UnwrittenLimitBytes) {
+    UnwrittenBytes -= Claim.Record.Answer.Body.size();
+    Claim.Record.AnswerKept = false;
+    Claim.Record.Answer = {};
+  }
+  Unwritten.push_back(std::move(Claim));
+}
+
+void order_desk::state::writeWaitingOutcomes() {
+  for (std::size_t Count = 0; Count < Settings.WritesPerSweep; ++Count) {
+    held_claim Claim;
+    {
+      const lock Lock(Mutex);
+      if (Unwritten.empty())
+        return;
+      Claim = Unwritten.front();
+    }
+    // It stays in the queue meanwhile, so that a planned stop waits for it.
+    const bool Written = writeOutcome(Claim);
+    const lock Lock(Mutex);
+    if (!Written) {
+      Unwritten.front().Version = Claim.Version;
+      return;
+    }
+    UnwrittenBytes -= Unwritten.front().Record.Answer.Body.size();
+    Unwritten.pop_front();
+  }
+}
+
+/// Releases a claim that no dispatch followed; returns whether its fate is
+/// settled. A claim that isn't there may still arrive late.
+bool order_desk::state::resolveAbandoned(const std::string &Nonce,
+                                         const std::string &Name) {
+  bool Answered = false;
+  const std::optional<platform_object> Object = tryRead(Name, Answered);
+  if (!Answered || !Object)
+    return false;
+  held_claim Claim{Name, Object->Version, parseOrderRecord(Object->Body)};
+  if (Claim.Record.Nonce != Nonce)
+    return true;
+  if (Claim.Record.State != order_state::Claimed)
+    return true;
+  Claim.Record.State = order_state::Released;
+  return writeOutcome(Claim);
+}
+
+void order_desk::state::releaseAbandoned() {
+  std::map<std::string, abandoned_claim> Waiting;
+  {
+    const lock Lock(Mutex);
+    Waiting = Abandoned;
+  }
+  std::size_t Count = 0;
+  for (const auto &[Nonce, Claim] : Waiting) {
+    if (++Count > Settings.WritesPerSweep)
+      return;
+    if (!resolveAbandoned(Nonce, Claim.Name) && Clock.now() < Claim.Until)
+      continue;
+    const lock Lock(Mutex);
+    Abandoned.erase(Nonce);
+  }
+}
+
+/// Lists the records past their retention, now and then.
+void order_desk::state::listExpired() {
+  const time_point Now = Clock.now();
+  if (!NextListing)
+    NextListing = Now + Settings.SweepInterval;
+  if (Now < *NextListing || !Expired.empty())
+    return;
+  NextListing = Now + Settings.SweepInterval;
+  std::vector<record_age> Ages;
+  for (const platform_object &Object :
+       Platform.List(platform_kind::Orders).Objects)
+    Ages.push_back(
+        {Object.Name, Object.Version, parseOrderRecord(Object.Body).ClaimedAt});
+  const std::vector<record_age> Old =
+      expiredRecords(Ages, Settings.Retention, Clock.wallNow());
+  Expired.assign(Old.begin(), Old.end());
+}
+
+void order_desk::state::deleteExpired() {
+  for (std::size_t Count = 0;
+       Count < Settings.DeletionsPerSweep && !Expired.empty(); ++Count) {
+    const record_age Record = Expired.front();
+    Expired.pop_front();
+    try {
+      Platform.Remove(platform_kind::Orders, Record.Name, Record.Version);
+    } catch (const spindle_error &) {
+      // The record has changed or is found again by a later listing.
+    }
+  }
+}
+
+void order_desk::sweep() {
+  State->writeWaitingOutcomes();
+  State->releaseAbandoned();
+  try {
+    State->listExpired();
+  } catch (const spindle_error &) {
+    return;
+  }
+  State->deleteExpired();
+}
+
+std::size_t order_desk::unwrittenOutcomes() const {
+  const lock Lock(State->Mutex);
+  return State->Unwritten.size();
+}
+
+} // namespace spindle
--- a/Libraries/LibHost/rate_limiter.cpp
+++ b/Libraries/LibHost/rate_limiter.cpp
@@ -4,6 +4,7 @@
 #include "LibHost/share_lender.h"
 #include "LibHost/share_table.h"
 #include "LibLimits/share_gate.h"
+#include "LibLog/log.h"
 
 #include <algorithm>
 #include <atomic>
@@ -152,8 +153,13 @@
 void rate_limiter::state::reshare(bool Always) {
   const time_point Now = Clock.now();
   const std::int64_t Parts = usableParts(Gate, ShareGrowthDelay, Now);
-  if (Parts == UsableParts && !Always)
+  const bool Changed = Parts != UsableParts;
+  if (!Changed && !Always)
     return;
+  if (Changed && Parts == 0)
+    logEvent(log_event::ShareLapsed, {});
+  if (Changed && UsableParts == 0)
+    logEvent(log_event::ShareUsable, {{"parts", std::to_string(Parts)}});
   UsableParts = Parts;
   Table.forEach([&](const bucket_id &, share_entry &Entry) {
     applyParts(Entry, Parts, Gate.ValidUntil, Now);
