LibHTTP: Serve and call HTTP/1.1 on fibers

Cause: callers, upstreams and the platform speak HTTP. Change: a server and a client over Boost.Beast, with a deadline on every wait, bounded buffers, cancellation, pooled connections that fall together under suspicion, and errors with result codes. The fiber scheduler polls its event loop on the dispatcher only: a handler that woke the fiber it ran on would have resumed itself.

--- /dev/null
+++ b/Libraries/LibHTTP/beast_call.cpp
@@ -0,0 +1,180 @@
+#include "LibHTTP/beast_call.h"
+
+#include "LibCore/result_code.h"
+
+#include <limits>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace spindle {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+beast_call::beast_call(std::shared_ptr<connection_pool> Pool,
+                       client_connection_pointer Connection,
+                       const http_call_limits &Limits)
+    : Pool(std::move(Pool)), Connection(std::move(Connection)), Limits(Limits) {
+  armCancellation();
+}
+
+beast_call::~beast_call() {
+  if (Limits.Cancellation)
+    Limits.Cancellation->setHook({});
+  if (Connection)
+    Connection->Stream.close();
+}
+
+void beast_call::armCancellation() {
+  if (!Limits.Cancellation)
+    return;
+  asio::io_context &Loop = currentIoContext();
+  Limits.Cancellation->setHook(
+      [&Loop, Weak = std::weak_ptr<client_connection>(Connection)] {
+        asio::post(Loop, [Weak] {
+          if (const client_connection_pointer Open = Weak.lock())
+            Open->Stream.cancel();
+        });
+      });
+}
+
+void beast_call::throwIfCancelled() const {
+  if (!Limits.Cancellation)
+    return;
+  const std::optional<result_code> Reason = Limits.Cancellation->reason();
+  if (Reason)
+    throw spindle_error(*Reason, "the call was cancelled");
+}
+
+void beast_call::fail(const io_result &Result, result_code Lost,
+                      std::string_view Step) {
+  throwIfCancelled();
+  const std::string Where =
+      toText(Connection->Peer) + " while " + std::string(Step);
+  if (Result.Error == beast::error::timeout)
+    throw spindle_error(Lost == result_code::UpstreamUnreachable
+                            ? Lost
+                            : result_code::UpstreamTimeout,
+                        "timeout of " + Where);
+  throw spindle_error(Lost, Result.Error.message() + " from " + Where);
+}
+
+void beast_call::connect() {
+  Connection->Stream.expires_after(Limits.Connect);
+  const io_result Connected = awaitIo([&](auto Handler) {
+    Connection->Stream.async_connect(toAsio(Connection->Peer),
+                                     std::move(Handler));
+  });
+  if (Connected.Error)
+    fail(Connected, result_code::UpstreamUnreachable, "connecting");
+  prepareSocket(Connection->Stream);
+}
+
+void beast_call::send(const http_request_head &Request, std::string_view Body) {
+  http::request<http::span_body<const char>> Message;
+  Message.method_string(
+      beast::string_view(Request.Method.data(), Request.Method.size()));
+  Message.target(
+      beast::string_view(Request.Target.data(), Request.Target.size()));
+  Message.version(11);
+  for (const http_field &Field : Request.Fields)
+    if (!isConnectionField(Field.Name))
+      Message.insert(Field.Name, Field.Value);
+  if (findField(Request.Fields, "Host").empty())
+    Message.set(http::field::host, toText(Connection->Peer));
+  Message.body() = {Body.data(), Body.size()};
+  if (!Body.empty() || Request.Method == "POST" || Request.Method == "PUT")
+    Message.content_length(Body.size());
+  HeadOnly = Request.Method == "HEAD";
+  Connection->Stream.expires_after(Limits.FirstByte);
+  const io_result Sent = awaitIo([&](auto Handler) {
+    http::async_write(Connection->Stream, Message, std::move(Handler));
+  });
+  if (!Sent.Error)
+    return;
+  ClosedBeforeAnswer = Sent.Error != beast::error::timeout;
+  fail(Sent, result_code::UpstreamLost, "sending the request");
+}
+
+void beast_call::readHead() {
+  Parser.emplace();
+  Parser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
+  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  Parser->skip(HeadOnly);
+  Connection->Stream.expires_after(Limits.FirstByte);
+  const io_result Read = awaitIo([&](auto Handler) {
+    http::async_read_header(Connection->Stream, Connection->Buffer, *Parser,
+                            std::move(Handler));
+  });
+  if (Read.Error) {
+    const bool NothingCame =
+        Connection->Buffer.size() == 0 && !Parser->got_some();
+    ClosedBeforeAnswer = NothingCame && Read.Error != beast::error::timeout;
+    fail(Read, result_code::UpstreamLost, "waiting for the answer");
+  }
+  Head.Status = static_cast<int>(Parser->get().result_int());
+  Head.Fields = toFields(Parser->get());
+}
+
+void beast_call::exchangeHeads(const http_request_head &Request,
+                               std::string_view Body) {
+  throwIfCancelled();
+  send(Request, Body);
+  do
+    readHead();
+  while (Head.Status == 100);
+  if (Parser->is_done())
+    finish();
+}
+
+std::size_t beast_call::readSome(std::span<char> Space) {
+  while (!Parser->is_done()) {
+    http::buffer_body::value_type &Body = Parser->get().body();
+    Body.data = Space.data();
+    Body.size = Space.size();
+    Connection->Stream.expires_after(Limits.BetweenBytes);
+    const io_result Read = awaitIo([&](auto Handler) {
+      http::async_read_some(Connection->Stream, Connection->Buffer, *Parser,
+                            std::move(Handler));
+    });
+    if (Read.Error && Read.Error != http::error::need_buffer)
+      fail(Read, result_code::AnswerCutShort, "reading the answer");
+    if (const std::size_t Count = Space.size() - Body.size; Count > 0)
+      return Count;
+  }
+  finish();
+  return 0;
+}
+
+std::string beast_call::readAll(std::size_t LimitBytes) {
+  std::string Body;
+  char Space[16 * 1024];
+  while (const std::size_t Count = readSome(Space)) {
+    if (Body.size() + Count > LimitBytes)
+      throw spindle_error(result_code::BodyTooLarge, run_state::RunAnswerLost,
+                          "the answer exceeds the limit of " +
+                              std::to_string(LimitBytes) + " bytes");
+    Body.append(Space, Count);
+  }
+  return Body;
+}
+
+void beast_call::finish() {
+  if (!Connection)
+    return;
+  // Bytes beyond the answer mean that the two ends disagree on its end.
+  const bool Reusable = Parser->keep_alive() && Connection->Buffer.size() == 0;
+  if (Limits.Cancellation)
+    Limits.Cancellation->setHook({});
+  if (Reusable)
+    Pool->giveBack(std::move(Connection));
+  else
+    Connection->Stream.close();
+  Connection.reset();
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibHTTP/beast_call.h
@@ -0,0 +1,58 @@
+#ifndef PARSLEYSPINDLE_LIBHTTP_BEAST_CALL_H
+#define PARSLEYSPINDLE_LIBHTTP_BEAST_CALL_H
+
+#include "LibHTTP/connection_pool.h"
+#include "LibHTTP/http_client.h"
+
+#include <optional>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace spindle {
+
+/// One call on one connection.
+class beast_call : public http_call {
+public:
+  beast_call(std::shared_ptr<connection_pool> Pool,
+             client_connection_pointer Connection,
+             const http_call_limits &Limits);
+  ~beast_call() override;
+
+  /// Connects. \throws spindle_error UpstreamUnreachable.
+  void connect();
+  /// Sends the request and reads the response's head.
+  /// \throws spindle_error UpstreamLost, UpstreamTimeout.
+  void exchangeHeads(const http_request_head &Request, std::string_view Body);
+  /// Whether the last failure came before any byte of an answer, by a
+  /// connection that the peer had closed.
+  bool closedBeforeAnswer() const { return ClosedBeforeAnswer; }
+
+  const http_response_head &head() const override { return Head; }
+  std::size_t readSome(std::span<char> Space) override;
+  std::string readAll(std::size_t LimitBytes) override;
+
+private:
+  using response_parser =
+      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+  void send(const http_request_head &Request, std::string_view Body);
+  void readHead();
+  void armCancellation();
+  void throwIfCancelled() const;
+  void finish();
+  [[noreturn]] void fail(const io_result &Result, result_code Lost,
+                         std::string_view Step);
+
+  std::shared_ptr<connection_pool> Pool;
+  client_connection_pointer Connection;
+  http_call_limits Limits;
+  std::optional<response_parser> Parser;
+  http_response_head Head;
+  bool HeadOnly = false;
+  bool ClosedBeforeAnswer = false;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHTTP_BEAST_CALL_H
--- /dev/null
+++ b/Libraries/LibHTTP/beast_exchange.h
@@ -0,0 +1,67 @@
+#ifndef PARSLEYSPINDLE_LIBHTTP_BEAST_EXCHANGE_H
+#define PARSLEYSPINDLE_LIBHTTP_BEAST_EXCHANGE_H
+
+#include "LibHTTP/beast_support.h"
+#include "LibHTTP/http_server.h"
+
+#include <atomic>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace spindle {
+
+using request_parser =
+    boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
+/// One request and its response over a Beast stream.
+class beast_exchange : public http_exchange {
+public:
+  /// \p Parser has read the header. All references must outlive the object.
+  beast_exchange(tcp_stream &Stream, boost::beast::flat_buffer &Buffer,
+                 request_parser &Parser, const http_server_limits &Limits,
+                 const std::atomic<bool> &Draining);
+  ~beast_exchange() override;
+
+  const http_request_head &request() const override { return Head; }
+  std::string readBody(std::size_t LimitBytes) override;
+  std::size_t readSome(std::span<char> Space) override;
+  void respond(const http_response_head &Response,
+               std::string_view Body) override;
+  void startStream(const http_response_head &Response) override;
+  void writeSome(std::string_view Data) override;
+  void finishStream() override;
+  void abort() override { Phase = phase::Aborted; }
+  bool started() const override { return Phase != phase::Waiting; }
+  bool callerGone() override;
+  void watchCaller(std::shared_ptr<cancellation> Cancellation) override;
+  std::string remoteAddress() const override;
+
+  /// Tells whether the connection can carry another exchange.
+  bool reusable() const;
+
+private:
+  enum class phase { Waiting, Streaming, Finished, Aborted };
+
+  void sendContinue();
+  void stopWatching();
+  bool closesAfter() const;
+  template <typename message>
+  void setFields(message &Message, const http_response_head &Response) const;
+  template <typename start> void write(start Start);
+
+  tcp_stream &Stream;
+  boost::beast::flat_buffer &Buffer;
+  request_parser &Parser;
+  const http_server_limits &Limits;
+  const std::atomic<bool> &Draining;
+  http_request_head Head;
+  phase Phase = phase::Waiting;
+  bool ContinueSent = false;
+  std::shared_ptr<std::atomic<bool>> Watching;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHTTP_BEAST_EXCHANGE_H
--- /dev/null
+++ b/Libraries/LibHTTP/client_connection.h
@@ -0,0 +1,29 @@
+#ifndef PARSLEYSPINDLE_LIBHTTP_CLIENT_CONNECTION_H
+#define PARSLEYSPINDLE_LIBHTTP_CLIENT_CONNECTION_H
+
+#include "LibCore/runtime_clock.h"
+#include "LibHTTP/beast_support.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace spindle {
+
+/// A connection to a server, used by the fibers of one thread.
+struct client_connection {
+  client_connection(boost::asio::io_context &Loop, const endpoint &Peer)
+      : Stream(Loop), Peer(Peer) {}
+
+  tcp_stream Stream;
+  boost::beast::flat_buffer Buffer;
+  endpoint Peer;
+  /// How often the peer had been suspected when the connection was opened.
+  std::uint64_t SuspicionCount = 0;
+  time_point IdleSince;
+};
+
+using client_connection_pointer = std::shared_ptr<client_connection>;
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHTTP_CLIENT_CONNECTION_H
--- /dev/null
+++ b/Libraries/LibHTTP/connection_pool.cpp
@@ -0,0 +1,68 @@
+#include "LibHTTP/connection_pool.h"
+
+namespace spindle {
+
+// Below the idle timeout of common servers, so that they rarely close first.
+static constexpr seconds MostIdleTime{30};
+static constexpr std::size_t MostIdleConnections = 256;
+
+client_connection_pointer connection_pool::takeLast(const endpoint &Peer) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Idle.find({&currentIoContext(), Peer});
+  if (Found == Idle.end() || Found->second.empty())
+    return nullptr;
+  client_connection_pointer Connection = std::move(Found->second.back());
+  Found->second.pop_back();
+  return Connection;
+}
+
+bool connection_pool::usable(client_connection &Connection) {
+  const bool Expired = boot_clock::now() - Connection.IdleSince > MostIdleTime;
+  const bool Alive = peek(Connection.Stream) == socket_peek::Quiet;
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const bool Suspect =
+      SuspicionCounts[Connection.Peer] != Connection.SuspicionCount;
+  if (!Expired && Alive && !Suspect) {
+    ++Counts.Reused;
+    return true;
+  }
+  ++Counts.Discarded;
+  return false;
+}
+
+client_connection_pointer connection_pool::take(const endpoint &Peer) {
+  while (client_connection_pointer Connection = takeLast(Peer))
+    if (usable(*Connection))
+      return Connection;
+  return nullptr;
+}
+
+client_connection_pointer connection_pool::make(const endpoint &Peer) {
+  client_connection_pointer Connection =
+      std::make_shared<client_connection>(currentIoContext(), Peer);
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Connection->SuspicionCount = SuspicionCounts[Peer];
+  ++Counts.Opened;
+  return Connection;
+}
+
+void connection_pool::giveBack(client_connection_pointer Connection) {
+  Connection->IdleSince = boot_clock::now();
+  Connection->Stream.expires_never();
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  idle_list &List = Idle[{&currentIoContext(), Connection->Peer}];
+  if (List.size() < MostIdleConnections)
+    List.push_back(std::move(Connection));
+}
+
+void connection_pool::suspect(const endpoint &Peer) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  ++SuspicionCounts[Peer];
+}
+
+http_client_counts connection_pool::counts() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Counts;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibHTTP/connection_pool.h
@@ -0,0 +1,44 @@
+#ifndef PARSLEYSPINDLE_LIBHTTP_CONNECTION_POOL_H
+#define PARSLEYSPINDLE_LIBHTTP_CONNECTION_POOL_H
+
+#include "LibHTTP/client_connection.h"
+#include "LibHTTP/http_client.h"
+
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace spindle {
+
+/// Idle connections by event loop and peer. Thread-safe in every method.
+class connection_pool {
+public:
+  /// Takes an idle connection of the calling thread that looks alive; null if
+  /// there is none. Precondition: onRuntimeThread().
+  client_connection_pointer take(const endpoint &Peer);
+  /// Opens a connection's bookkeeping; it is not connected yet.
+  /// Precondition: onRuntimeThread().
+  client_connection_pointer make(const endpoint &Peer);
+  /// Gives back a connection whose exchange has ended properly.
+  /// Precondition: called on the connection's thread.
+  void giveBack(client_connection_pointer Connection);
+  /// Makes every idle connection to \p Peer unusable.
+  void suspect(const endpoint &Peer);
+  http_client_counts counts() const;
+
+private:
+  using loop_key = const void *;
+  using idle_list = std::vector<client_connection_pointer>;
+
+  client_connection_pointer takeLast(const endpoint &Peer);
+  bool usable(client_connection &Connection);
+
+  mutable std::mutex Mutex;
+  std::map<std::pair<loop_key, endpoint>, idle_list> Idle;
+  std::map<endpoint, std::uint64_t> SuspicionCounts;
+  http_client_counts Counts;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHTTP_CONNECTION_POOL_H
--- /dev/null
+++ b/Libraries/LibHTTP/error_response.cpp
@@ -0,0 +1,45 @@
+#include "LibHTTP/error_response.h"
+
+#include "LibCore/result_code.h"
+#include "LibHTTP/http_server.h"
+
+#include <nlohmann/json.hpp>
+
+namespace spindle {
+
+static http_response makeResponse(result_code Code, run_state State,
+                                  std::string_view Message) {
+  const result_code_info &Info = describe(Code);
+  nlohmann::ordered_json Body;
+  Body["error"]["code"] = static_cast<int>(Code);
+  Body["error"]["name"] = Info.Name;
+  Body["error"]["state"] = toText(State);
+  Body["error"]["message"] = Message;
+  http_response Response;
+  Response.Head.Status = Info.HttpStatus;
+  Response.Head.Fields = {{"Content-Type", "application/json"}};
+  Response.Body = Body.dump(-1, ' ', false,
+                            nlohmann::ordered_json::error_handler_t::replace);
+  return Response;
+}
+
+http_response errorResponse(const std::exception &Error) {
+  const spindle_error *const Known =
+      dynamic_cast<const spindle_error *>(&Error);
+  if (!Known)
+    return makeResponse(result_code::Internal, run_state::MaybeRun,
+                        Error.what());
+  http_response Response =
+      makeResponse(Known->code(), Known->state(), Known->what());
+  if (Known->retryAfter().count() > 0)
+    Response.Head.Fields.push_back(
+        {"Retry-After", std::to_string(Known->retryAfter().count())});
+  return Response;
+}
+
+void writeErrorResponse(http_exchange &Exchange, const std::exception &Error) {
+  const http_response Response = errorResponse(Error);
+  Exchange.respond(Response.Head, Response.Body);
+}
+
+} // namespace spindle
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/endpoint.h"
 #include "LibHTTP/http_message.h"
+#include "LibRuntime/cancellation.h"
 #include "LibRuntime/fiber_runtime.h"
 
 #include <cstddef>
@@ -21,6 +22,8 @@
   /// Between two parts of the body.
   milliseconds BetweenBytes{10'000};
   std::size_t HeaderBytes = 16 * 1024;
+  /// Ends the call early if it is cancelled; may be null.
+  std::shared_ptr<cancellation> Cancellation;
 };
 
 /// How a call uses pooled connections.
@@ -58,6 +61,8 @@
 /// Calls to HTTP/1.1 servers over pooled connections, kept per thread and
 /// peer. Thread-safe; calls block the calling fiber, which must run on a
 /// thread of a fiber_runtime.
+///
+/// Destroy a client before the runtime, when no fiber uses it.
 class http_client {
 public:
   http_client();
--- /dev/null
+++ b/Libraries/LibHTTP/http_server.cpp
@@ -0,0 +1,246 @@
+#include "LibHTTP/http_server.h"
+
+#include "LibCore/result_code.h"
+#include "LibHTTP/beast_exchange.h"
+#include "LibHTTP/error_response.h"
+
+#include <atomic>
+#include <limits>
+#include <mutex>
+#include <set>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace spindle {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+using acceptor =
+    asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type>;
+using accepted_socket =
+    asio::basic_stream_socket<asio::ip::tcp, asio::io_context::executor_type>;
+
+/// One caller's connection. It lives on one thread; only Idle is read by
+/// others.
+struct server_connection {
+  explicit server_connection(accepted_socket Socket, std::size_t Thread)
+      : Stream(std::move(Socket)), Thread(Thread) {}
+
+  tcp_stream Stream;
+  std::size_t Thread;
+  beast::flat_buffer Buffer;
+  bool Idle = true;
+};
+
+using connection_pointer = std::shared_ptr<server_connection>;
+
+} // namespace
+
+// A client that connects and goes away at once should not use up the backlog.
+static constexpr int ListenBacklog = 1024;
+
+struct http_server::state {
+  state(fiber_runtime &Runtime, http_server_limits Limits, http_handler Handler,
+        http_error_writer ErrorWriter)
+      : Runtime(Runtime), Limits(Limits), Handler(std::move(Handler)),
+        ErrorWriter(std::move(ErrorWriter)), Acceptor(Runtime.ioContext(0)) {}
+
+  void listen(const endpoint &Address);
+  void accept(const std::shared_ptr<state> &Self);
+  void serve(server_connection &Connection);
+  bool serveOne(server_connection &Connection);
+  void handle(beast_exchange &Exchange);
+  void rejectHeader(server_connection &Connection, request_parser &Parser,
+                    boost::system::error_code Error);
+  void add(const connection_pointer &Connection);
+  void remove(const connection_pointer &Connection);
+  void closeConnections(bool OnlyIdle);
+
+  fiber_runtime &Runtime;
+  const http_server_limits Limits;
+  const http_handler Handler;
+  const http_error_writer ErrorWriter;
+  acceptor Acceptor;
+  endpoint Bound;
+  std::size_t NextThread = 0;
+  std::atomic<bool> Draining{false};
+  std::atomic<bool> Closed{false};
+  std::atomic<std::size_t> Running{0};
+  std::mutex Mutex;
+  std::set<connection_pointer> Connections;
+};
+
+void http_server::state::listen(const endpoint &Address) {
+  const asio::ip::tcp::endpoint Wanted = toAsio(Address);
+  Acceptor.open(Wanted.protocol());
+  Acceptor.set_option(asio::socket_base::reuse_address(true));
+  Acceptor.bind(Wanted);
+  Acceptor.listen(ListenBacklog);
+  Bound = fromAsio(Acceptor.local_endpoint());
+}
+
+void http_server::state::accept(const std::shared_ptr<state> &Self) {
+  const std::size_t Thread = NextThread++ % Runtime.threadCount();
+  Acceptor.async_accept(
+      Runtime.ioContext(Thread),
+      [Self, Thread](boost::system::error_code Error, accepted_socket Socket) {
+        if (Error == asio::error::operation_aborted || Self->Closed.load())
+          return;
+        if (!Error) {
+          const connection_pointer Connection =
+              std::make_shared<server_connection>(std::move(Socket), Thread);
+          Self->add(Connection);
+          Self->Runtime.spawnOn(Thread, [Self, Connection] {
+            Self->serve(*Connection);
+            Self->remove(Connection);
+          });
+        }
+        Self->accept(Self);
+      });
+}
+
+void http_server::state::serve(server_connection &Connection) {
+  prepareSocket(Connection.Stream);
+  while (serveOne(Connection))
+    Connection.Idle = true;
+  boost::system::error_code Ignored;
+  Connection.Stream.socket().shutdown(asio::socket_base::shutdown_both,
+                                      Ignored);
+  Connection.Stream.close();
+}
+
+bool http_server::state::serveOne(server_connection &Connection) {
+  request_parser Parser;
+  Parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
+  Parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  Connection.Stream.expires_after(Limits.IdleTimeout);
+  const io_result Read = awaitIo([&](auto Handler) {
+    http::async_read_header(Connection.Stream, Connection.Buffer, Parser,
+                            std::move(Handler));
+  });
+  Connection.Idle = false;
+  if (Read.Error) {
+    rejectHeader(Connection, Parser, Read.Error);
+    return false;
+  }
+  ++Running;
+  beast_exchange Exchange(Connection.Stream, Connection.Buffer, Parser, Limits,
+                          Draining);
+  handle(Exchange);
+  --Running;
+  return Exchange.reusable() && !Closed.load();
+}
+
+void http_server::state::handle(beast_exchange &Exchange) {
+  try {
+    Handler(Exchange);
+    if (!Exchange.started())
+      throw spindle_error(result_code::Internal, "the handler sent no answer");
+  } catch (const std::exception &Error) {
+    if (Exchange.started()) {
+      Exchange.abort();
+      return;
+    }
+    try {
+      ErrorWriter(Exchange, Error);
+    } catch (const std::exception &) {
+      Exchange.abort();
+    }
+  }
+}
+
+void http_server::state::rejectHeader(server_connection &Connection,
+                                      request_parser &Parser,
+                                      boost::system::error_code Error) {
+  const bool TooLarge = Error == http::error::header_limit ||
+                        Error == http::error::buffer_overflow;
+  const bool Malformed =
+      Error.category() ==
+          http::make_error_code(http::error::bad_method).category() &&
+      Error != http::error::end_of_stream;
+  if (!TooLarge && !Malformed)
+    return;
+  beast_exchange Exchange(Connection.Stream, Connection.Buffer, Parser, Limits,
+                          Draining);
+  const spindle_error Refusal =
+      TooLarge
+          ? spindle_error(result_code::HeaderTooLarge,
+                          "the header exceeds the limit of " +
+                              std::to_string(Limits.HeaderBytes) + " bytes")
+          : spindle_error(result_code::BadRequest,
+                          "the header is malformed: " + Error.message());
+  try {
+    ErrorWriter(Exchange, Refusal);
+  } catch (const std::exception &) {
+    Exchange.abort();
+  }
+}
+
+void http_server::state::add(const connection_pointer &Connection) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Connections.insert(Connection);
+}
+
+void http_server::state::remove(const connection_pointer &Connection) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Connections.erase(Connection);
+}
+
+void http_server::state::closeConnections(bool OnlyIdle) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  for (const connection_pointer &Connection : Connections)
+    asio::post(Runtime.ioContext(Connection->Thread), [Connection, OnlyIdle] {
+      if (OnlyIdle && !Connection->Idle)
+        return;
+      Connection->Stream.cancel();
+    });
+}
+
+http_server::http_server(fiber_runtime &Runtime, const endpoint &Address,
+                         http_server_limits Limits, http_handler Handler,
+                         http_error_writer ErrorWriter)
+    : State(std::make_shared<state>(Runtime, Limits, std::move(Handler),
+                                    std::move(ErrorWriter))) {
+  State->listen(Address);
+  State->accept(State);
+}
+
+http_server::~http_server() {
+  closeIdle();
+  State->closeConnections(false);
+  // The fibers use the handler's captures, so they must have ended.
+  while (true) {
+    {
+      const std::lock_guard<std::mutex> Lock(State->Mutex);
+      if (State->Connections.empty())
+        return;
+    }
+    sleepFor(milliseconds(1));
+  }
+}
+
+endpoint http_server::address() const { return State->Bound; }
+
+void http_server::startDrain() { State->Draining.store(true); }
+
+void http_server::closeIdle() {
+  State->Draining.store(true);
+  if (State->Closed.exchange(true))
+    return;
+  asio::post(State->Runtime.ioContext(0), [State = State] {
+    boost::system::error_code Ignored;
+    State->Acceptor.close(Ignored);
+  });
+  State->closeConnections(true);
+}
+
+std::size_t http_server::runningExchanges() const {
+  return State->Running.load();
+}
+
+} // namespace spindle
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/endpoint.h"
 #include "LibHTTP/http_message.h"
+#include "LibRuntime/cancellation.h"
 #include "LibRuntime/fiber_runtime.h"
 
 #include <cstddef>
@@ -53,6 +54,9 @@
   virtual bool started() const = 0;
   /// Tells whether the caller has closed the connection. Never blocks.
   virtual bool callerGone() = 0;
+  /// Cancels \p Cancellation with CallerTooSlow once the caller closes the
+  /// connection, until this exchange ends.
+  virtual void watchCaller(std::shared_ptr<cancellation> Cancellation) = 0;
   /// The caller's address.
   virtual std::string remoteAddress() const = 0;
 };
@@ -81,9 +85,12 @@
 
   /// Where the server listens. Thread-safe.
   endpoint address() const;
-  /// Stops accepting, lets every running exchange end, closes idle
-  /// connections, and answers "Connection: close" on the others. Thread-safe.
+  /// Tells callers with each answer that the connection closes. New
+  /// connections are still accepted, since the balancer lags. Thread-safe.
   void startDrain();
+  /// Stops accepting and closes idle connections; running exchanges go on.
+  /// Thread-safe.
+  void closeIdle();
   /// The number of exchanges that are running. Thread-safe.
   std::size_t runningExchanges() const;
 
--- a/Libraries/LibRuntime/event_loop_scheduler.cpp
+++ b/Libraries/LibRuntime/event_loop_scheduler.cpp
@@ -9,10 +9,11 @@
 }
 
 boost::fibers::context *event_loop_scheduler::pick_next() noexcept {
-  if (++Switches >= SwitchesBetweenPolls) {
-    Switches = 0;
+  // The dispatcher has one turn in each round of the ready fibers. Handlers
+  // run on it alone: a handler must not wake the fiber that it runs on.
+  const boost::fibers::context *const Active = boost::fibers::context::active();
+  if (Active->is_context(boost::fibers::type::dispatcher_context))
     Loop.poll();
-  }
   if (Ready.empty())
     return nullptr;
   boost::fibers::context *const Next = &Ready.front();
--- a/Libraries/LibRuntime/event_loop_scheduler.h
+++ b/Libraries/LibRuntime/event_loop_scheduler.h
@@ -1,7 +1,7 @@
 #ifndef PARSLEYSPINDLE_LIBRUNTIME_EVENT_LOOP_SCHEDULER_H
 #define PARSLEYSPINDLE_LIBRUNTIME_EVENT_LOOP_SCHEDULER_H
 
-#include <cstddef>
+#include <chrono>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/fiber/algo/algorithm.hpp>
@@ -25,12 +25,8 @@
   void notify() noexcept override;
 
 private:
-  /// Busy fibers let the event loop have its turn after this many switches.
-  static constexpr std::size_t SwitchesBetweenPolls = 64;
-
   boost::asio::io_context &Loop;
   boost::fibers::scheduler::ready_queue_type Ready;
-  std::size_t Switches = 0;
 };
 
 } // namespace spindle
--- /dev/null
+++ b/Tests/LibHTTP/test_http.cpp
@@ -0,0 +1,192 @@
+#include "LibCore/result_code.h"
+#include "LibHTTP/http_client.h"
+#include "LibHTTP/http_server.h"
+
+#include <atomic>
+
+#include <catch2/catch.hpp>
+
+using namespace spindle;
+
+namespace {
+
+/// A server with one handler and a client on one runtime.
+struct loopback {
+  explicit loopback(http_handler Handler, http_server_limits Limits = {})
+      : Server(Runtime, {"127.0.0.1", 0}, Limits, std::move(Handler),
+               writeErrorResponse) {}
+
+  http_response call(const http_request_head &Request, std::string_view Body,
+                     connection_use Use = connection_use::PooledIdempotent,
+                     const http_call_limits &Limits = {}) {
+    http_response Response;
+    Runtime.runBlocking([&] {
+      Response =
+          Client.call(Server.address(), Request, Body, Limits, Use, 1 << 20);
+    });
+    return Response;
+  }
+
+  fiber_runtime Runtime{2};
+  http_client Client;
+  http_server Server;
+};
+
+result_code codeOf(const std::function<void()> &Work) {
+  try {
+    Work();
+  } catch (const spindle_error &Error) {
+    return Error.code();
+  }
+  FAIL("no error was thrown");
+  return result_code::Internal;
+}
+
+} // namespace
+
+TEST_CASE("a request's body comes back whole over a kept connection") {
+  loopback Loopback([](http_exchange &Exchange) {
+    Exchange.respond({200, {}}, Exchange.readBody(1 << 20));
+  });
+  const std::string Body(300'000, 'x');
+  for (int Round = 0; Round < 4; ++Round)
+    REQUIRE(Loopback.call({"POST", "/echo", {}}, Body).Body == Body);
+  REQUIRE(Loopback.Client.counts().Reused >= 2);
+}
+
+TEST_CASE("a stream arrives as it was written") {
+  loopback Loopback([](http_exchange &Exchange) {
+    Exchange.startStream({200, {{"Content-Type", "text/event-stream"}}});
+    for (int Part = 0; Part < 1000; ++Part)
+      Exchange.writeSome("data: " + std::to_string(Part) + "\n\n");
+    Exchange.finishStream();
+  });
+  const http_response Response = Loopback.call({"GET", "/", {}}, "");
+  REQUIRE(Response.Body.find("data: 999\n\n") != std::string::npos);
+}
+
+TEST_CASE("a stream that is cut is an error and never a short answer") {
+  loopback Loopback([](http_exchange &Exchange) {
+    Exchange.startStream({200, {}});
+    Exchange.writeSome("half of");
+    throw spindle_error(result_code::UpstreamLost, "cut");
+  });
+  REQUIRE(codeOf([&] {
+            Loopback.call({"GET", "/", {}}, "");
+          }) == result_code::AnswerCutShort);
+}
+
+TEST_CASE("a refusal carries its code, state and when to come again") {
+  loopback Loopback([](http_exchange &) {
+    spindle_error Error(result_code::RateExceeded, "too much");
+    Error.setRetryAfter(std::chrono::seconds(7));
+    throw spindle_error(Error);
+  });
+  const http_response Response = Loopback.call({"GET", "/", {}}, "");
+  REQUIRE(Response.Head.Status == 429);
+  REQUIRE(findField(Response.Head.Fields, "retry-after") == "7");
+  REQUIRE(Response.Body.find("\"code\":1200") != std::string::npos);
+  REQUIRE(Response.Body.find("\"not run\"") != std::string::npos);
+}
+
+TEST_CASE("headers and bodies over their limits are refused by name") {
+  http_server_limits Limits;
+  Limits.HeaderBytes = 1024;
+  loopback Loopback(
+      [](http_exchange &Exchange) {
+        Exchange.respond({200, {}}, Exchange.readBody(100));
+      },
+      Limits);
+  const std::string Large(4000, 'x');
+  REQUIRE(Loopback.call({"GET", "/", {{"X-Large", Large}}}, "").Head.Status ==
+          431);
+  REQUIRE(Loopback.call({"POST", "/", {}}, Large).Head.Status == 413);
+}
+
+TEST_CASE("a connection that is refused has not run the request") {
+  loopback Loopback([](http_exchange &) {});
+  fiber_runtime Runtime(1);
+  http_client Client;
+  REQUIRE(codeOf([&] {
+            Runtime.runBlocking([&] {
+              Client.call({"127.0.0.1", 1}, {"GET", "/", {}}, "", {},
+                          connection_use::FreshOnce, 100);
+            });
+          }) == result_code::UpstreamUnreachable);
+}
+
+TEST_CASE("a silent server ends the call at its deadline") {
+  std::atomic<bool> Stop{false};
+  loopback Loopback([&Stop](http_exchange &Exchange) {
+    while (!Stop.load() && !Exchange.callerGone())
+      sleepFor(milliseconds(1));
+    Exchange.respond({200, {}}, "late");
+  });
+  http_call_limits Limits;
+  Limits.FirstByte = milliseconds(30);
+  REQUIRE(
+      codeOf([&] {
+        Loopback.call({"GET", "/", {}}, "", connection_use::FreshOnce, Limits);
+      }) == result_code::UpstreamTimeout);
+  Stop = true;
+}
+
+TEST_CASE("a cancelled call ends with the reason, and the server notices") {
+  std::atomic<bool> Noticed{false};
+  loopback Loopback([&Noticed](http_exchange &Exchange) {
+    const std::shared_ptr<cancellation> Gone = std::make_shared<cancellation>();
+    Exchange.watchCaller(Gone);
+    while (!Gone->reason())
+      sleepFor(milliseconds(1));
+    Noticed = true;
+    Exchange.abort();
+  });
+  http_call_limits Limits;
+  Limits.Cancellation = std::make_shared<cancellation>();
+  Loopback.Runtime.spawn([Cancellation = Limits.Cancellation] {
+    Cancellation->cancel(result_code::KeyWithdrawn);
+  });
+  REQUIRE(
+      codeOf([&] {
+        Loopback.call({"GET", "/", {}}, "", connection_use::FreshOnce, Limits);
+      }) == result_code::KeyWithdrawn);
+}
+
+TEST_CASE("idle connections of a suspected peer are not used again") {
+  loopback Loopback([](http_exchange &Exchange) {
+    Exchange.respond({200, {}}, "ok");
+  });
+  for (int Round = 0; Round < 4; ++Round)
+    Loopback.call({"GET", "/", {}}, "");
+  const std::size_t Opened = Loopback.Client.counts().Opened;
+  Loopback.Client.discardIdle(Loopback.Server.address());
+  Loopback.call({"GET", "/", {}}, "");
+  REQUIRE(Loopback.Client.counts().Opened == Opened + 1);
+}
+
+TEST_CASE("a draining server finishes what runs and closes afterwards") {
+  std::atomic<bool> Entered{false};
+  std::atomic<bool> Release{false};
+  loopback Loopback([&](http_exchange &Exchange) {
+    Entered = true;
+    while (!Release.load())
+      sleepFor(milliseconds(1));
+    Exchange.respond({200, {}}, "whole");
+  });
+  Loopback.Runtime.spawn([&] {
+    while (!Entered.load())
+      sleepFor(milliseconds(1));
+    Loopback.Server.closeIdle();
+    Release = true;
+  });
+  REQUIRE(Loopback.call({"GET", "/", {}}, "").Body == "whole");
+  REQUIRE(codeOf([&] {
+            Loopback.call({"GET", "/", {}}, "");
+          }) == result_code::UpstreamUnreachable);
+}
+
+TEST_CASE("query parameters are decoded") {
+  REQUIRE(pathOf("/a/b?c=d") == "/a/b");
+  REQUIRE(queryParameter("/a?x=1&watch=tr%75e+", "watch") == "true ");
+  REQUIRE(queryParameter("/a?x", "x").empty());
+}
