Tests: Run order desks through interleaved histories with faults

Cause: the bound on orders must hold for every interleaving of hosts, lost and late writes, deaths of processes and pauses. Change: a history of attempts on three desks at six keys, stepped call by call from a RapidCheck tape; at each call to the platform the write may be lost, late, or its writer may die before or after it; the service may refuse, lose its answer or outlive its caller. Conclusion: one run a key within the retention, every 'not run' true, every answer from a run of that key.

--- /dev/null
+++ b/Tests/LibOrders/test_order_history.cpp
@@ -0,0 +1,51 @@
+#include "LibOrders/order_history.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace spindle;
+
+using run_of_order = order_history::run_of_order;
+using attempt = order_history::attempt;
+
+static std::vector<std::uint32_t> anyTape() {
+  return *rc::gen::resize(400,
+                          rc::gen::container<std::vector<std::uint32_t>>(
+                              rc::gen::inRange<std::uint32_t>(0, 1U << 16U)));
+}
+
+TEST_CASE("Orders run at most once under any interleaving and faults") {
+  rc::prop("one run a key, and every refusal and replay is true", [] {
+    order_history History(anyTape());
+    History.play();
+    RC_TAG(History.Runs.size());
+    // A key may be used anew once its record has been deleted.
+    const nanoseconds Reuse =
+        History.Settings.Retention - History.Settings.DispatchWindow;
+    for (std::size_t Later = 0; Later < History.Runs.size(); ++Later)
+      for (std::size_t Earlier = 0; Earlier < Later; ++Earlier) {
+        const run_of_order &First = History.Runs[Earlier];
+        const run_of_order &Second = History.Runs[Later];
+        RC_ASSERT(First.Key != Second.Key || Second.At - First.At >= Reuse);
+      }
+    for (std::size_t Index = 0; Index < History.Attempts.size(); ++Index) {
+      const attempt &Attempt = *History.Attempts[Index];
+      const auto IsOwn = [&](const run_of_order &Run) {
+        return Run.Attempt == Index;
+      };
+      const bool Ran =
+          std::any_of(History.Runs.begin(), History.Runs.end(), IsOwn);
+      if (Attempt.Refused == run_state::NotRun)
+        RC_ASSERT(!Ran);
+      if (!Attempt.Answer)
+        continue;
+      const auto IsAnswer = [&](const run_of_order &Run) {
+        return Run.Key == Attempt.Key && Run.Body == Attempt.Answer->Body;
+      };
+      RC_ASSERT(
+          std::any_of(History.Runs.begin(), History.Runs.end(), IsAnswer));
+    }
+    for (const std::unique_ptr<order_desk> &Desk : History.Desks)
+      RC_ASSERT(Desk->unwrittenOutcomes() == 0U);
+  });
+}
