Tests: Run tenants' shares through histories of faults

Cause: the bound of rate x time + burst must hold for every history and every lending policy. Change: four hosts' shares driven by a RapidCheck tape: arbitrary loans, renewals and repayments whose messages come late, twice, out of order or never, restarts, clocks that differ by 1%, base shares that move and lapse, changed configurations. After each step the sums in use are compared with the whole, and at the end every interval's usage with rate x time + burst.

--- a/Tests/LibLimits/limiter_fleet.h
+++ b/Tests/LibLimits/limiter_fleet.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/result_code.h"
 #include "LibHost/rate_limiter.h"
+#include "LibLog/log.h"
 
 #include <memory>
 #include <string>
@@ -14,6 +15,7 @@
 class limiter_fleet {
 public:
   explicit limiter_fleet(std::size_t HostCount) {
+    startLogging({log_severity::Error, false});
     Clock.pause();
     Clock.advance(seconds(1'000));
     Silent.resize(HostCount);
--- /dev/null
+++ b/Tests/LibLimits/share_history.h
@@ -0,0 +1,371 @@
+#ifndef PARSLEYSPINDLE_TESTS_LIBLIMITS_SHARE_HISTORY_H
+#define PARSLEYSPINDLE_TESTS_LIBLIMITS_SHARE_HISTORY_H
+
+#include "LibLimits/share_gate.h"
+#include "LibLimits/tenant_share.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace spindle {
+
+/// The shares of one tenant on a few hosts, driven step by step as a tape of
+/// numbers says. Messages are delivered late, twice, out of order or never;
+/// hosts restart empty, their clocks run at slightly different speeds, and
+/// base shares move between them and lapse as membership allows it. Amounts
+/// are arbitrary, so that what holds does so for every lending policy.
+class share_history {
+public:
+  static constexpr std::size_t HostCount = 4;
+  static constexpr double ClockTolerance = 0.01;
+
+  struct charge {
+    std::size_t Host = 0;
+    std::uint64_t Incarnation = 0;
+    time_point At;
+    micro_tokens Reserved;
+    micro_tokens Used;
+    std::uint64_t Mark = 0;
+    bool Settled = false;
+  };
+
+  share_history(std::vector<std::uint32_t> Numbers, bool ChangeConfiguration)
+      : Tape(std::move(Numbers)), ChangesRate(ChangeConfiguration) {
+    for (std::size_t Index = 0; Index < HostCount; ++Index) {
+      Hosts[Index].Speed = 1.0 + ClockTolerance * (double(Index % 3) - 1.0);
+      Hosts[Index].Parts = PartsOfWhole / std::int64_t(HostCount);
+      assign(Index);
+    }
+  }
+
+  /// Plays the tape; \p Check is called after each step.
+  template <typename check> void play(check Check) {
+    while (Position < Tape.size()) {
+      playStep();
+      Check(*this);
+    }
+  }
+
+  /// The sums over all hosts of what each may use now.
+  loan_amount sumInUse() const {
+    loan_amount Sum;
+    for (const host &Host : Hosts) {
+      tenant_share Share = Host.Share;
+      advanceShare(Share, nowAt(Host));
+      Sum.Rate += rateOf(Share);
+      Sum.Capacity += capacityOf(Share);
+      Sum.Level += Share.Level;
+    }
+    return Sum;
+  }
+
+  /// The most that any interval's usage exceeded rate x time by: it may not
+  /// exceed the burst. What was never settled counts whole.
+  double largestExcess() const {
+    double Excess = 0;
+    double Largest = 0;
+    time_point Last = Start;
+    for (const charge &Charge : Charges) {
+      const std::chrono::duration<double> Passed = Charge.At - Last;
+      const double Allowed =
+          double(LargestRate.PerSecond) * (1 + ClockTolerance);
+      Excess = std::max(0.0, Excess - Allowed * Passed.count());
+      Excess += double((Charge.Settled ? Charge.Used : Charge.Reserved).Count);
+      Largest = std::max(Largest, Excess);
+      Last = Charge.At;
+    }
+    return Largest;
+  }
+
+  micro_rate LargestRate{100 * MicrosPerToken};
+  micro_tokens LargestBurst{500 * MicrosPerToken};
+  std::vector<charge> Charges;
+  std::size_t LoansAccepted = 0;
+
+private:
+  struct host {
+    tenant_share Share;
+    share_gate Gate;
+    std::uint64_t Incarnation = 1;
+    double Speed = 1;
+    std::int64_t Parts = 0;
+    micro_rate Rate{100 * MicrosPerToken};
+    micro_tokens Burst{500 * MicrosPerToken};
+    /// Requests for a first loan that wait for their answer.
+    std::vector<std::uint64_t> Pending;
+  };
+  enum class kind { Request, Reply, Repay };
+  struct message {
+    kind Kind = kind::Request;
+    std::size_t From = 0;
+    std::size_t To = 0;
+    std::uint64_t Incarnation = 0;
+    std::uint64_t Nonce = 0;
+    time_point SentAt;
+    bool IsRenewal = false;
+    loan_amount Amount;
+    milliseconds Term{0};
+  };
+
+  static constexpr time_point Start{seconds(1'000)};
+
+  std::uint32_t next(std::uint32_t Limit) {
+    return Position < Tape.size() ? Tape[Position++] % Limit : 0;
+  }
+  std::size_t nextHost() { return next(std::uint32_t(HostCount)); }
+  micro_tokens nextPart(micro_tokens Whole) {
+    return {std::max<std::int64_t>(Whole.Count, 0) / 8 * std::int64_t(next(9))};
+  }
+
+  /// The time on a host's own clock.
+  time_point nowAt(const host &Host) const {
+    const double Passed = double((Now - Start).count()) * Host.Speed;
+    return Start + nanoseconds(std::int64_t(Passed));
+  }
+
+  void playStep() {
+    switch (next(16)) {
+    case 0:
+      Now += milliseconds(next(8) == 0 ? next(8'000) : next(300));
+      return;
+    case 1:
+      return goToNextEnd();
+    case 2:
+    case 3:
+    case 4:
+      return reserve(Hosts[nextHost()]);
+    case 5:
+      return settle();
+    case 6:
+    case 7:
+      return askForLoan(nextHost(), nextHost());
+    case 8:
+      return renew(nextHost());
+    case 9:
+      return repay(nextHost());
+    case 10:
+      return changeRareThings();
+    default:
+      return deliver();
+    }
+  }
+
+  /// Moves to just about the moment at which something ends somewhere.
+  void goToNextEnd() {
+    const host &Host = Hosts[nextHost()];
+    if (Host.Share.NextEnd == time_point::max())
+      return;
+    const double Passed = double((Host.Share.NextEnd - Start).count());
+    const time_point End =
+        Start + nanoseconds(std::int64_t(Passed / Host.Speed));
+    Now = std::max(Now, End + milliseconds(next(3)) - milliseconds(1));
+  }
+
+  void reserve(host &Host) {
+    if (next(4) == 0)
+      apply(Host);
+    const micro_tokens Amount = nextPart({Host.Burst.Count / 16});
+    const std::optional<std::uint64_t> Mark =
+        tryCharge(Host.Share, Amount, nowAt(Host));
+    if (!Mark)
+      return;
+    const std::size_t Index = std::size_t(&Host - Hosts.data());
+    Charges.push_back(
+        {Index, Host.Incarnation, Now, Amount, Amount, *Mark, false});
+  }
+
+  void settle() {
+    if (Charges.empty())
+      return;
+    const std::size_t Window = std::min<std::size_t>(Charges.size(), 12);
+    charge &Charge = Charges[Charges.size() - 1 - next(std::uint32_t(Window))];
+    host &Host = Hosts[Charge.Host];
+    if (Charge.Settled || Charge.Incarnation != Host.Incarnation)
+      return;
+    Charge.Used = nextPart(Charge.Reserved);
+    Charge.Settled = true;
+    settleCharge(Host.Share, Charge.Mark, Charge.Reserved, Charge.Used,
+                 nowAt(Host));
+  }
+
+  void askForLoan(std::size_t From, std::size_t To) {
+    if (From == To)
+      return;
+    host &Host = Hosts[From];
+    Host.Pending.push_back(++LastNonce);
+    Bag.push_back({kind::Request,
+                   From,
+                   To,
+                   Host.Incarnation,
+                   LastNonce,
+                   nowAt(Host),
+                   false,
+                   {},
+                   milliseconds(500 + next(4'000))});
+  }
+
+  void renew(std::size_t From) {
+    host &Host = Hosts[From];
+    for (const borrowed_loan &Loan : Host.Share.Borrowed)
+      Bag.push_back({kind::Request,
+                     From,
+                     std::size_t(Loan.Giver.Value),
+                     Host.Incarnation,
+                     Loan.Nonce,
+                     nowAt(Host),
+                     true,
+                     {},
+                     {}});
+  }
+
+  void repay(std::size_t From) {
+    host &Host = Hosts[From];
+    if (Host.Share.Borrowed.empty())
+      return;
+    const borrowed_loan Loan = Host.Share.Borrowed.front();
+    const std::optional<micro_tokens> Level =
+        dropForRepayment(Host.Share, Loan.Nonce, nowAt(Host));
+    if (Level)
+      Bag.push_back({kind::Repay,
+                     From,
+                     std::size_t(Loan.Giver.Value),
+                     Host.Incarnation,
+                     Loan.Nonce,
+                     {},
+                     false,
+                     {{}, {}, *Level},
+                     {}});
+  }
+
+  /// Delivers any message, which may stay in the bag to be delivered again.
+  void deliver() {
+    if (Bag.empty())
+      return;
+    const std::size_t Index = next(std::uint32_t(Bag.size()));
+    const message Message = Bag[Index];
+    const std::uint32_t Fate = next(8);
+    if (Fate != 0)
+      Bag.erase(Bag.begin() + std::ptrdiff_t(Index));
+    if (Fate == 1)
+      return;
+    host &Host = Hosts[Message.To];
+    const loan_key Key{host_id{Message.From}, Message.Incarnation,
+                       Message.Nonce};
+    if (Message.Kind == kind::Request)
+      answer(Host, Key, Message);
+    else if (Message.Kind == kind::Repay)
+      takeRepayment(Host.Share, Key, Message.Amount.Level, nowAt(Host));
+    else if (Message.Incarnation == Host.Incarnation)
+      accept(Host, Message);
+  }
+
+  void answer(host &Host, const loan_key &Key, const message &Request) {
+    const time_point Then = nowAt(Host);
+    advanceShare(Host.Share, Then);
+    std::optional<lent_loan> Loan = renewLent(Host.Share, Key, Then);
+    if (!Loan && !Request.IsRenewal && !wasRepaid(Host.Share, Key)) {
+      loan_amount Amount;
+      Amount.Rate = {lendableRate(Host.Share).PerSecond / 8 * next(9)};
+      Amount.Capacity = nextPart(lendableCapacity(Host.Share));
+      Amount.Level = std::min(Amount.Capacity, nextPart(Host.Share.Level));
+      Loan = lend(Host.Share, Key, Amount, Request.Term, Then);
+    }
+    if (!Loan)
+      return;
+    message Reply = Request;
+    Reply.Kind = kind::Reply;
+    std::swap(Reply.From, Reply.To);
+    Reply.Amount = Loan->Amount;
+    Reply.Term = Loan->Term;
+    Bag.push_back(Reply);
+  }
+
+  void accept(host &Host, const message &Reply) {
+    const time_point Then = nowAt(Host);
+    if (Reply.IsRenewal) {
+      prolongLoan(Host.Share, Reply.Nonce, Reply.Term, Reply.SentAt, Then);
+      return;
+    }
+    // Each request of a first loan takes one answer.
+    if (std::erase(Host.Pending, Reply.Nonce) == 0)
+      return;
+    const borrowed_loan Loan{
+        Reply.Nonce, host_id{Reply.From}, Reply.Amount, {}};
+    LoansAccepted +=
+        acceptLoan(Host.Share, Loan, Reply.Term, Reply.SentAt, Then) ? 1 : 0;
+  }
+
+  void changeRareThings() {
+    const std::size_t Index = nextHost();
+    switch (next(32)) {
+    case 0:
+      return restart(Hosts[Index]);
+    case 1:
+      return moveShare(Index, nextHost());
+    case 2:
+      if (ChangesRate)
+        changeRate(Hosts[Index]);
+      return;
+    default:
+      return assign(Index);
+    }
+  }
+
+  /// Tells a host its base share, unless its own clock says that it lapsed:
+  /// then others may have it by now.
+  void assign(std::size_t Index) {
+    host &Host = Hosts[Index];
+    const time_point Then = nowAt(Host);
+    assignShare(Host.Gate, Host.Parts, Then + seconds(10 + next(60)), Then);
+    apply(Host);
+  }
+
+  void apply(host &Host) {
+    const time_point Then = nowAt(Host);
+    const std::int64_t Parts = usableParts(Host.Gate, ShareGrowthDelay, Then);
+    setBase(Host.Share, partOf(Host.Rate, Parts), partOf(Host.Burst, Parts),
+            Host.Gate.ValidUntil, Then);
+  }
+
+  /// Takes a part from one host, which stops using it at once, or has died or
+  /// lapsed, and assigns it to another.
+  void moveShare(std::size_t From, std::size_t To) {
+    const std::int64_t Moved = Hosts[From].Parts / 8 * next(9);
+    Hosts[From].Parts -= Moved;
+    assign(From);
+    Hosts[To].Parts += Moved;
+    assign(To);
+  }
+
+  void changeRate(host &Host) {
+    const std::int64_t Factor = 1 + next(8);
+    Host.Rate = {LargestRate.PerSecond / Factor};
+    Host.Burst = {LargestBurst.Count / (1 + next(8))};
+    apply(Host);
+  }
+
+  /// The process starts anew with empty memory and the same base share.
+  void restart(host &Host) {
+    Host.Share = {};
+    Host.Share.LastRefill = nowAt(Host);
+    Host.Gate = {};
+    Host.Pending.clear();
+    ++Host.Incarnation;
+    assign(std::size_t(&Host - Hosts.data()));
+  }
+
+  std::vector<std::uint32_t> Tape;
+  std::size_t Position = 0;
+  bool ChangesRate = false;
+  time_point Now = Start;
+  std::vector<host> Hosts = std::vector<host>(HostCount);
+  std::vector<message> Bag;
+  std::uint64_t LastNonce = 0;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_TESTS_LIBLIMITS_SHARE_HISTORY_H
--- a/Tests/LibOrders/test_order_history.cpp
+++ b/Tests/LibOrders/test_order_history.cpp
@@ -9,8 +9,9 @@
 using attempt = order_history::attempt;
 
 static std::vector<std::uint32_t> anyTape() {
-  return *rc::gen::resize(400,
-                          rc::gen::container<std::vector<std::uint32_t>>(
+  constexpr std::size_t Length = 4'000;
+  return *rc::gen::container<std::vector<std::uint32_t>>(
+      Length, rc::gen::resize(rc::kNominalSize,
                               rc::gen::inRange<std::uint32_t>(0, 1U << 16U)));
 }
 
