LibSettings: Read settings by tables of described fields

Hosts and operators need settings that are checked whole before they are used, and pages that stay equal to the code.

One table a record describes each field (name, type, unit, range, default, sentence) and reads and writes it; it also prints the reference in Markdown. Every problem is collected and named by field and FILE:LINE:COLUMN, found by a scan of the text, as nlohmann's parser tells no positions.

--- /dev/null
+++ b/Libraries/LibSettings/host_settings.h
@@ -0,0 +1,79 @@
+#ifndef PARSLEYSPINDLE_LIBSETTINGS_HOST_SETTINGS_H
+#define PARSLEYSPINDLE_LIBSETTINGS_HOST_SETTINGS_H
+
+#include "LibCore/endpoint.h"
+#include "LibCore/runtime_clock.h"
+#include "LibLog/log.h"
+#include "LibSettings/lease_settings.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace spindle {
+
+/// Where a host listens. Port 0 lets the kernel choose.
+struct listen_settings {
+  endpoint Callers;
+  endpoint HostLink;
+  endpoint Metrics;
+};
+
+/// Where the platform's API is.
+struct platform_settings {
+  std::vector<endpoint> Servers;
+  std::string Namespace = "default";
+  milliseconds CallTimeout{2'000};
+};
+
+struct timeout_settings {
+  milliseconds Drain{300'000};
+  /// Between the start of a drain and the end of accepting, so that the
+  /// balancer takes the host out of its rotation first.
+  milliseconds DrainDelay{2'000};
+  milliseconds AdmissionWait{50};
+  milliseconds Header{10'000};
+  milliseconds IdleConnection{60'000};
+  milliseconds CallerStall{30'000};
+  milliseconds Connect{1'000};
+  milliseconds PeerCall{500};
+  milliseconds ConfigurationPoll{2'000};
+};
+
+struct limit_settings {
+  std::size_t HeaderBytes = 16'384;
+  std::uint32_t Connections = 20'000;
+  std::uint32_t IdleConnectionsPerUpstream = 64;
+  std::size_t CallerBufferBytes = 262'144;
+};
+
+/// What one host learns from its settings file.
+struct host_settings {
+  /// As in the platform's list of machines.
+  std::string Name;
+  std::string Zone;
+  std::uint32_t Threads = 2;
+  /// Where other hosts serve the protocol between hosts; asked while the
+  /// platform has not told which hosts there are.
+  std::vector<endpoint> Seeds;
+  listen_settings Listen;
+  platform_settings Platform;
+  log_settings Log;
+  lease_settings Lease;
+  timeout_settings Timeouts;
+  limit_settings Limits;
+};
+
+/// Reads a settings file's text, JSON with comments, and checks it whole.
+/// \throws spindle_error InvalidSettings whose message has a line for each
+/// problem: "FILE:LINE:COLUMN: field: what is wrong". Thread-safe.
+host_settings parseHostSettings(std::string_view Text,
+                                std::string_view FileName);
+/// Writes the table of all fields in Markdown. Thread-safe.
+std::string printSettingsReference();
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBSETTINGS_HOST_SETTINGS_H
