--- /dev/null
+++ b/Libraries/LibConfiguration/adapter_table.cpp
@@ -0,0 +1,139 @@
+#include "LibConfiguration/adapter_table.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace spindle {
+
+namespace {
+
+/// Gives each different word a number.
+class word_interner {
+public:
+  explicit word_interner(std::vector<std::string> &Words) : Words(Words) {}
+
+  std::uint32_t number(const std::string &Word) {
+    const auto [Place, IsNew] =
+        Numbers.emplace(Word, static_cast<std::uint32_t>(Words.size()));
+    if (IsNew)
+      Words.push_back(Word);
+    return Place->second;
+  }
+
+private:
+  std::vector<std::string> &Words;
+  std::unordered_map<std::string, std::uint32_t> Numbers;
+};
+
+/// Puts each different name into one buffer. The names must outlive it.
+class name_interner {
+public:
+  explicit name_interner(std::string &Buffer) : Buffer(Buffer) {}
+
+  std::uint32_t offset(const std::string &Name) {
+    const auto [Place, IsNew] =
+        Offsets.emplace(Name, static_cast<std::uint32_t>(Buffer.size()));
+    if (IsNew)
+      Buffer += Name;
+    return Place->second;
+  }
+
+private:
+  std::string &Buffer;
+  std::unordered_map<std::string_view, std::uint32_t> Offsets;
+};
+
+} // namespace
+
+static std::vector<std::pair<std::uint64_t, const adapter_declaration *>>
+sortById(const std::vector<adapter_declaration> &Adapters) {
+  std::vector<std::pair<std::uint64_t, const adapter_declaration *>> Sorted;
+  Sorted.reserve(Adapters.size());
+  for (const adapter_declaration &Adapter : Adapters)
+    Sorted.emplace_back(hashName(Adapter.Name + "@" + Adapter.Version),
+                        &Adapter);
+  std::sort(Sorted.begin(), Sorted.end());
+  return Sorted;
+}
+
+adapter_table::adapter_table(const std::vector<adapter_declaration> &Adapters) {
+  word_interner WordNumbers(Words);
+  word_interner TenantNumbers(Tenants);
+  name_interner NameOffsets(Names);
+  TenantNumbers.number("");
+  Ids.reserve(Adapters.size());
+  Rows.reserve(Adapters.size());
+  for (const auto &[Id, Adapter] : sortById(Adapters)) {
+    if (Adapter->IsDefault)
+      Defaults.push_back(
+          {hashName(Adapter->Name), static_cast<std::uint32_t>(Rows.size())});
+    const std::uint32_t Tenant = TenantNumbers.number(Adapter->Tenant);
+    if (Tenant > std::numeric_limits<std::uint16_t>::max())
+      throw std::length_error("more tenants with adapters than 65,535");
+    Ids.push_back(Id);
+    Rows.push_back({NameOffsets.offset(Adapter->Name),
+                    static_cast<std::uint16_t>(Adapter->Name.size()),
+                    static_cast<std::uint16_t>(Tenant),
+                    WordNumbers.number(Adapter->Version),
+                    WordNumbers.number(Adapter->Model)});
+  }
+  std::sort(Defaults.begin(), Defaults.end(),
+            [](const default_row &A, const default_row &B) {
+              return A.NameHash < B.NameHash;
+            });
+  Defaults.shrink_to_fit();
+  Names.shrink_to_fit();
+}
+
+adapter_view adapter_table::view(std::size_t Index) const {
+  const row &Row = Rows[Index];
+  const std::string_view Name =
+      std::string_view(Names).substr(Row.NameOffset, Row.NameLength);
+  const tenant_id Tenant =
+      Row.Tenant == 0 ? tenant_id{} : tenant_id::ofName(Tenants[Row.Tenant]);
+  return {adapter_id{Ids[Index]}, Name, Words[Row.Version], Words[Row.Model],
+          Tenant};
+}
+
+std::optional<adapter_view> adapter_table::find(adapter_id Id) const {
+  const auto Found = std::lower_bound(Ids.begin(), Ids.end(), Id.Value);
+  if (Found == Ids.end() || *Found != Id.Value)
+    return std::nullopt;
+  return view(static_cast<std::size_t>(Found - Ids.begin()));
+}
+
+std::optional<adapter_view>
+adapter_table::findDefault(std::string_view Name) const {
+  const std::uint64_t Hash = hashName(Name);
+  auto Found = std::lower_bound(Defaults.begin(), Defaults.end(), Hash,
+                                [](const default_row &Row, std::uint64_t Key) {
+                                  return Row.NameHash < Key;
+                                });
+  for (; Found != Defaults.end() && Found->NameHash == Hash; ++Found)
+    if (view(Found->Row).Name == Name)
+      return view(Found->Row);
+  return std::nullopt;
+}
+
+void adapter_table::visit(
+    const std::function<void(const adapter_view &)> &Visit) const {
+  for (std::size_t Index = 0; Index < Rows.size(); ++Index)
+    Visit(view(Index));
+}
+
+static std::size_t bytesOf(const std::vector<std::string> &Texts) {
+  std::size_t Bytes = Texts.capacity() * sizeof(std::string);
+  for (const std::string &Text : Texts)
+    Bytes += Text.capacity();
+  return Bytes;
+}
+
+std::size_t adapter_table::bytes() const {
+  return Ids.capacity() * sizeof(std::uint64_t) +
+         Rows.capacity() * sizeof(row) +
+         Defaults.capacity() * sizeof(default_row) + Names.capacity() +
+         bytesOf(Words) + bytesOf(Tenants);
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibConfiguration/adapter_table.h
@@ -0,0 +1,55 @@
+#ifndef PARSLEYSPINDLE_LIBCONFIGURATION_ADAPTER_TABLE_H
+#define PARSLEYSPINDLE_LIBCONFIGURATION_ADAPTER_TABLE_H
+
+#include "LibConfiguration/configuration_snapshot.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace spindle {
+
+/// Every declared adapter version in flat arrays, sorted by id, with each
+/// name, version, model and tenant kept once. Immutable and thread-safe.
+class adapter_table {
+public:
+  explicit adapter_table(const std::vector<adapter_declaration> &Adapters);
+
+  std::optional<adapter_view> find(adapter_id Id) const;
+  /// Finds the default version of a bare name.
+  std::optional<adapter_view> findDefault(std::string_view Name) const;
+  /// Calls \p Visit with every adapter, ordered by id.
+  void visit(const std::function<void(const adapter_view &)> &Visit) const;
+  std::size_t size() const { return Ids.size(); }
+  std::size_t bytes() const;
+
+private:
+  struct row {
+    std::uint32_t NameOffset;
+    std::uint16_t NameLength;
+    std::uint16_t Tenant;
+    std::uint32_t Version;
+    std::uint32_t Model;
+  };
+  struct default_row {
+    std::uint64_t NameHash;
+    std::uint32_t Row;
+  };
+
+  adapter_view view(std::size_t Row) const;
+
+  std::vector<std::uint64_t> Ids;
+  std::vector<row> Rows;
+  std::vector<default_row> Defaults;
+  std::string Names;
+  std::vector<std::string> Words;
+  /// The tenants' names; the first stands for "every tenant".
+  std::vector<std::string> Tenants;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBCONFIGURATION_ADAPTER_TABLE_H
--- /dev/null
+++ b/Libraries/LibConfiguration/intent_fields.h
@@ -0,0 +1,39 @@
+#ifndef PARSLEYSPINDLE_LIBCONFIGURATION_INTENT_FIELDS_H
+#define PARSLEYSPINDLE_LIBCONFIGURATION_INTENT_FIELDS_H
+
+#include "LibConfiguration/intent.h"
+#include "LibSettings/field_table.h"
+
+namespace spindle {
+
+/// Several adapters that differ only by name and version, as an operator
+/// writes them: one by "name", or many by "prefix" and "count", whose names
+/// are the prefix followed by 1..count.
+struct adapter_group {
+  std::string Name;
+  std::string Prefix;
+  std::uint32_t Count = 0;
+  std::vector<std::string> Versions;
+  std::string DefaultVersion;
+  std::string Model;
+  std::string Tenant;
+};
+
+/// The tables by which an intent is read, written and compared.
+const field_table<zone_declaration> &zoneFields();
+const field_table<tenant_declaration> &tenantFields();
+const field_table<key_grant> &keyFields();
+const field_table<adapter_group> &adapterGroupFields();
+const field_table<upstream_declaration> &upstreamFields();
+const field_table<route_declaration> &routeFields();
+const field_table<policy_declaration> &policyFields();
+
+/// Lists the adapters of a group.
+std::vector<adapter_declaration> expandGroup(const adapter_group &Group);
+/// Joins versions of one adapter that stand side by side into groups.
+std::vector<adapter_group>
+joinAdapters(const std::vector<adapter_declaration> &Adapters);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBCONFIGURATION_INTENT_FIELDS_H
--- /dev/null
+++ b/Libraries/LibConfiguration/key_decision.h
@@ -0,0 +1,28 @@
+#ifndef PARSLEYSPINDLE_LIBCONFIGURATION_KEY_DECISION_H
+#define PARSLEYSPINDLE_LIBCONFIGURATION_KEY_DECISION_H
+
+#include "LibConfiguration/configuration_snapshot.h"
+
+namespace spindle {
+
+enum class key_verdict { Granted, Unknown, NotConfirmed };
+
+/// Whether a key may be used, and whose it is.
+struct key_decision {
+  key_verdict Verdict = key_verdict::Unknown;
+  const key_grant *Grant = nullptr;
+  tenant_id Tenant;
+};
+
+/// Decides on the key with the SHA-256 digest \p Digest. \p LastConfirmed is
+/// when the platform or a peer last confirmed that \p Snapshot is the newest
+/// configuration; a tenant that declared "refuse" is served only for its
+/// isolation limit after that. The result's grant lives as long as the
+/// snapshot. Thread-safe.
+key_decision decideKey(const configuration_snapshot &Snapshot,
+                       std::string_view Digest, time_point Now,
+                       time_point LastConfirmed);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBCONFIGURATION_KEY_DECISION_H
