LibHost: Follow the newest configuration of platform and peers

A host must put an accepted configuration in force within seconds, also when its watch has stalled or the platform is down.

Two hosts of a zone watch the head and tell their zone; all poll as the safety net, at an interval that grows with the fleet. Parts come from who announced them, the platform or peers, are checked by digest, and are put in force whole. Versions only go up; listeners hear each one once, in order.

--- /dev/null
+++ b/Libraries/LibHost/configuration_follower.cpp
@@ -0,0 +1,461 @@
+#include "LibHost/configuration_follower.h"
+
+#include "LibConfiguration/configuration_codec.h"
+#include "LibConfiguration/configuration_head.h"
+#include "LibCore/result_code.h"
+#include "LibLog/log.h"
+#include "LibMembership/rendezvous.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace spindle {
+
+using lock = std::lock_guard<std::mutex>;
+
+static constexpr std::string_view HeadName = "head";
+/// Hosts of a zone that watch the head.
+static constexpr std::size_t RelaysInZone = 2;
+/// Hosts of the own zone that one round of gossip asks.
+static constexpr std::size_t GossipFanOut = 2;
+/// Peers that are asked for a part before and after the platform.
+static constexpr std::size_t PeersAskedForPart = 3;
+/// Polls a second of the whole fleet: a twentieth of the platform's reads.
+static constexpr std::size_t FleetPollsPerSecond = 100;
+/// Before any time that a decision compares with.
+static constexpr time_point Never{-std::chrono::hours(100'000)};
+/// A host passes on the platform's confirmation for this long.
+static constexpr seconds ConfirmationAge{5};
+
+namespace {
+
+/// A head that was read somewhere, and where its parts may be had.
+struct found_head {
+  configuration_head Head;
+  std::string Text;
+  std::optional<endpoint> From;
+};
+
+} // namespace
+
+struct configuration_follower::state {
+  state(const runtime_clock &Clock, platform_port Platform,
+        host_link_port HostLink, host_link::Sender Self,
+        configuration_follower_settings Settings)
+      : Clock(Clock), Platform(std::move(Platform)),
+        HostLink(std::move(HostLink)), Self(std::move(Self)),
+        Settings(std::move(Settings)) {}
+
+  std::uint64_t version() const {
+    const lock Lock(Mutex);
+    return Current == nullptr ? 0 : Current->version();
+  }
+
+  void applyIfNewer(const found_head &Found);
+  std::string fetchPart(const std::string &Digest,
+                        const std::optional<endpoint> &From);
+  std::optional<std::string> fetchFromPeer(const std::string &Digest,
+                                           const endpoint &Peer);
+  std::optional<std::string> fetchFromPlatform(const std::string &Digest);
+  std::string findCached(const std::string &Digest) const;
+  void putInForce(const found_head &Found, snapshot_pointer Snapshot,
+                  std::map<std::string, std::string> Fetched);
+  void notifyListeners();
+  void confirm(std::uint64_t Version, time_point At);
+  std::uint64_t readPlatformHead();
+  void exchange(const endpoint &Peer);
+  void fetchHeadFrom(const endpoint &Peer);
+  std::vector<endpoint> linksOfZone(bool OwnZone) const;
+  std::vector<endpoint> pickGossipPeers();
+
+  const runtime_clock &Clock;
+  const platform_port Platform;
+  const host_link_port HostLink;
+  const host_link::Sender Self;
+  const configuration_follower_settings Settings;
+  /// Set before the first poll and only read after it.
+  std::vector<listener> Listeners;
+
+  mutable std::mutex Mutex;
+  snapshot_pointer Current;
+  std::string HeadText;
+  std::map<std::string, std::string> Parts;
+  std::vector<peer_host> Peers;
+  std::uint32_t FleetHosts = 1;
+  /// The version that a fiber is fetching now, 0 for none.
+  std::uint64_t Fetching = 0;
+  /// The last version that this relay told its whole zone.
+  std::uint64_t AnnouncedVersion = 0;
+  std::size_t GossipRound = 0;
+  time_point LastConfirmed = Never;
+  /// When the platform itself confirmed the version in force.
+  time_point ConfirmedByPlatform = Never;
+  std::deque<snapshot_pointer> Notifications;
+  bool Notifying = false;
+};
+
+configuration_follower::configuration_follower(
+    const runtime_clock &Clock, platform_port Platform, host_link_port HostLink,
+    host_link::Sender Self, configuration_follower_settings Settings)
+    : State(std::make_unique<state>(Clock, std::move(Platform),
+                                    std::move(HostLink), std::move(Self),
+                                    std::move(Settings))) {}
+
+configuration_follower::~configuration_follower() = default;
+
+snapshot_pointer configuration_follower::current() const {
+  const lock Lock(State->Mutex);
+  return State->Current;
+}
+
+void configuration_follower::onChange(listener Listener) {
+  State->Listeners.push_back(std::move(Listener));
+}
+
+void configuration_follower::applyView(const host_view &View) {
+  const lock Lock(State->Mutex);
+  State->Peers = View.Peers;
+  State->FleetHosts = View.FleetHosts;
+}
+
+time_point configuration_follower::lastConfirmed() const {
+  const lock Lock(State->Mutex);
+  return State->LastConfirmed;
+}
+
+/// Applies \p Found unless the version in force, or one that another fiber is
+/// fetching, is as new.
+void configuration_follower::state::applyIfNewer(const found_head &Found) {
+  {
+    const lock Lock(Mutex);
+    const std::uint64_t InForce = Current == nullptr ? 0 : Current->version();
+    if (Found.Head.Version <= std::max(InForce, Fetching))
+      return;
+    Fetching = Found.Head.Version;
+  }
+  try {
+    std::map<std::string, std::string> Fetched;
+    const part_source Source = [&](const std::string &Digest) {
+      std::string Text = fetchPart(Digest, Found.From);
+      Fetched.emplace(Digest, Text);
+      return Text;
+    };
+    intent Intent = decodeIntent(Found.Head.Index, Source);
+    putInForce(Found,
+               std::make_shared<const configuration_snapshot>(
+                   Found.Head.Version, std::move(Intent)),
+               std::move(Fetched));
+  } catch (const spindle_error &Error) {
+    const bool IsDamaged = Error.code() == result_code::ConfigurationCorrupt;
+    logEvent(IsDamaged ? log_event::ConfigurationRefused
+                       : log_event::ConfigurationNotFetched,
+             {{"version", std::to_string(Found.Head.Version)},
+              {"reason", Error.what()}});
+  }
+  {
+    const lock Lock(Mutex);
+    if (Fetching == Found.Head.Version)
+      Fetching = 0;
+  }
+  notifyListeners();
+}
+
+void configuration_follower::state::putInForce(
+    const found_head &Found, snapshot_pointer Snapshot,
+    std::map<std::string, std::string> Fetched) {
+  const lock Lock(Mutex);
+  // A newer version may have come into force while this one was fetched.
+  if (Current != nullptr && Current->version() >= Snapshot->version())
+    return;
+  Current = Snapshot;
+  HeadText = Found.Text;
+  Parts = std::move(Fetched);
+  Notifications.push_back(std::move(Snapshot));
+}
+
+/// Tells the listeners of each version in order; one fiber at a time does so.
+void configuration_follower::state::notifyListeners() {
+  while (true) {
+    snapshot_pointer Next;
+    {
+      const lock Lock(Mutex);
+      if (Notifying || Notifications.empty())
+        return;
+      Notifying = true;
+      Next = std::move(Notifications.front());
+      Notifications.pop_front();
+    }
+    logEvent(log_event::ConfigurationApplied,
+             {{"version", std::to_string(Next->version())}});
+    for (const listener &Listener : Listeners)
+      Listener(Next);
+    const lock Lock(Mutex);
+    Notifying = false;
+  }
+}
+
+std::string
+configuration_follower::state::findCached(const std::string &Digest) const {
+  const lock Lock(Mutex);
+  const auto Found = Parts.find(Digest);
+  return Found == Parts.end() ? std::string() : Found->second;
+}
+
+/// Returns nothing unless the part is whole.
+static std::optional<std::string> ifWhole(const std::string &Digest,
+                                          std::string Text) {
+  try {
+    checkPart(Digest, Text);
+    return Text;
+  } catch (const spindle_error &Error) {
+    logEvent(log_event::ConfigurationRefused, {{"reason", Error.what()}});
+    return std::nullopt;
+  }
+}
+
+std::optional<std::string>
+configuration_follower::state::fetchFromPeer(const std::string &Digest,
+                                             const endpoint &Peer) {
+  try {
+    host_link::FetchPartRequest Request;
+    *Request.mutable_sender() = Self;
+    Request.set_digest(Digest);
+    const host_link::FetchPartReply Reply =
+        HostLink.FetchPart(Peer, Request, Settings.PeerCallTimeout);
+    if (!Reply.found())
+      return std::nullopt;
+    return ifWhole(Digest, Reply.content());
+  } catch (const spindle_error &) {
+    return std::nullopt;
+  }
+}
+
+std::optional<std::string>
+configuration_follower::state::fetchFromPlatform(const std::string &Digest) {
+  try {
+    const std::optional<platform_object> Object =
+        Platform.Get(platform_kind::ConfigurationParts, Digest);
+    if (!Object)
+      return std::nullopt;
+    return ifWhole(Digest, readPartBody(Object->Body));
+  } catch (const spindle_error &) {
+    return std::nullopt;
+  }
+}
+
+/// Takes a part from who announced it, else from the platform, else from
+/// other peers.
+std::string
+configuration_follower::state::fetchPart(const std::string &Digest,
+                                         const std::optional<endpoint> &From) {
+  std::string Cached = findCached(Digest);
+  if (!Cached.empty())
+    return Cached;
+  std::optional<std::string> Text;
+  if (From)
+    Text = fetchFromPeer(Digest, *From);
+  if (!Text)
+    Text = fetchFromPlatform(Digest);
+  const std::vector<endpoint> Others = linksOfZone(true);
+  for (std::size_t Index = 0;
+       !Text && Index < std::min(Others.size(), PeersAskedForPart); ++Index)
+    Text = fetchFromPeer(Digest, Others[Index]);
+  if (!Text)
+    throw spindle_error(result_code::PlatformUnavailable,
+                        "part " + Digest + " could not be fetched");
+  return *Text;
+}
+
+void configuration_follower::state::confirm(std::uint64_t Version,
+                                            time_point At) {
+  const lock Lock(Mutex);
+  if (Current != nullptr && Current->version() == Version)
+    LastConfirmed = std::max(LastConfirmed, At);
+}
+
+/// Reads the head from the platform and applies it; returns the object's
+/// version at the platform, 0 if there is none.
+std::uint64_t configuration_follower::state::readPlatformHead() {
+  const time_point Asked = Clock.now();
+  const std::optional<platform_object> Object =
+      Platform.Get(platform_kind::ConfigurationHeads, HeadName);
+  if (!Object)
+    return 0;
+  const configuration_head Head = readHead(Object->Body);
+  applyIfNewer({Head, Object->Body, std::nullopt});
+  confirm(Head.Version, Asked);
+  const lock Lock(Mutex);
+  if (Current != nullptr && Current->version() == Head.Version)
+    ConfirmedByPlatform = std::max(ConfirmedByPlatform, Asked);
+  return Object->Version;
+}
+
+void configuration_follower::pollOnce() {
+  try {
+    State->readPlatformHead();
+    return;
+  } catch (const spindle_error &Error) {
+    logEvent(log_event::ConfigurationNotFetched, {{"reason", Error.what()}});
+  }
+  for (const endpoint &Peer : State->pickGossipPeers())
+    State->exchange(Peer);
+}
+
+milliseconds configuration_follower::pollInterval() const {
+  const lock Lock(State->Mutex);
+  const milliseconds Shared(State->FleetHosts * 1'000 / FleetPollsPerSecond);
+  const milliseconds Base = std::max(State->Settings.PollInterval, Shared);
+  const std::uint64_t Spread =
+      rendezvousScore(State->GossipRound, host_id{State->Self.host()}) % 20;
+  return Base * (90 + Spread) / 100;
+}
+
+bool configuration_follower::watchOnce(milliseconds Limit) {
+  try {
+    const std::uint64_t From = State->readPlatformHead();
+    State->Platform.Watch(
+        platform_kind::ConfigurationHeads, From, Limit,
+        [this](const platform_event &Event) {
+          if (Event.Change == platform_change::Deleted ||
+              Event.Object.Name != HeadName)
+            return true;
+          const time_point Heard = State->Clock.now();
+          const configuration_head Head = readHead(Event.Object.Body);
+          State->applyIfNewer({Head, Event.Object.Body, std::nullopt});
+          State->confirm(Head.Version, Heard);
+          return isRelay();
+        });
+    return true;
+  } catch (const spindle_error &Error) {
+    return Error.code() == result_code::PlatformTooOld;
+  }
+}
+
+bool configuration_follower::isRelay() const {
+  const lock Lock(State->Mutex);
+  std::vector<host_id> Others;
+  for (const peer_host &Peer : State->Peers)
+    if (Peer.Zone.Value == State->Self.zone() && !Peer.Draining)
+      Others.push_back(Peer.Id);
+  return rendezvousRank(State->Self.zone(), host_id{State->Self.host()},
+                        Others) < RelaysInZone;
+}
+
+std::vector<endpoint>
+configuration_follower::state::linksOfZone(bool OwnZone) const {
+  const lock Lock(Mutex);
+  std::vector<endpoint> Links;
+  for (const peer_host &Peer : Peers)
+    if ((Peer.Zone.Value == Self.zone()) == OwnZone)
+      Links.push_back(Peer.Link);
+  if (Peers.empty() && OwnZone)
+    Links = Settings.Seeds;
+  return Links;
+}
+
+/// Picks peers in turn: all of the zone when a relay has news.
+std::vector<endpoint> configuration_follower::state::pickGossipPeers() {
+  const std::vector<endpoint> Near = linksOfZone(true);
+  const std::vector<endpoint> Far = linksOfZone(false);
+  const lock Lock(Mutex);
+  const std::size_t Round = GossipRound++;
+  const std::uint64_t Version = Current == nullptr ? 0 : Current->version();
+  const bool HasNews = Version > AnnouncedVersion;
+  AnnouncedVersion = Version;
+  const std::size_t Count =
+      HasNews ? Near.size() : std::min(Near.size(), GossipFanOut);
+  std::vector<endpoint> Picked;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Picked.push_back(Near[(Round * GossipFanOut + Index) % Near.size()]);
+  if (!Far.empty())
+    Picked.push_back(Far[Round % Far.size()]);
+  return Picked;
+}
+
+/// Tells a peer the version in force, the head as well if it lacks it, and
+/// takes the peer's if that is newer.
+void configuration_follower::state::exchange(const endpoint &Peer) {
+  try {
+    host_link::AnnounceRequest Request;
+    *Request.mutable_sender() = Self;
+    const time_point Asked = Clock.now();
+    Request.set_version(version());
+    const host_link::AnnounceReply Reply =
+        HostLink.Announce(Peer, Request, Settings.PeerCallTimeout);
+    if (Reply.platform_reachable())
+      confirm(Reply.version(), Asked - ConfirmationAge);
+    if (Reply.version() > Request.version())
+      fetchHeadFrom(Peer);
+    if (Reply.version() >= Request.version())
+      return;
+    {
+      const lock Lock(Mutex);
+      Request.set_version(Current->version());
+      Request.set_head(HeadText);
+    }
+    HostLink.Announce(Peer, Request, Settings.PeerCallTimeout);
+  } catch (const spindle_error &) {
+    // NOTE: a peer that does not answer is asked again in a later round.
+  }
+}
+
+void configuration_follower::state::fetchHeadFrom(const endpoint &Peer) {
+  host_link::FetchPartRequest Request;
+  *Request.mutable_sender() = Self;
+  const host_link::FetchPartReply Reply =
+      HostLink.FetchPart(Peer, Request, Settings.PeerCallTimeout);
+  if (Reply.found())
+    applyIfNewer({readHead(Reply.content()), Reply.content(), Peer});
+}
+
+void configuration_follower::gossipOnce() {
+  for (const endpoint &Peer : State->pickGossipPeers())
+    State->exchange(Peer);
+}
+
+host_link::AnnounceReply configuration_follower::handleAnnounce(
+    const host_link::AnnounceRequest &Request) {
+  std::optional<endpoint> From;
+  {
+    const lock Lock(State->Mutex);
+    for (const peer_host &Peer : State->Peers)
+      if (Peer.Id.Value == Request.sender().host())
+        From = Peer.Link;
+  }
+  if (!Request.head().empty())
+    State->applyIfNewer({readHead(Request.head()), Request.head(), From});
+  host_link::AnnounceReply Reply;
+  const time_point Now = State->Clock.now();
+  const lock Lock(State->Mutex);
+  if (State->Current != nullptr)
+    Reply.set_version(State->Current->version());
+  Reply.set_incarnation(State->Self.incarnation());
+  Reply.set_platform_reachable(Now - State->ConfirmedByPlatform <
+                               ConfirmationAge);
+  return Reply;
+}
+
+host_link::FetchPartReply configuration_follower::handleFetchPart(
+    const host_link::FetchPartRequest &Request) {
+  host_link::FetchPartReply Reply;
+  const lock Lock(State->Mutex);
+  if (State->Current == nullptr)
+    return Reply;
+  Reply.set_version(State->Current->version());
+  if (Request.digest().empty()) {
+    Reply.set_found(true);
+    Reply.set_content(State->HeadText);
+    return Reply;
+  }
+  const auto Found = State->Parts.find(Request.digest());
+  if (Found != State->Parts.end()) {
+    Reply.set_found(true);
+    Reply.set_content(Found->second);
+  }
+  return Reply;
+}
+
+} // namespace spindle
