LibPlatform: Speak the platform's REST protocol

Cause: hosts keep what must last in the platform's object API.

Change: http_platform implements the port over LibHTTP's client. A watch ends at its limit, and as lost after ten silent seconds.

--- a/Libraries/LibPlatform/http_platform.h
+++ b/Libraries/LibPlatform/http_platform.h
@@ -13,11 +13,20 @@
   std::vector<endpoint> Servers;
   milliseconds CallTimeout{2'000};
   std::string Namespace = "default";
+  /// Sent with each call, so that the platform's records name the host.
+  std::string UserAgent = "spindle";
+  /// A watch on which nothing arrives for this long, bookmarks included, is
+  /// given up.
+  milliseconds WatchSilence{10'000};
 };
 
 /// Makes a port that speaks the platform's REST protocol:
 /// /apis/parsleyspindle/v1/namespaces/NAMESPACE/KIND[/NAME].
+/// A call that fails makes the next one go to the next server. No write is
+/// sent twice. Bodies are returned in canonical form: members sorted, no
+/// whitespace, as nlohmann::json writes them.
 /// \p Client must outlive the port. The port's functions run in fibers.
+/// Precondition: \p Settings names at least one server.
 platform_port makeHttpPlatform(http_client &Client,
                                http_platform_settings Settings);
 
