LibResidency: Decide on slots, pins, loads and evictions

Change: the state of an engine's owner (slots, pins by host incarnation, waiting demand, decayed use counts) and of a host's own cached pins, as plain structs with free functions. Nothing is evicted after a takeover until every live host has synced its pins under the new fence. Loads are ordered by the wait they relieve; an adapter whose slot is wanted is drained when every slot stays pinned.

Conclusion: decision code without I/O, to be tested over event histories.

--- /dev/null
+++ b/Libraries/LibResidency/engine_slots.cpp
@@ -0,0 +1,226 @@
+#include "LibResidency/engine_slots.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace spindle {
+
+static bool contains(std::span<const adapter_id> Adapters, adapter_id Adapter) {
+  return std::ranges::find(Adapters, Adapter) != Adapters.end();
+}
+
+static void setPin(engine_slots &Engine, adapter_id Adapter,
+                   const pin_holder &Holder, std::uint64_t Sequence) {
+  std::vector<held_pin> &Pins = Engine.Pins[Adapter];
+  for (held_pin &Pin : Pins) {
+    if (Pin.Holder != Holder)
+      continue;
+    Pin.Sequence = std::max(Pin.Sequence, Sequence);
+    return;
+  }
+  Pins.push_back({Holder, Sequence});
+}
+
+template <typename predicate>
+static void erasePins(engine_slots &Engine, const predicate &Matches) {
+  for (auto Entry = Engine.Pins.begin(); Entry != Engine.Pins.end();) {
+    std::erase_if(Entry->second, [&](const held_pin &Pin) {
+      return Matches(Entry->first, Pin);
+    });
+    Entry = Entry->second.empty() ? Engine.Pins.erase(Entry) : std::next(Entry);
+  }
+}
+
+void takeOver(engine_slots &Engine, std::uint64_t Fence, time_point Now) {
+  Engine.Fence = Fence;
+  Engine.OwnedSince = Now;
+  Engine.Known = false;
+  Engine.Synced.clear();
+}
+
+/// Tells whether \p Sequence of \p Holder is covered by a later sync.
+static bool isOutdated(const engine_slots &Engine, const pin_holder &Holder,
+                       std::uint64_t Sequence) {
+  const auto Mark = Engine.Synced.find(Holder.Host);
+  if (Mark == Engine.Synced.end())
+    return false;
+  if (Holder.Incarnation != Mark->second.Incarnation)
+    return Holder.Incarnation < Mark->second.Incarnation;
+  return Sequence <= Mark->second.Sequence;
+}
+
+pin_outcome pinAdapter(engine_slots &Engine, adapter_id Adapter,
+                       const pin_holder &Holder, std::uint64_t Sequence,
+                       time_point Now) {
+  if (isOutdated(Engine, Holder, Sequence))
+    return pin_outcome::Stale;
+  engine_slot *Slot = findSlot(Engine, Adapter);
+  if (Slot == nullptr || !isServing(*Slot))
+    return pin_outcome::NotLoaded;
+  Slot->LastUsed = Now;
+  setPin(Engine, Adapter, Holder, Sequence);
+  return pin_outcome::Pinned;
+}
+
+std::vector<adapter_id> syncPins(engine_slots &Engine, const pin_holder &Holder,
+                                 std::uint64_t Sequence,
+                                 std::span<const adapter_id> Pins,
+                                 time_point Now) {
+  if (isOutdated(Engine, Holder, Sequence))
+    return {};
+  Engine.Synced[Holder.Host] = {Holder.Incarnation, Sequence};
+  erasePins(Engine, [&](adapter_id Adapter, const held_pin &Pin) {
+    if (Pin.Holder.Host != Holder.Host)
+      return false;
+    if (Pin.Holder.Incarnation < Holder.Incarnation)
+      return true;
+    return Pin.Holder == Holder && Pin.Sequence < Sequence &&
+           !contains(Pins, Adapter);
+  });
+  std::vector<adapter_id> Refused;
+  for (const adapter_id Adapter : Pins) {
+    setPin(Engine, Adapter, Holder, Sequence);
+    engine_slot *Slot = findSlot(Engine, Adapter);
+    if (Slot == nullptr || !isServing(*Slot))
+      Refused.push_back(Adapter);
+    else
+      Slot->LastUsed = Now;
+  }
+  return Refused;
+}
+
+void releaseGone(engine_slots &Engine, host_id Host, std::uint64_t LastGone) {
+  erasePins(Engine, [&](adapter_id, const held_pin &Pin) {
+    return Pin.Holder.Host == Host && Pin.Holder.Incarnation <= LastGone;
+  });
+}
+
+/// Whether an order is in progress, whose end is still to come.
+static bool isOrdered(const engine_slot &Slot) {
+  return Slot.State == slot_state::Loading ||
+         Slot.State == slot_state::Unloading;
+}
+
+/// Whether a report that was taken at \p Taken knows the slot's last change.
+static bool reportCovers(const engine_slots &Engine, const engine_slot &Slot,
+                         time_point Taken) {
+  if (isOrdered(Slot))
+    return false;
+  return Taken > Engine.LastOrderEnd && Taken > Slot.Since;
+}
+
+void applyReport(engine_slots &Engine, std::uint64_t Incarnation,
+                 std::uint32_t Slots, std::span<const adapter_id> Loaded,
+                 std::span<const adapter_id> Loading, time_point Taken,
+                 time_point Now) {
+  Engine.Slots = Slots;
+  const bool Restarted = Incarnation != Engine.Incarnation;
+  if (Restarted || !Engine.Known)
+    std::erase_if(Engine.Occupied,
+                  [](const engine_slot &Slot) { return !isOrdered(Slot); });
+  Engine.Incarnation = Incarnation;
+  // The former owner's last orders show only in reports of the present
+  // ownership.
+  Engine.Known = Engine.Known || Taken > Engine.OwnedSince;
+  std::erase_if(Engine.Occupied, [&](const engine_slot &Slot) {
+    return reportCovers(Engine, Slot, Taken) &&
+           !contains(Loaded, Slot.Adapter) && !contains(Loading, Slot.Adapter);
+  });
+  if (Taken <= Engine.LastOrderEnd)
+    return;
+  for (const adapter_id Adapter : Loaded) {
+    engine_slot *Slot = findSlot(Engine, Adapter);
+    if (Slot == nullptr)
+      Engine.Occupied.push_back({Adapter, slot_state::Loaded, Now, Now, false});
+    else if (reportCovers(Engine, *Slot, Taken))
+      Slot->State = slot_state::Loaded;
+  }
+  for (const adapter_id Adapter : Loading)
+    if (findSlot(Engine, Adapter) == nullptr)
+      Engine.Occupied.push_back(
+          {Adapter, slot_state::Unknown, Now, Now, false});
+}
+
+bool pinsAreComplete(const engine_slots &Engine,
+                     std::span<const pin_holder> Peers, milliseconds SettleTime,
+                     time_point Now) {
+  if (!Engine.Known || Now - Engine.OwnedSince < SettleTime)
+    return false;
+  return std::ranges::all_of(Peers, [&Engine](const pin_holder &Peer) {
+    const auto Mark = Engine.Synced.find(Peer.Host);
+    return Mark != Engine.Synced.end() &&
+           Mark->second.Incarnation >= Peer.Incarnation;
+  });
+}
+
+bool isPinned(const engine_slots &Engine, adapter_id Adapter) {
+  return Engine.Pins.contains(Adapter);
+}
+
+engine_slot *findSlot(engine_slots &Engine, adapter_id Adapter) {
+  const auto Found =
+      std::ranges::find(Engine.Occupied, Adapter, &engine_slot::Adapter);
+  return Found == Engine.Occupied.end() ? nullptr : &*Found;
+}
+
+const engine_slot *findSlot(const engine_slots &Engine, adapter_id Adapter) {
+  const auto Found =
+      std::ranges::find(Engine.Occupied, Adapter, &engine_slot::Adapter);
+  return Found == Engine.Occupied.end() ? nullptr : &*Found;
+}
+
+bool isServing(const engine_slot &Slot) {
+  return Slot.State == slot_state::Loaded && !Slot.Draining;
+}
+
+std::uint32_t freeSlots(const engine_slots &Engine) {
+  const std::uint32_t Used = static_cast<std::uint32_t>(Engine.Occupied.size());
+  return Used >= Engine.Slots ? 0 : Engine.Slots - Used;
+}
+
+void beginUnload(engine_slots &Engine, adapter_id Adapter, time_point Now) {
+  assert(!isPinned(Engine, Adapter) && "a pinned adapter is never evicted");
+  engine_slot *Slot = findSlot(Engine, Adapter);
+  assert(Slot != nullptr && "the adapter has a slot");
+  Slot->State = slot_state::Unloading;
+  Slot->Since = Now;
+}
+
+void beginLoad(engine_slots &Engine, adapter_id Adapter, time_point Now) {
+  assert(freeSlots(Engine) > 0 && "a load needs a free slot");
+  Engine.Occupied.push_back({Adapter, slot_state::Loading, Now, Now, false});
+}
+
+static void eraseSlot(engine_slots &Engine, adapter_id Adapter) {
+  std::erase_if(Engine.Occupied, [Adapter](const engine_slot &Slot) {
+    return Slot.Adapter == Adapter;
+  });
+}
+
+void endLoad(engine_slots &Engine, adapter_id Adapter, order_result Result,
+             time_point Now) {
+  Engine.LastOrderEnd = Now;
+  engine_slot *Slot = findSlot(Engine, Adapter);
+  if (Slot == nullptr || Slot->State != slot_state::Loading)
+    return;
+  if (Result == order_result::Refused)
+    return eraseSlot(Engine, Adapter);
+  Slot->State =
+      Result == order_result::Done ? slot_state::Loaded : slot_state::Unknown;
+  Slot->Since = Now;
+}
+
+void endUnload(engine_slots &Engine, adapter_id Adapter, order_result Result,
+               time_point Now) {
+  Engine.LastOrderEnd = Now;
+  engine_slot *Slot = findSlot(Engine, Adapter);
+  if (Slot == nullptr || Slot->State != slot_state::Unloading)
+    return;
+  if (Result == order_result::Done)
+    return eraseSlot(Engine, Adapter);
+  Slot->State = Result == order_result::Refused ? slot_state::Loaded
+                                                : slot_state::Unknown;
+  Slot->Since = Now;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibResidency/order_planning.cpp
@@ -0,0 +1,194 @@
+#include "LibResidency/residency_owner.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+/// A load that could be ordered, and how much waiting it relieves.
+struct load_candidate {
+  placement Placement;
+  double Relief = 0;
+};
+
+/// The weight of those who wait, which grows while they wait, so that an
+/// adapter that few ask for is loaded in bounded time too.
+static double relief(const residency_owner &Owner, const load_demand &Demand,
+                     time_point Now) {
+  double Sum = 0;
+  for (const waiting_pin &Waiting : Demand.Waiting) {
+    const std::chrono::duration<double> Waited = Now - Waiting.Since;
+    const std::chrono::duration<double> Step = Owner.Settings.WaitStep;
+    Sum += Waiting.Weight * (1 + Waited / Step);
+  }
+  return Sum;
+}
+
+static bool mayLoad(const residency_owner &Owner, const placement &Placement,
+                    const load_demand &Demand, time_point Now) {
+  if (Demand.Waiting.empty() || Now < Demand.Failures.RetryAt)
+    return false;
+  const auto Engine = Owner.Engines.find(Placement.Engine);
+  if (Engine == Owner.Engines.end() || !Engine->second.Known)
+    return false;
+  return findSlot(Engine->second, Placement.Adapter) == nullptr &&
+         !Owner.Ordered.contains(Placement);
+}
+
+static std::vector<load_candidate> rankLoads(const residency_owner &Owner,
+                                             time_point Now) {
+  std::vector<load_candidate> Candidates;
+  for (const auto &[Placement, Demand] : Owner.Demands)
+    if (mayLoad(Owner, Placement, Demand, Now))
+      Candidates.push_back({Placement, relief(Owner, Demand, Now)});
+  std::ranges::stable_sort(
+      Candidates, [](const load_candidate &Left, const load_candidate &Right) {
+        return Left.Relief > Right.Relief;
+      });
+  return Candidates;
+}
+
+static bool isEvictable(const residency_owner &Owner,
+                        const engine_slots &Engine, const engine_slot &Slot,
+                        time_point Now) {
+  return Slot.State == slot_state::Loaded &&
+         Now - Slot.Since >= Owner.Settings.LeastStay &&
+         !isPinned(Engine, Slot.Adapter);
+}
+
+/// How much is lost by evicting the slot's adapter; the least is evicted.
+static double worth(const residency_owner &Owner, const engine_slot &Slot,
+                    time_point Now) {
+  if (Owner.Settings.Victims == victim_policy::Value)
+    return demandOf(Owner.Uses, Slot.Adapter, Now);
+  return std::chrono::duration<double>(Slot.LastUsed.time_since_epoch())
+      .count();
+}
+
+static const engine_slot *chooseVictim(const residency_owner &Owner,
+                                       const engine_slots &Engine,
+                                       time_point Now) {
+  const engine_slot *Victim = nullptr;
+  double Least = 0;
+  for (const engine_slot &Slot : Engine.Occupied) {
+    if (!isEvictable(Owner, Engine, Slot, Now))
+      continue;
+    if (Slot.Draining)
+      return &Slot;
+    const double Worth = worth(Owner, Slot, Now);
+    if (Victim != nullptr && Worth >= Least)
+      continue;
+    Victim = &Slot;
+    Least = Worth;
+  }
+  return Victim;
+}
+
+/// Whether a slot of \p Engine is free or can be freed now.
+static bool hasRoom(const residency_owner &Owner, const engine_slots &Engine,
+                    std::span<const pin_holder> Peers, time_point Now) {
+  if (!Engine.Known)
+    return false;
+  if (freeSlots(Engine) > 0)
+    return true;
+  return pinsAreComplete(Engine, Peers, Owner.Settings.SettleTime, Now) &&
+         chooseVictim(Owner, Engine, Now) != nullptr;
+}
+
+/// Precondition: hasRoom().
+static residency_order planOrder(residency_owner &Owner, engine_slots &Engine,
+                                 adapter_id Adapter, time_point Now) {
+  residency_order Order{Engine.Engine, Adapter, std::nullopt, Engine.Fence};
+  Owner.Ordered.insert({Engine.Engine, Adapter});
+  if (freeSlots(Engine) > 0) {
+    beginLoad(Engine, Adapter, Now);
+    return Order;
+  }
+  Order.Victim = chooseVictim(Owner, Engine, Now)->Adapter;
+  beginUnload(Engine, *Order.Victim, Now);
+  return Order;
+}
+
+/// Lets the least worthy pinned adapter run out, if none does yet.
+static void drainOne(const residency_owner &Owner, engine_slots &Engine,
+                     time_point Now) {
+  engine_slot *Cheapest = nullptr;
+  for (engine_slot &Slot : Engine.Occupied) {
+    if (Slot.Draining || Slot.State != slot_state::Loaded)
+      return;
+    if (Cheapest == nullptr ||
+        worth(Owner, Slot, Now) < worth(Owner, *Cheapest, Now))
+      Cheapest = &Slot;
+  }
+  if (Cheapest != nullptr)
+    Cheapest->Draining = true;
+}
+
+static bool hasWaitedLong(const residency_owner &Owner,
+                          const load_demand &Demand, time_point Now) {
+  return std::ranges::any_of(
+      Demand.Waiting, [&Owner, Now](const waiting_pin &Waiting) {
+        return Now - Waiting.Since >= Owner.Settings.DrainAfter;
+      });
+}
+
+/// Stops draining where nobody waits for a slot any more.
+static void endNeedlessDrains(residency_owner &Owner, time_point Now) {
+  std::set<upstream_id> Awaited;
+  for (const load_candidate &Candidate : rankLoads(Owner, Now))
+    Awaited.insert(Candidate.Placement.Engine);
+  for (auto &[Id, Engine] : Owner.Engines)
+    if (!Awaited.contains(Id))
+      for (engine_slot &Slot : Engine.Occupied)
+        Slot.Draining = false;
+}
+
+/// Forgets failures that are so long past that the next one counts as first.
+static void forgetFailures(residency_owner &Owner, time_point Now) {
+  std::erase_if(Owner.Demands, [&Owner, Now](const auto &Entry) {
+    const load_demand &Demand = Entry.second;
+    return Demand.Waiting.empty() &&
+           Now > Demand.Failures.RetryAt + Owner.Settings.LongestRetryDelay;
+  });
+}
+
+std::vector<residency_order> planOrders(residency_owner &Owner,
+                                        std::span<const pin_holder> Peers,
+                                        std::size_t Loads, time_point Now) {
+  std::vector<residency_order> Orders;
+  forgetFailures(Owner, Now);
+  endNeedlessDrains(Owner, Now);
+  for (const load_candidate &Candidate : rankLoads(Owner, Now)) {
+    const placement &Placement = Candidate.Placement;
+    engine_slots &Engine = Owner.Engines.at(Placement.Engine);
+    const bool Room = hasRoom(Owner, Engine, Peers, Now);
+    if (Room && Orders.size() < Loads)
+      Orders.push_back(planOrder(Owner, Engine, Placement.Adapter, Now));
+    if (!Room && hasWaitedLong(Owner, Owner.Demands.at(Placement), Now))
+      drainOne(Owner, Engine, Now);
+  }
+  return Orders;
+}
+
+bool wantsLoad(const residency_owner &Owner, std::span<const pin_holder> Peers,
+               time_point Now) {
+  return std::ranges::any_of(
+      rankLoads(Owner, Now), [&](const load_candidate &Candidate) {
+        return hasRoom(Owner, Owner.Engines.at(Candidate.Placement.Engine),
+                       Peers, Now);
+      });
+}
+
+std::uint32_t evictableSlots(const residency_owner &Owner,
+                             const engine_slots &Engine,
+                             std::span<const pin_holder> Peers,
+                             time_point Now) {
+  std::uint32_t Count = freeSlots(Engine);
+  if (!pinsAreComplete(Engine, Peers, Owner.Settings.SettleTime, Now))
+    return Count;
+  for (const engine_slot &Slot : Engine.Occupied)
+    if (isEvictable(Owner, Engine, Slot, Now))
+      ++Count;
+  return Count;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibResidency/pin_cache.cpp
@@ -0,0 +1,120 @@
+#include "LibResidency/pin_cache.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace spindle {
+
+static bool isUsable(const cached_pin &Pin) {
+  return Pin.Held && !Pin.Recalled;
+}
+
+static void beginUse(cached_pin &Pin, time_point Now) {
+  ++Pin.Uses;
+  ++Pin.Begun;
+  Pin.LastUsed = Now;
+}
+
+/// The owner of \p Engine should hear of a change.
+static void noteChange(pin_cache &Cache, upstream_id Engine) {
+  Cache.Acknowledged[Engine].LastChange = Cache.LastSequence + 1;
+}
+
+bool beginCachedUse(pin_cache &Cache, placement Placement, time_point Now) {
+  const auto Found = Cache.Pins.find(Placement);
+  if (Found == Cache.Pins.end() || !isUsable(Found->second))
+    return false;
+  beginUse(Found->second, Now);
+  return true;
+}
+
+std::uint64_t beginAsking(pin_cache &Cache, placement Placement) {
+  ++Cache.Pins[Placement].Asked;
+  return ++Cache.LastSequence;
+}
+
+bool endAsking(pin_cache &Cache, placement Placement, bool Granted,
+               std::uint64_t Fence, std::uint64_t CurrentFence,
+               time_point Now) {
+  cached_pin &Pin = Cache.Pins[Placement];
+  assert(Pin.Asked > 0 && "beginAsking() was called");
+  --Pin.Asked;
+  noteChange(Cache, Placement.Engine);
+  if (!Granted || Fence < CurrentFence)
+    return false;
+  Pin.Held = true;
+  Pin.Recalled = false;
+  Pin.Fence = std::max(Pin.Fence, Fence);
+  beginUse(Pin, Now);
+  return true;
+}
+
+void endUse(pin_cache &Cache, placement Placement, time_point Now) {
+  const auto Found = Cache.Pins.find(Placement);
+  assert(Found != Cache.Pins.end() && Found->second.Uses > 0 &&
+         "the use began");
+  --Found->second.Uses;
+  Found->second.LastUsed = Now;
+}
+
+void dropUnused(pin_cache &Cache, milliseconds Retention, time_point Now) {
+  for (auto Entry = Cache.Pins.begin(); Entry != Cache.Pins.end();) {
+    const cached_pin &Pin = Entry->second;
+    const bool Idle = Pin.Uses == 0 && Pin.Asked == 0;
+    const bool Wanted = isUsable(Pin) && Now - Pin.LastUsed < Retention;
+    if (!Idle || Wanted) {
+      ++Entry;
+      continue;
+    }
+    noteChange(Cache, Entry->first.Engine);
+    Entry = Cache.Pins.erase(Entry);
+  }
+}
+
+static std::map<placement, cached_pin>::const_iterator
+firstPin(const pin_cache &Cache, upstream_id Engine) {
+  return Cache.Pins.lower_bound({Engine, adapter_id{}});
+}
+
+bool needsSync(const pin_cache &Cache, upstream_id Engine,
+               std::uint64_t Fence) {
+  const auto Mark = Cache.Acknowledged.find(Engine);
+  if (Mark == Cache.Acknowledged.end() || Mark->second.Fence != Fence ||
+      Mark->second.Sequence < Mark->second.LastChange)
+    return true;
+  const auto Pin = firstPin(Cache, Engine);
+  return Pin != Cache.Pins.end() && Pin->first.Engine == Engine;
+}
+
+pin_sync composeSync(pin_cache &Cache, std::span<const fenced_engine> Engines) {
+  pin_sync Sync;
+  Sync.Sequence = ++Cache.LastSequence;
+  Sync.Engines.assign(Engines.begin(), Engines.end());
+  for (const fenced_engine &Named : Engines)
+    for (auto Pin = firstPin(Cache, Named.Engine);
+         Pin != Cache.Pins.end() && Pin->first.Engine == Named.Engine; ++Pin)
+      Sync.Pins.push_back({Pin->first, Pin->second.Begun});
+  return Sync;
+}
+
+void noteAcknowledged(pin_cache &Cache, const pin_sync &Sync,
+                      const fenced_engine &Engine) {
+  acknowledged_sync &Mark = Cache.Acknowledged[Engine.Engine];
+  Mark.Fence = Engine.Fence;
+  Mark.Sequence = std::max(Mark.Sequence, Sync.Sequence);
+  for (const synced_pin &Pin : Sync.Pins) {
+    if (Pin.Placement.Engine != Engine.Engine)
+      continue;
+    const auto Found = Cache.Pins.find(Pin.Placement);
+    if (Found != Cache.Pins.end())
+      Found->second.Begun -= std::min(Found->second.Begun, Pin.Begun);
+  }
+}
+
+void noteRecalled(pin_cache &Cache, placement Placement) {
+  const auto Found = Cache.Pins.find(Placement);
+  if (Found != Cache.Pins.end())
+    Found->second.Recalled = true;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibResidency/pin_holder.h
@@ -0,0 +1,20 @@
+#ifndef PARSLEYSPINDLE_LIBRESIDENCY_PIN_HOLDER_H
+#define PARSLEYSPINDLE_LIBRESIDENCY_PIN_HOLDER_H
+
+#include "LibCore/strong_id.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace spindle {
+
+/// One run of a host's process, which holds pins. Incarnations of a host grow.
+struct pin_holder {
+  host_id Host;
+  std::uint64_t Incarnation = 0;
+  auto operator<=>(const pin_holder &) const = default;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBRESIDENCY_PIN_HOLDER_H
--- /dev/null
+++ b/Libraries/LibResidency/residency_owner.cpp
@@ -0,0 +1,168 @@
+#include "LibResidency/residency_owner.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+static bool isHeldBack(const residency_owner &Owner,
+                       const load_failures &Failures, time_point Now) {
+  return Failures.Attempts >= Owner.Settings.LoadAttempts &&
+         Now < Failures.RetryAt;
+}
+
+pin_verdict requestPin(residency_owner &Owner, waiting_pin &Request,
+                       time_point Now) {
+  const auto Engine = Owner.Engines.find(Request.Placement.Engine);
+  if (Engine == Owner.Engines.end())
+    return pin_verdict::NotOwner;
+  noteDemand(Owner.Uses, Request.Placement.Adapter, 1, Now);
+  const pin_outcome Outcome =
+      pinAdapter(Engine->second, Request.Placement.Adapter, Request.Holder,
+                 Request.Sequence, Now);
+  if (Outcome == pin_outcome::Pinned)
+    return pin_verdict::Pinned;
+  if (Outcome == pin_outcome::Stale)
+    return pin_verdict::Stale;
+  load_demand &Demand = Owner.Demands[Request.Placement];
+  if (isHeldBack(Owner, Demand.Failures, Now))
+    return pin_verdict::LoadFailed;
+  Request.Ticket = ++Owner.LastTicket;
+  Demand.Waiting.push_back(Request);
+  return pin_verdict::Waiting;
+}
+
+/// Forgets a demand that nobody waits for, unless it remembers failures.
+static void tidyDemand(residency_owner &Owner, placement Placement) {
+  const auto Found = Owner.Demands.find(Placement);
+  if (Found != Owner.Demands.end() && Found->second.Waiting.empty() &&
+      Found->second.Failures.Attempts == 0)
+    Owner.Demands.erase(Found);
+}
+
+void giveUpWaiting(residency_owner &Owner, const waiting_pin &Request) {
+  const auto Found = Owner.Demands.find(Request.Placement);
+  if (Found == Owner.Demands.end())
+    return;
+  std::erase_if(Found->second.Waiting, [&Request](const waiting_pin &Waiting) {
+    return Waiting.Ticket == Request.Ticket;
+  });
+  tidyDemand(Owner, Request.Placement);
+}
+
+static std::vector<pin_resolution>
+resolveAll(load_demand &Demand, pin_verdict Verdict, std::uint64_t Fence) {
+  std::vector<pin_resolution> Resolved;
+  for (const waiting_pin &Waiting : Demand.Waiting)
+    Resolved.push_back({Waiting.Ticket, Verdict, Fence});
+  Demand.Waiting.clear();
+  return Resolved;
+}
+
+/// Pins for all who wait for a loaded adapter.
+static std::vector<pin_resolution>
+pinWaiting(engine_slots &Engine, load_demand &Demand, time_point Now) {
+  std::vector<pin_resolution> Resolved;
+  for (const waiting_pin &Waiting : Demand.Waiting) {
+    const pin_outcome Outcome =
+        pinAdapter(Engine, Waiting.Placement.Adapter, Waiting.Holder,
+                   Waiting.Sequence, Now);
+    const pin_verdict Verdict = Outcome == pin_outcome::Pinned
+                                    ? pin_verdict::Pinned
+                                    : pin_verdict::Stale;
+    Resolved.push_back({Waiting.Ticket, Verdict, Engine.Fence});
+  }
+  Demand.Waiting.clear();
+  Demand.Failures = {};
+  return Resolved;
+}
+
+bool endVictim(residency_owner &Owner, const residency_order &Order,
+               order_result Result, time_point Now) {
+  const auto Engine = Owner.Engines.find(Order.Engine);
+  if (Engine == Owner.Engines.end())
+    return false;
+  if (Order.Victim)
+    endUnload(Engine->second, *Order.Victim, Result, Now);
+  Owner.Ordered.erase({Order.Engine, Order.Adapter});
+  if (Result != order_result::Done || Engine->second.Fence != Order.Fence ||
+      freeSlots(Engine->second) == 0 ||
+      findSlot(Engine->second, Order.Adapter) != nullptr)
+    return false;
+  beginLoad(Engine->second, Order.Adapter, Now);
+  Owner.Ordered.insert({Order.Engine, Order.Adapter});
+  return true;
+}
+
+static std::vector<pin_resolution> noteFailure(residency_owner &Owner,
+                                               const residency_order &Order,
+                                               time_point Now) {
+  load_demand &Demand = Owner.Demands[{Order.Engine, Order.Adapter}];
+  const std::uint32_t Doublings = std::min(Demand.Failures.Attempts, 16U);
+  const milliseconds Delay = std::min<milliseconds>(
+      Owner.Settings.FirstRetryDelay * (1LL << Doublings),
+      Owner.Settings.LongestRetryDelay);
+  ++Demand.Failures.Attempts;
+  Demand.Failures.RetryAt = Now + Delay;
+  if (!isHeldBack(Owner, Demand.Failures, Now))
+    return {};
+  return resolveAll(Demand, pin_verdict::LoadFailed, Order.Fence);
+}
+
+std::vector<pin_resolution> endOrder(residency_owner &Owner,
+                                     const residency_order &Order,
+                                     order_result Result, time_point Now) {
+  Owner.Ordered.erase({Order.Engine, Order.Adapter});
+  const auto Engine = Owner.Engines.find(Order.Engine);
+  if (Engine == Owner.Engines.end())
+    return {};
+  endLoad(Engine->second, Order.Adapter, Result, Now);
+  if (Result != order_result::Done)
+    return noteFailure(Owner, Order, Now);
+  const auto Demand = Owner.Demands.find({Order.Engine, Order.Adapter});
+  if (Demand == Owner.Demands.end() || Engine->second.Fence != Order.Fence)
+    return {};
+  for (const waiting_pin &Waiting : Demand->second.Waiting)
+    noteLoadWait(Owner.LoadWait, Now - Waiting.Since, Now);
+  std::vector<pin_resolution> Resolved =
+      pinWaiting(Engine->second, Demand->second, Now);
+  tidyDemand(Owner, Demand->first);
+  return Resolved;
+}
+
+std::vector<pin_resolution> resolveLoaded(residency_owner &Owner,
+                                          upstream_id Engine, time_point Now) {
+  std::vector<pin_resolution> Resolved;
+  const auto Found = Owner.Engines.find(Engine);
+  if (Found == Owner.Engines.end())
+    return Resolved;
+  auto Demand = Owner.Demands.lower_bound({Engine, adapter_id{}});
+  while (Demand != Owner.Demands.end() && Demand->first.Engine == Engine) {
+    const placement Placement = Demand->first;
+    load_demand &Waiting = Demand->second;
+    ++Demand;
+    const engine_slot *Slot = findSlot(Found->second, Placement.Adapter);
+    if (Slot == nullptr || !isServing(*Slot))
+      continue;
+    const std::vector<pin_resolution> Pinned =
+        pinWaiting(Found->second, Waiting, Now);
+    Resolved.insert(Resolved.end(), Pinned.begin(), Pinned.end());
+    tidyDemand(Owner, Placement);
+  }
+  return Resolved;
+}
+
+std::vector<pin_resolution> dropEngine(residency_owner &Owner,
+                                       upstream_id Engine) {
+  std::vector<pin_resolution> Resolved;
+  auto Demand = Owner.Demands.lower_bound({Engine, adapter_id{}});
+  while (Demand != Owner.Demands.end() && Demand->first.Engine == Engine) {
+    const std::vector<pin_resolution> Ended =
+        resolveAll(Demand->second, pin_verdict::NotOwner, 0);
+    Resolved.insert(Resolved.end(), Ended.begin(), Ended.end());
+    Demand = Owner.Demands.erase(Demand);
+  }
+  Owner.Engines.erase(Engine);
+  return Resolved;
+}
+
+} // namespace spindle
