LibRouting: Choose engines by expected time

Cause: a request should run where its adapter is until waiting there costs more than a load elsewhere.

Reported load is corrected by this host's own requests since the report was made. Random, least-loaded and consistent hashing stay as baselines.

Conclusion: constant work for a choice, whatever the number of engines.

--- /dev/null
+++ b/Libraries/LibRouting/engine_load.cpp
@@ -0,0 +1,72 @@
+#include "LibRouting/engine_load.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace spindle {
+
+/// Samples are at least this far apart, so that the ring covers the lag of
+/// reports.
+static constexpr milliseconds SampleStep{150};
+/// The weight of one more observation in a moving mean.
+static constexpr double MeanStep = 0.1;
+
+/// Keeps the load before a change, once a step.
+static void sample(engine_load &Load, time_point Now) {
+  const std::size_t Last =
+      (Load.NextSample + Load.Samples.size() - 1) % Load.Samples.size();
+  if (Now - Load.Samples[Last].Time < SampleStep)
+    return;
+  Load.Samples[Load.NextSample] = {Now, Load.OwnInFlight};
+  Load.NextSample = (Load.NextSample + 1) % Load.Samples.size();
+}
+
+/// The own load at \p Time: as it was before the first change after it.
+static std::uint32_t ownLoadAt(const engine_load &Load, time_point Time) {
+  std::uint32_t InFlight = Load.OwnInFlight;
+  time_point Earliest = time_point::max();
+  for (const own_load_sample &Sample : Load.Samples) {
+    if (Sample.Time < Time || Sample.Time >= Earliest)
+      continue;
+    Earliest = Sample.Time;
+    InFlight = Sample.InFlight;
+  }
+  return InFlight;
+}
+
+void noteDispatch(engine_load &Load, time_point Now) {
+  sample(Load, Now);
+  ++Load.OwnInFlight;
+}
+
+void noteFinish(engine_load &Load, nanoseconds Service, time_point Now) {
+  assert(Load.OwnInFlight > 0 && "the dispatch was noted");
+  sample(Load, Now);
+  --Load.OwnInFlight;
+  const std::chrono::duration<double, std::milli> Milliseconds = Service;
+  Load.ServiceMilliseconds +=
+      MeanStep * (Milliseconds.count() - Load.ServiceMilliseconds);
+}
+
+void noteReport(engine_load &Load, std::uint32_t Running, std::uint32_t Waiting,
+                time_point Taken) {
+  Load.Reported = Running + Waiting;
+  Load.OwnAtReport = ownLoadAt(Load, Taken);
+}
+
+std::uint32_t correctedLoad(const engine_load &Load) {
+  const std::int64_t Others = static_cast<std::int64_t>(Load.Reported) -
+                              static_cast<std::int64_t>(Load.OwnAtReport);
+  return Load.OwnInFlight +
+         static_cast<std::uint32_t>(std::max<std::int64_t>(Others, 0));
+}
+
+double expectedWaitMilliseconds(const engine_load &Load) {
+  const std::uint32_t Requests = correctedLoad(Load);
+  if (Requests < Load.BatchSize)
+    return 0;
+  const double Ahead = Requests - Load.BatchSize + 1;
+  return Ahead * Load.ServiceMilliseconds / std::max(1U, Load.BatchSize);
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibRouting/route_choice.cpp
@@ -0,0 +1,222 @@
+#include "LibRouting/route_choice.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+/// Sites of one adapter that are weighed at most; more are sampled.
+static constexpr std::size_t SitesWeighed = 8;
+/// Engines drawn by chance beside the preferred ones.
+static constexpr std::size_t DrawnEngines = 2;
+/// Draws until an engine that may be chosen is found, before a full search.
+static constexpr int Draws = 8;
+static constexpr double LeastHealth = 0.01;
+
+/// The best candidate so far.
+struct best_engine {
+  engine_index Engine = NoEngine;
+  std::optional<adapter_presence> Presence;
+  double Cost = 0;
+};
+
+static bool mayTake(const routed_engine &Engine, const route_query &Query) {
+  return !Engine.Leaving && Engine.Health >= LeastHealth &&
+         std::ranges::find(Query.Avoid, Engine.Id) == Query.Avoid.end();
+}
+
+/// The expected wait until the adapter is loaded.
+static double loadMilliseconds(const routing_table &Table,
+                               const routed_engine &Engine,
+                               std::optional<adapter_presence> Presence) {
+  if (Presence == adapter_presence::Resident)
+    return 0;
+  if (Presence == adapter_presence::Loading)
+    return Table.LoadMilliseconds;
+  const double Load =
+      std::max(Engine.LoadWaitMilliseconds, Table.LoadMilliseconds);
+  if (Presence == adapter_presence::Asked)
+    return Load;
+  // One more load makes the other waiting ones wait for as long as this one
+  // waits for them. An engine whose adapters are all in use must first finish
+  // requests.
+  const double Displaced = Load - Table.LoadMilliseconds;
+  const double Busy =
+      Engine.EvictableSlots == 0 ? Engine.Load.ServiceMilliseconds : 0;
+  return Load + Displaced + Busy;
+}
+
+double expectedMilliseconds(const routing_table &Table, engine_index Engine,
+                            std::optional<adapter_presence> Presence,
+                            const route_query &Query) {
+  const routed_engine &Candidate = Table.Engines[Engine];
+  const bool Cached =
+      hasPrefix(Table.Prefixes, Query.PrefixHash, Engine, Query.Now);
+  const double Prefill = Cached ? 0
+                                : static_cast<double>(Query.PromptTokens) *
+                                      Table.PrefillMillisecondsPerToken;
+  const double Wait = expectedWaitMilliseconds(Candidate.Load);
+  const double Load = loadMilliseconds(Table, Candidate, Presence);
+  // A request waits for the batch and for the load at the same time.
+  return (std::max(Wait, Load) + Prefill) /
+             std::max(Candidate.Health, LeastHealth) +
+         Candidate.DistanceMilliseconds;
+}
+
+/// Orders equal costs: the fuller batch first while it has room.
+static double crowding(const routed_engine &Engine) {
+  const double Requests = correctedLoad(Engine.Load);
+  return Requests / std::max(1U, Engine.Load.BatchSize);
+}
+
+static void consider(const routing_table &Table, const route_query &Query,
+                     engine_index Engine,
+                     std::optional<adapter_presence> Presence,
+                     best_engine &Best) {
+  if (Engine == NoEngine || !mayTake(Table.Engines[Engine], Query))
+    return;
+  const double Cost = expectedMilliseconds(Table, Engine, Presence, Query) +
+                      crowding(Table.Engines[Engine]);
+  if (Best.Engine == NoEngine || Cost < Best.Cost)
+    Best = {Engine, Presence, Cost};
+}
+
+static engine_index drawEngine(std::span<const engine_index> Engines,
+                               std::mt19937_64 &Random) {
+  return Engines[Random() % Engines.size()];
+}
+
+static std::optional<engine_index>
+searchAll(const routing_table &Table, std::span<const engine_index> Engines,
+          const route_query &Query, std::mt19937_64 &Random) {
+  const std::size_t Start = Random() % Engines.size();
+  for (std::size_t Step = 0; Step < Engines.size(); ++Step) {
+    const engine_index Engine = Engines[(Start + Step) % Engines.size()];
+    if (mayTake(Table.Engines[Engine], Query))
+      return Engine;
+  }
+  return std::nullopt;
+}
+
+static std::optional<engine_index>
+chooseRandom(const routing_table &Table, std::span<const engine_index> Engines,
+             const route_query &Query, std::mt19937_64 &Random) {
+  for (int Draw = 0; Draw < Draws; ++Draw) {
+    const engine_index Engine = drawEngine(Engines, Random);
+    if (mayTake(Table.Engines[Engine], Query))
+      return Engine;
+  }
+  return searchAll(Table, Engines, Query, Random);
+}
+
+static std::optional<engine_index>
+chooseLeastLoaded(const routing_table &Table,
+                  std::span<const engine_index> Engines,
+                  const route_query &Query) {
+  std::optional<engine_index> Best;
+  double Least = 0;
+  for (const engine_index Engine : Engines) {
+    if (!mayTake(Table.Engines[Engine], Query))
+      continue;
+    const double Crowding = crowding(Table.Engines[Engine]);
+    if (Best && Crowding >= Least)
+      continue;
+    Best = Engine;
+    Least = Crowding;
+  }
+  return Best;
+}
+
+static std::optional<engine_index> chooseByHash(const routing_table &Table,
+                                                const model_engines &Model,
+                                                const route_query &Query,
+                                                std::mt19937_64 &Random) {
+  for (const engine_index Engine : preferredEngines(Model, Query.Adapter))
+    if (Engine != NoEngine && mayTake(Table.Engines[Engine], Query))
+      return Engine;
+  return searchAll(Table, Model.Engines, Query, Random);
+}
+
+static void considerSites(const routing_table &Table, const route_query &Query,
+                          std::span<const adapter_site> Sites,
+                          std::mt19937_64 &Random, best_engine &Best) {
+  const std::size_t Count = std::min(Sites.size(), SitesWeighed);
+  const std::size_t Start =
+      Sites.size() > SitesWeighed ? Random() % Sites.size() : 0;
+  for (std::size_t Step = 0; Step < Count; ++Step) {
+    const adapter_site &Site = Sites[(Start + Step) % Sites.size()];
+    consider(Table, Query, Site.Engine, Site.Presence, Best);
+  }
+}
+
+static std::optional<engine_index> chooseByResidency(const routing_table &Table,
+                                                     const model_engines &Model,
+                                                     const route_query &Query,
+                                                     std::mt19937_64 &Random) {
+  best_engine Best;
+  const std::span<const adapter_site> Sites = sitesOf(Table, Query.Adapter);
+  considerSites(Table, Query, Sites, Random, Best);
+  for (const engine_index Engine : preferredEngines(Model, Query.Adapter))
+    consider(Table, Query, Engine, presenceAt(Table, Query.Adapter, Engine),
+             Best);
+  for (std::size_t Draw = 0; Draw < DrawnEngines; ++Draw) {
+    const engine_index Engine = drawEngine(Model.Engines, Random);
+    consider(Table, Query, Engine, presenceAt(Table, Query.Adapter, Engine),
+             Best);
+  }
+  if (Best.Engine == NoEngine)
+    return searchAll(Table, Model.Engines, Query, Random);
+  return Best.Engine;
+}
+
+static std::optional<engine_index> choose(const routing_table &Table,
+                                          const model_engines &Model,
+                                          routing_policy Policy,
+                                          const route_query &Query,
+                                          std::mt19937_64 &Random) {
+  switch (Policy) {
+  case routing_policy::Random:
+    return chooseRandom(Table, Model.Engines, Query, Random);
+  case routing_policy::LeastLoaded:
+    return chooseLeastLoaded(Table, Model.Engines, Query);
+  case routing_policy::ConsistentHash:
+    return chooseByHash(Table, Model, Query, Random);
+  case routing_policy::Residency:
+    break;
+  }
+  return chooseByResidency(Table, Model, Query, Random);
+}
+
+std::optional<route_choice> chooseEngine(const routing_table &Table,
+                                         routing_policy Policy,
+                                         const route_query &Query,
+                                         std::mt19937_64 &Random) {
+  const auto Model = Table.Models.find(std::string(Query.Model));
+  if (Model == Table.Models.end() || Model->second.Engines.empty())
+    return std::nullopt;
+  const std::optional<engine_index> Engine =
+      choose(Table, Model->second, Policy, Query, Random);
+  if (!Engine)
+    return std::nullopt;
+  const std::optional<adapter_presence> Presence =
+      presenceAt(Table, Query.Adapter, *Engine);
+  return route_choice{Table.Engines[*Engine].Id,
+                      Presence == adapter_presence::Resident,
+                      expectedMilliseconds(Table, *Engine, Presence, Query)};
+}
+
+std::optional<engine_index>
+chooseService(const routing_table &Table,
+              std::span<const engine_index> Services, const route_query &Query,
+              std::mt19937_64 &Random) {
+  best_engine Best;
+  if (Services.empty())
+    return std::nullopt;
+  for (std::size_t Draw = 0; Draw < DrawnEngines; ++Draw)
+    consider(Table, Query, drawEngine(Services, Random),
+             adapter_presence::Resident, Best);
+  if (Best.Engine == NoEngine)
+    return searchAll(Table, Services, Query, Random);
+  return Best.Engine;
+}
+
+} // namespace spindle
