LibHost: Add the engine table and the residency agent

Cause: request handling needs an engine with the adapter pinned, and someone has to give the load orders.

Change: engine_table keeps what is known of upstreams and chooses; the residency agent pins at owners, answers other hosts' pins and syncs, polls reports and carries out load orders under the ownership's fence, each only while the ownership is valid.

Conclusion: a single host that owns its engines serves adapters on demand.

--- /dev/null
+++ b/Libraries/LibHost/engine_table.h
@@ -0,0 +1,86 @@
+#ifndef PARSLEYSPINDLE_LIBHOST_ENGINE_TABLE_H
+#define PARSLEYSPINDLE_LIBHOST_ENGINE_TABLE_H
+
+#include "LibConfiguration/configuration_snapshot.h"
+#include "LibCore/runtime_clock.h"
+#include "LibMembership/host_view.h"
+#include "LibRouting/route_choice.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace spindle {
+
+/// What an engine, or its owner, says of it.
+struct engine_news {
+  upstream_id Engine;
+  std::vector<adapter_id> Loaded;
+  std::vector<adapter_id> Loading;
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  /// When the engine's report was made.
+  time_point Taken;
+  std::uint32_t EvictableSlots = 0;
+  double LoadWaitMilliseconds = 0;
+};
+
+/// What this host knows of upstreams, and the choice among them. Thread-safe
+/// in every method; no method blocks.
+class engine_table {
+public:
+  /// \p OwnZone is the zone of this host, \p Seed that of the random choices.
+  engine_table(const runtime_clock &Clock, zone_id OwnZone, std::uint64_t Seed);
+  ~engine_table();
+  engine_table(const engine_table &) = delete;
+  engine_table &operator=(const engine_table &) = delete;
+
+  /// Takes over the declared upstreams and the routing policy. What is known
+  /// of upstreams that stay is kept.
+  void applyConfiguration(const configuration_snapshot &Configuration);
+  /// Takes over which upstreams are leaving.
+  void applyView(const host_view &View);
+
+  /// Chooses an engine for a request that needs an adapter.
+  std::optional<route_choice> chooseEngine(std::string_view Model,
+                                           adapter_id Adapter,
+                                           std::uint64_t PrefixHash,
+                                           tokens Prompt,
+                                           std::span<const upstream_id> Avoid);
+  /// Chooses one of the upstreams of a route to a plain service: the better
+  /// of two random ones, by load, health and distance.
+  std::optional<upstream_id>
+  chooseService(std::span<const upstream_declaration *const> Upstreams,
+                std::span<const upstream_id> Avoid);
+
+  /// Notes that a request is sent to an upstream. Every call is followed by
+  /// one of noteFinish().
+  void noteDispatch(upstream_id Upstream);
+  /// Notes that the request has ended, \p Service after its dispatch.
+  void noteFinish(upstream_id Upstream, nanoseconds Service);
+  /// Notes that an engine has run a prompt and so has its prefix cached.
+  void notePrefix(upstream_id Engine, std::uint64_t PrefixHash, bool Stored);
+  /// Sets how much of its share an upstream gets, from 0 to 1.
+  void setHealth(upstream_id Upstream, double Health);
+  /// Replaces what is known of an engine, unless \p News is older.
+  void noteNews(const engine_news &News);
+  /// Notes that a request of this host waits for a load there.
+  void noteAsked(upstream_id Engine, adapter_id Adapter);
+  /// Notes that the wait has ended, and whether the adapter is loaded now.
+  void noteAnswered(upstream_id Engine, adapter_id Adapter, bool Loaded);
+
+  /// The estimate of the upstream's requests, for metrics and queues.
+  std::uint32_t load(upstream_id Upstream) const;
+  /// This host's own requests at the upstream.
+  std::uint32_t ownInFlight(upstream_id Upstream) const;
+
+private:
+  struct state;
+  std::unique_ptr<state> State;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHOST_ENGINE_TABLE_H
--- /dev/null
+++ b/Libraries/LibHost/residency_agent.cpp
@@ -0,0 +1,186 @@
+#include "LibHost/residency_agent.h"
+
+#include "LibHost/residency_agent_state.h"
+#include "LibLog/log.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+residency_agent::residency_agent(const runtime_clock &Clock,
+                                 residency_ports Ports,
+                                 const host_link::Sender &Self,
+                                 engine_table &Engines, metrics *Metrics,
+                                 residency_agent_settings Settings)
+    : State(std::make_shared<state>(Clock, std::move(Ports), Self, Engines,
+                                    Metrics, Settings)) {}
+
+residency_agent::~residency_agent() = default;
+
+std::shared_ptr<const host_view> residency_agent::state::view() const {
+  const std::lock_guard<std::mutex> Lock(ViewMutex);
+  return View;
+}
+
+snapshot_pointer residency_agent::state::configuration() const {
+  const std::lock_guard<std::mutex> Lock(ViewMutex);
+  return Configuration;
+}
+
+std::vector<pin_holder>
+residency_agent::state::holders(const host_view &View) const {
+  std::vector<pin_holder> Holders{{selfId(), Self.incarnation()}};
+  for (const peer_host &Peer : View.Peers)
+    Holders.push_back({Peer.Id, Peer.Incarnation});
+  return Holders;
+}
+
+bool residency_agent::state::ownsNow(const host_view &View,
+                                     upstream_id Engine) const {
+  const auto Owned = View.Owners.find(Engine);
+  return Owned != View.Owners.end() && Owned->second.Host == selfId() &&
+         Clock.now() < View.OwnershipValidUntil;
+}
+
+bool residency_agent::state::beginPolling(std::uint64_t Id) {
+  const std::lock_guard<std::mutex> Lock(ViewMutex);
+  return Asking.insert(Id).second;
+}
+
+void residency_agent::state::endPolling(std::uint64_t Id) {
+  const std::lock_guard<std::mutex> Lock(ViewMutex);
+  Asking.erase(Id);
+}
+
+endpoint residency_agent::state::addressOf(upstream_id Engine) const {
+  const snapshot_pointer Current = configuration();
+  const upstream_declaration *Declared =
+      Current ? Current->findUpstream(Engine) : nullptr;
+  if (Declared == nullptr)
+    throw spindle_error(result_code::NoUpstream, "the engine is not declared");
+  return Declared->Address;
+}
+
+void residency_agent::state::count(std::string_view Name,
+                                   const metric_labels &Labels) const {
+  if (Metrics != nullptr)
+    Metrics->count(Name, Labels);
+}
+
+void residency_agent::applyConfiguration(snapshot_pointer Configuration) {
+  State->Engines.applyConfiguration(*Configuration);
+  {
+    const std::lock_guard<std::mutex> Lock(State->OwnerMutex);
+    State->Owner.Settings.Victims = Configuration->policy().Residency == "lru"
+                                        ? victim_policy::Lru
+                                        : victim_policy::Value;
+  }
+  const std::lock_guard<std::mutex> Lock(State->ViewMutex);
+  State->Configuration = std::move(Configuration);
+}
+
+void residency_agent::applyView(std::shared_ptr<const host_view> View) {
+  State->Engines.applyView(*View);
+  {
+    const std::lock_guard<std::mutex> Lock(State->ViewMutex);
+    State->View = View;
+  }
+  State->adoptEngines(*View);
+}
+
+void residency_agent::startDrain() {
+  const std::lock_guard<std::mutex> Lock(State->ViewMutex);
+  State->Draining = true;
+}
+
+host_link::PinReply
+residency_agent::handlePin(const host_link::PinRequest &Request) {
+  return State->handlePin(Request);
+}
+
+host_link::SyncPinsReply
+residency_agent::handleSyncPins(const host_link::SyncPinsRequest &Request) {
+  return State->handleSyncPins(Request);
+}
+
+host_link::ResidencyReply
+residency_agent::handleResidency(const host_link::ResidencyRequest &Request) {
+  return State->handleResidency(Request);
+}
+
+void residency_agent::runLoads() { State->runLoads(); }
+
+void residency_agent::syncPins() {
+  const std::shared_ptr<const host_view> View = State->view();
+  std::map<host_id, std::vector<fenced_engine>> Wanted;
+  {
+    const std::lock_guard<std::mutex> Draining(State->ViewMutex);
+    const std::lock_guard<std::mutex> Lock(State->PinMutex);
+    dropUnused(State->Pins,
+               State->Draining ? milliseconds(0) : State->Settings.PinRetention,
+               State->Clock.now());
+    for (const auto &[Engine, Owner] : View->Owners)
+      if (needsSync(State->Pins, Engine, Owner.Fence))
+        Wanted[Owner.Host].push_back({Engine, Owner.Fence});
+  }
+  const auto Self = Wanted.find(State->selfId());
+  if (Self != Wanted.end())
+    State->syncWith(Self->first, {}, Self->second);
+  for (const peer_host &Peer : View->Peers) {
+    const auto Engines = Wanted.find(Peer.Id);
+    if (Engines == Wanted.end() || !State->beginPolling(~Peer.Id.Value))
+      continue;
+    State->Ports.Spawn([State = State, Peer, Engines = Engines->second] {
+      State->syncWith(Peer.Id, Peer.Link, Engines);
+      State->endPolling(~Peer.Id.Value);
+    });
+  }
+}
+
+/// The longest that an owner takes to answer a sync.
+static constexpr milliseconds SyncLimit{1'000};
+
+void residency_agent::state::syncWith(
+    host_id Host, const endpoint &Link,
+    const std::vector<fenced_engine> &Engines) {
+  pin_sync Sync;
+  {
+    const std::lock_guard<std::mutex> Lock(PinMutex);
+    Sync = composeSync(Pins, Engines);
+  }
+  host_link::SyncPinsRequest Request;
+  *Request.mutable_sender() = Self;
+  Request.set_sequence(Sync.Sequence);
+  for (const fenced_engine &Engine : Sync.Engines) {
+    host_link::SyncedEngine *Named = Request.add_engines();
+    Named->set_engine(Engine.Engine.Value);
+    Named->set_fence(Engine.Fence);
+  }
+  for (const synced_pin &Pin : Sync.Pins) {
+    host_link::PinnedAdapter *Named = Request.add_pins();
+    Named->set_engine(Pin.Placement.Engine.Value);
+    Named->set_adapter(Pin.Placement.Adapter.Value);
+    Named->set_count(Pin.Begun);
+  }
+  try {
+    takeSyncReply(Sync, Host == selfId()
+                            ? handleSyncPins(Request)
+                            : Ports.Hosts.SyncPins(Link, Request, SyncLimit));
+  } catch (const spindle_error &) {
+    // The next pass repeats it: unacknowledged changes stay due.
+    count("spindle_pin_syncs_failed_total", {});
+  }
+}
+
+void residency_agent::state::takeSyncReply(
+    const pin_sync &Sync, const host_link::SyncPinsReply &Reply) {
+  const std::lock_guard<std::mutex> Lock(PinMutex);
+  for (const fenced_engine &Engine : Sync.Engines)
+    if (std::ranges::find(Reply.not_owned(), Engine.Engine.Value) ==
+        Reply.not_owned().end())
+      noteAcknowledged(Pins, Sync, Engine);
+  for (const host_link::PinnedAdapter &Pin : Reply.refused())
+    noteRecalled(Pins, {{Pin.engine()}, {Pin.adapter()}});
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibHost/residency_agent_state.h
@@ -0,0 +1,105 @@
+#ifndef PARSLEYSPINDLE_LIBHOST_RESIDENCY_AGENT_STATE_H
+#define PARSLEYSPINDLE_LIBHOST_RESIDENCY_AGENT_STATE_H
+
+#include "LibHost/residency_agent.h"
+#include "LibResidency/pin_cache.h"
+#include "LibResidency/residency_owner.h"
+#include "LibRuntime/completion.h"
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <unordered_map>
+
+namespace spindle {
+
+/// What an engine's last report said of its load.
+struct reported_load {
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  time_point Taken;
+};
+
+/// The parts of a residency_agent. A thread that holds the lock of the view
+/// may take another one; no further nesting, and none across a wait.
+struct residency_agent::state : std::enable_shared_from_this<state> {
+  state(const runtime_clock &Clock, residency_ports Ports,
+        const host_link::Sender &Self, engine_table &Engines, metrics *Metrics,
+        residency_agent_settings Settings)
+      : Clock(Clock), Ports(std::move(Ports)), Self(Self), Engines(Engines),
+        Metrics(Metrics), Settings(Settings) {}
+
+  const runtime_clock &Clock;
+  residency_ports Ports;
+  host_link::Sender Self;
+  engine_table &Engines;
+  metrics *Metrics;
+  residency_agent_settings Settings;
+
+  mutable std::mutex ViewMutex;
+  std::shared_ptr<const host_view> View = std::make_shared<host_view>();
+  snapshot_pointer Configuration;
+  bool Draining = false;
+  /// Engines and hosts that are being asked for a report, or synced with.
+  std::set<std::uint64_t> Asking;
+
+  std::mutex PinMutex;
+  pin_cache Pins;
+
+  std::mutex OwnerMutex;
+  residency_owner Owner;
+  std::map<std::uint64_t, std::function<void(pin_resolution)>> Waiters;
+  std::unordered_map<adapter_id, std::string> Names;
+  std::map<upstream_id, reported_load> Loads;
+
+  // View and configuration.
+  std::shared_ptr<const host_view> view() const;
+  snapshot_pointer configuration() const;
+  host_id selfId() const { return {Self.host()}; }
+  /// The live hosts, this one included.
+  std::vector<pin_holder> holders(const host_view &View) const;
+  bool ownsNow(const host_view &View, upstream_id Engine) const;
+  /// Marks \p Id as being asked; returns false if it is already.
+  bool beginPolling(std::uint64_t Id);
+  void endPolling(std::uint64_t Id);
+  endpoint addressOf(upstream_id Engine) const;
+  void count(std::string_view Name, const metric_labels &Labels) const;
+
+  // The owner's part. Waiters are told after the lock is released.
+  void tell(const std::vector<pin_resolution> &Resolved);
+  std::string nameOf(adapter_id Adapter);
+  void adoptEngines(const host_view &View);
+  void runOrder(const residency_order &Order);
+  bool unloadVictim(const residency_order &Order);
+  order_result giveOrder(const residency_order &Order, adapter_id Adapter,
+                         bool IsLoad);
+  void runLoads();
+  bool startOneLoad(const std::vector<pin_holder> &Holders);
+  void resolveWaiting();
+  host_link::PinReply handlePin(const host_link::PinRequest &Request);
+  host_link::PinReply waitForPin(const waiting_pin &Waiting,
+                                 completion<pin_resolution> &Answer,
+                                 milliseconds Limit);
+  host_link::SyncPinsReply
+  handleSyncPins(const host_link::SyncPinsRequest &Request);
+  host_link::ResidencyReply
+  handleResidency(const host_link::ResidencyRequest &Request);
+
+  // Reports.
+  void pollEngine(upstream_id Engine);
+  void pollOwner(const peer_host &Peer, const std::vector<upstream_id> &Owned);
+  void takeReport(upstream_id Engine, const engine_report &Report);
+
+  // This host's own pins.
+  void syncWith(host_id Host, const endpoint &Link,
+                const std::vector<fenced_engine> &Engines);
+  void takeSyncReply(const pin_sync &Sync,
+                     const host_link::SyncPinsReply &Reply);
+};
+
+/// The result code of \p Verdict for those who asked for a pin.
+result_code resultOf(pin_verdict Verdict);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHOST_RESIDENCY_AGENT_STATE_H
--- /dev/null
+++ b/Libraries/LibHost/residency_reports.cpp
@@ -0,0 +1,131 @@
+#include "LibHost/residency_agent_state.h"
+#include "LibLog/log.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+void residency_agent::pollReports() {
+  const std::shared_ptr<const host_view> View = State->view();
+  const snapshot_pointer Configuration = State->configuration();
+  if (!Configuration)
+    return;
+  std::map<host_id, std::vector<upstream_id>> Owned;
+  for (const upstream_declaration &Upstream : Configuration->upstreams()) {
+    if (Upstream.Kind != upstream_kind::Engine)
+      continue;
+    const upstream_id Engine = upstream_id::ofName(Upstream.Name);
+    const auto Owner = View->Owners.find(Engine);
+    if (Owner != View->Owners.end() && Owner->second.Host != State->selfId()) {
+      Owned[Owner->second.Host].push_back(Engine);
+      continue;
+    }
+    if (State->beginPolling(Engine.Value))
+      State->Ports.Spawn([State = State, Engine] {
+        State->pollEngine(Engine);
+        State->endPolling(Engine.Value);
+      });
+  }
+  for (const peer_host &Peer : View->Peers) {
+    const auto Engines = Owned.find(Peer.Id);
+    if (Engines == Owned.end() || !State->beginPolling(Peer.Id.Value))
+      continue;
+    State->Ports.Spawn([State = State, Peer, Engines = Engines->second] {
+      State->pollOwner(Peer, Engines);
+      State->endPolling(Peer.Id.Value);
+    });
+  }
+}
+
+void residency_agent::state::pollEngine(upstream_id Engine) {
+  try {
+    takeReport(Engine,
+               Ports.Engines.Report(addressOf(Engine), Settings.ReportLimit));
+  } catch (const spindle_error &Error) {
+    logEvent(log_event::EngineReportMissing, {{"reason", Error.what()}});
+  }
+}
+
+static std::vector<adapter_id> idsOf(const std::vector<std::string> &Names) {
+  std::vector<adapter_id> Ids;
+  for (const std::string &Name : Names)
+    Ids.push_back(adapter_id::ofName(Name));
+  return Ids;
+}
+
+void residency_agent::state::takeReport(upstream_id Engine,
+                                        const engine_report &Report) {
+  const time_point Now = Clock.now();
+  engine_news News;
+  News.Engine = Engine;
+  News.Loaded = idsOf(Report.Loaded);
+  News.Loading = idsOf(Report.Loading);
+  News.Running = Report.Running;
+  News.Waiting = Report.Waiting;
+  News.Taken = Now - Report.Age;
+  News.EvictableSlots = 1;
+  const std::vector<pin_holder> Holders = holders(*view());
+  {
+    const std::lock_guard<std::mutex> Lock(OwnerMutex);
+    News.LoadWaitMilliseconds = expectedLoadWait(Owner.LoadWait, Now);
+    const auto Owned = Owner.Engines.find(Engine);
+    if (Owned != Owner.Engines.end()) {
+      engine_slots &Slots = Owned->second;
+      if (Slots.Known && Slots.Incarnation != Report.Incarnation)
+        logEvent(log_event::EngineRestarted,
+                 {{"engine", std::to_string(Engine.Value)}});
+      for (const std::string &Name : Report.Loaded)
+        Names[adapter_id::ofName(Name)] = Name;
+      applyReport(Slots, Report.Incarnation, Report.Slots, News.Loaded,
+                  News.Loading, News.Taken, Now);
+      Loads[Engine] = {Report.Running, Report.Waiting, News.Taken};
+      News.EvictableSlots = evictableSlots(Owner, Slots, Holders, Now);
+      // The owner knows of orders that the late report doesn't show.
+      News.Loaded.clear();
+      News.Loading.clear();
+      for (const engine_slot &Slot : Slots.Occupied) {
+        if (isServing(Slot))
+          News.Loaded.push_back(Slot.Adapter);
+        if (Slot.State == slot_state::Loading)
+          News.Loading.push_back(Slot.Adapter);
+      }
+    }
+  }
+  Engines.noteNews(News);
+  resolveWaiting();
+}
+
+/// The longest that an owner takes to tell what is loaded where.
+static constexpr milliseconds ResidencyLimit{1'000};
+
+void residency_agent::state::pollOwner(const peer_host &Peer,
+                                       const std::vector<upstream_id> &Owned) {
+  host_link::ResidencyRequest Request;
+  *Request.mutable_sender() = Self;
+  for (const upstream_id Engine : Owned)
+    Request.add_engines(Engine.Value);
+  host_link::ResidencyReply Reply;
+  try {
+    Reply = Ports.Hosts.Residency(Peer.Link, Request, ResidencyLimit);
+  } catch (const spindle_error &) {
+    // What was known stays in use; it is corrected by own requests in flight.
+    return;
+  }
+  const time_point Now = Clock.now();
+  for (const host_link::EngineResidency &Told : Reply.engines()) {
+    engine_news News;
+    News.Engine = {Told.engine()};
+    for (const std::uint64_t Adapter : Told.loaded())
+      News.Loaded.push_back({Adapter});
+    for (const std::uint64_t Adapter : Told.loading())
+      News.Loading.push_back({Adapter});
+    News.Running = Told.running();
+    News.Waiting = Told.waiting();
+    News.Taken = Now - milliseconds(Told.report_age_ms());
+    News.EvictableSlots = Told.evictable();
+    News.LoadWaitMilliseconds = static_cast<double>(Told.load_wait_ms());
+    Engines.noteNews(News);
+  }
+}
+
+} // namespace spindle
