LibScheduling: Queue requests by tenant, class and deadline

Cause: requests of many tenants contend for few batch slots, and a tenant that sends several times its rate must not delay the others. Change: start-time fair queueing by tenant in tokens, classes within a tenant ordered by arrival plus one ageing step a class, bounded queues, early refusal by the measured service rate, and first-in-first-out as the baseline. A window on concurrent requests keeps the engines' own queues short. LibResilience decides retries, budgets, ejections, quarantine and silent connections. The protocol between hosts names the upstreams that were lost, so that suspects merge as sets.

--- /dev/null
+++ b/Libraries/LibHost/dispatch_queue.h
@@ -0,0 +1,93 @@
+#ifndef PARSLEYSPINDLE_LIBHOST_DISPATCH_QUEUE_H
+#define PARSLEYSPINDLE_LIBHOST_DISPATCH_QUEUE_H
+
+#include "LibConfiguration/configuration_snapshot.h"
+#include "LibCore/runtime_clock.h"
+#include "LibMetrics/metrics.h"
+#include "LibScheduling/concurrency_window.h"
+#include "LibScheduling/fair_queue.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace spindle {
+
+/// The right to run one request on an upstream. Releasing it, by destruction,
+/// lets the next request start. Movable; used by one fiber.
+class queue_ticket {
+public:
+  queue_ticket() = default;
+  ~queue_ticket();
+  queue_ticket(queue_ticket &&Other) noexcept;
+  queue_ticket &operator=(queue_ticket &&Other) noexcept;
+
+  /// Corrects what the tenant was charged for the request, once its true cost
+  /// is known. Precondition: called at most once.
+  void settle(tokens Actual);
+  /// How long the request waited in the queue.
+  nanoseconds waited() const { return Waited; }
+  /// Tells whether the ticket holds capacity.
+  explicit operator bool() const { return Queue != nullptr; }
+  /// Releases the capacity before the ticket's destruction.
+  void release() noexcept;
+
+private:
+  friend class dispatch_queue;
+  struct origin;
+
+  std::shared_ptr<origin> Queue;
+  tenant_id Tenant;
+  tokens Charged;
+  nanoseconds Waited{0};
+};
+
+/// What a dispatch queue starts with.
+struct dispatch_queue_settings {
+  queue_settings Queue;
+  std::uint32_t Capacity = 64;
+};
+
+/// Lets requests run on engines in the order that LibScheduling decides, as
+/// many at once as the capacity allows. Thread-safe in every method.
+class dispatch_queue {
+public:
+  /// \p Clock and \p Metrics must outlive the queue and its tickets.
+  /// \p Metrics may be null.
+  dispatch_queue(const runtime_clock &Clock, metrics *Metrics,
+                 dispatch_queue_settings Settings);
+  /// Precondition: no fiber waits in enter(). Tickets may outlive the queue.
+  ~dispatch_queue();
+  dispatch_queue(const dispatch_queue &) = delete;
+  dispatch_queue &operator=(const dispatch_queue &) = delete;
+
+  /// Takes policy, limits and the tenants' weights.
+  void applyConfiguration(const configuration_snapshot &Snapshot);
+  /// Sets how many requests run at once.
+  void setCapacity(std::uint32_t Concurrent);
+  /// Adapts the capacity to the engines' reports; see concurrency_window. Call
+  /// it whenever reports come in. \p FleetHosts counts the hosts that share
+  /// the engines and is at least 1.
+  void noteEngineLoad(const engine_load_summary &Load,
+                      std::uint32_t FleetHosts);
+  /// The latest start of a request of \p Priority that arrives now.
+  time_point deadlineFor(priority_class Priority) const;
+  /// Waits for the right to run a request; blocks the calling fiber.
+  /// \throws spindle_error QueueFull or DeadlineUnreachable; the request has
+  /// not run.
+  queue_ticket enter(tenant_id Tenant, priority_class Priority, tokens Cost,
+                     time_point Deadline);
+  /// Refuses requests whose deadline has passed by the clock. Waiting fibers
+  /// do so by themselves in real time; tests with a paused clock call it.
+  void refuseExpired();
+
+  std::size_t waiting() const;
+  std::uint32_t running() const;
+  std::uint32_t capacity() const;
+
+private:
+  std::shared_ptr<queue_ticket::origin> State;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHOST_DISPATCH_QUEUE_H
--- /dev/null
+++ b/Libraries/LibHost/upstream_health.cpp
@@ -0,0 +1,192 @@
+#include "LibHost/upstream_health.h"
+
+#include "LibLog/log.h"
+#include "LibResilience/retry_budget.h"
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace spindle {
+
+using lock = std::lock_guard<std::mutex>;
+
+struct upstream_health::state {
+  state(const runtime_clock &UsedClock, metrics *UsedMetrics)
+      : Clock(UsedClock), Metrics(UsedMetrics) {}
+
+  const runtime_clock &Clock;
+  metrics *const Metrics;
+  mutable std::mutex Mutex;
+  // What follows is guarded by Mutex.
+  outlier_detector Detector;
+  retry_budget_settings BudgetSettings;
+  retry_budget HostBudget;
+  std::unordered_map<tenant_id, retry_budget> TenantBudgets;
+  std::unordered_map<upstream_id, peer_health> Peers;
+
+  retry_budget &budgetOf(tenant_id Tenant);
+  peer_health *findPeer(upstream_id Upstream);
+};
+
+/// Finds a tenant's budget. Undeclared tenants, and callers of open routes,
+/// share the one of no tenant, so that the map stays bounded.
+retry_budget &upstream_health::state::budgetOf(tenant_id Tenant) {
+  const auto Found = TenantBudgets.find(Tenant);
+  if (Found != TenantBudgets.end())
+    return Found->second;
+  retry_budget &Shared = TenantBudgets[tenant_id{}];
+  Shared.Settings = BudgetSettings;
+  return Shared;
+}
+
+peer_health *upstream_health::state::findPeer(upstream_id Upstream) {
+  const auto Found = Peers.find(Upstream);
+  return Found == Peers.end() ? nullptr : &Found->second;
+}
+
+upstream_health::upstream_health(const runtime_clock &Clock, metrics *Metrics,
+                                 outlier_settings Settings)
+    : State(std::make_unique<state>(Clock, Metrics)) {
+  State->Detector.Settings = Settings;
+}
+
+upstream_health::~upstream_health() = default;
+
+void upstream_health::applyConfiguration(
+    const configuration_snapshot &Snapshot) {
+  std::vector<upstream_place> Places;
+  std::unordered_map<upstream_id, peer_health> Peers;
+  std::unordered_map<tenant_id, retry_budget> Budgets;
+  const lock Lock(State->Mutex);
+  const time_point Now = State->Clock.now();
+  for (const upstream_declaration &Upstream : Snapshot.upstreams()) {
+    const upstream_id Id = upstream_id::ofName(Upstream.Name);
+    Places.push_back({Id, zone_id::ofName(Upstream.Zone)});
+    const peer_health *const Known = State->findPeer(Id);
+    Peers[Id] = Known == nullptr ? peer_health{{}, {}, {}, 0, Now} : *Known;
+  }
+  State->BudgetSettings.RetryPercent = Snapshot.policy().RetryPercent;
+  for (const tenant_declaration &Tenant : Snapshot.tenants()) {
+    const tenant_id Id = tenant_id::ofName(Tenant.Name);
+    const auto Known = State->TenantBudgets.find(Id);
+    if (Known != State->TenantBudgets.end())
+      Budgets[Id] = Known->second;
+    Budgets[Id].Settings = State->BudgetSettings;
+  }
+  State->HostBudget.Settings = State->BudgetSettings;
+  setUpstreams(State->Detector, Places, Now);
+  State->Peers = std::move(Peers);
+  State->TenantBudgets = std::move(Budgets);
+}
+
+double upstream_health::weightOf(upstream_id Upstream) const {
+  const lock Lock(State->Mutex);
+  return spindle::weightOf(State->Detector, Upstream, State->Clock.now());
+}
+
+void upstream_health::noteOutcome(upstream_id Upstream, call_outcome Outcome) {
+  {
+    const lock Lock(State->Mutex);
+    if (!noteCallOutcome(State->Detector, Upstream, Outcome,
+                         State->Clock.now()))
+      return;
+  }
+  logEvent(log_event::UpstreamEjected,
+           {{"upstream", std::to_string(Upstream.Value)}});
+  if (State->Metrics != nullptr)
+    State->Metrics->count("spindle_upstream_ejections_total");
+}
+
+void upstream_health::noteIncarnation(upstream_id Upstream,
+                                      std::uint64_t Incarnation) {
+  const lock Lock(State->Mutex);
+  spindle::noteIncarnation(State->Detector, Upstream, Incarnation,
+                           State->Clock.now());
+}
+
+void upstream_health::noteCall(tenant_id Tenant) {
+  const lock Lock(State->Mutex);
+  const time_point Now = State->Clock.now();
+  earnRetry(State->budgetOf(Tenant), Now);
+  earnRetry(State->HostBudget, Now);
+}
+
+retry_decision upstream_health::mayRetry(tenant_id Tenant,
+                                         const call_progress &Progress,
+                                         attempt_failure LastFailure,
+                                         time_point Deadline) {
+  const lock Lock(State->Mutex);
+  const time_point Now = State->Clock.now();
+  retry_budget &Budget = State->budgetOf(Tenant);
+  retry_circumstances Circumstances;
+  Circumstances.TimeLeft = Now < Deadline;
+  Circumstances.BudgetLeft =
+      hasRetry(Budget, Now) && hasRetry(State->HostBudget, Now);
+  const retry_decision Decision =
+      decideRetry(Progress, LastFailure, Circumstances);
+  if (Decision.Action == retry_action::GiveUp)
+    return Decision;
+  spendRetry(Budget, Now);
+  spendRetry(State->HostBudget, Now);
+  if (State->Metrics != nullptr)
+    State->Metrics->count("spindle_retries_total");
+  return Decision;
+}
+
+call_deadlines
+upstream_health::deadlinesFor(upstream_id Upstream,
+                              const call_deadlines &Route) const {
+  const lock Lock(State->Mutex);
+  const peer_health *const Peer = State->findPeer(Upstream);
+  return Peer == nullptr ? Route : spindle::deadlinesFor(*Peer, Route);
+}
+
+connection_choice upstream_health::chooseConnection(upstream_id Upstream,
+                                                    bool Idempotent) const {
+  const lock Lock(State->Mutex);
+  const peer_health *const Peer = State->findPeer(Upstream);
+  if (Peer == nullptr)
+    return connection_choice::Fresh;
+  return spindle::chooseConnection(*Peer, Idempotent);
+}
+
+void upstream_health::noteFirstByte(upstream_id Upstream, nanoseconds Latency) {
+  const lock Lock(State->Mutex);
+  if (peer_health *const Peer = State->findPeer(Upstream))
+    spindle::noteFirstByte(*Peer, Latency, State->Clock.now());
+}
+
+void upstream_health::noteNextBytes(upstream_id Upstream, nanoseconds Gap) {
+  const lock Lock(State->Mutex);
+  if (peer_health *const Peer = State->findPeer(Upstream))
+    spindle::noteNextBytes(*Peer, Gap, State->Clock.now());
+}
+
+connection_advice upstream_health::noteSilence(upstream_id Upstream) {
+  const lock Lock(State->Mutex);
+  peer_health *const Peer = State->findPeer(Upstream);
+  if (Peer == nullptr)
+    return connection_advice::VerifyPool;
+  return spindle::noteSilence(*Peer);
+}
+
+connection_advice upstream_health::noteVerified(upstream_id Upstream,
+                                                bool Answered,
+                                                nanoseconds Latency,
+                                                nanoseconds Deadline) {
+  const lock Lock(State->Mutex);
+  peer_health *const Peer = State->findPeer(Upstream);
+  if (Peer == nullptr)
+    return connection_advice::Keep;
+  return spindle::noteVerified(*Peer, Answered, Latency, Deadline,
+                               State->Clock.now());
+}
+
+bool upstream_health::probeDue(upstream_id Upstream) const {
+  const lock Lock(State->Mutex);
+  const peer_health *const Peer = State->findPeer(Upstream);
+  return Peer != nullptr && spindle::probeDue(*Peer, State->Clock.now());
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibResilience/call_progress.cpp
@@ -0,0 +1,17 @@
+#include "LibResilience/call_progress.h"
+
+namespace spindle {
+
+void noteFailedAttempt(call_progress &Progress, attempt_failure Failure,
+                       bool AnswerBegun) {
+  ++Progress.Attempts;
+  if (AnswerBegun)
+    Progress.AnswerBegun = true;
+  if (Failure == attempt_failure::ConnectionLost)
+    ++Progress.LostAttempts;
+  if (Failure == attempt_failure::ConnectionLost ||
+      Failure == attempt_failure::TimedOut)
+    Progress.MayHaveRun = true;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibResilience/crash_suspects.cpp
@@ -0,0 +1,237 @@
+#include "LibResilience/crash_suspects.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+static bool contains(const std::vector<upstream_id> &Sorted,
+                     upstream_id Upstream) {
+  return std::binary_search(Sorted.begin(), Sorted.end(), Upstream);
+}
+
+/// Adds to a sorted vector; returns whether it was new.
+static bool insertSorted(std::vector<upstream_id> &Sorted,
+                         upstream_id Upstream) {
+  const auto Place = std::lower_bound(Sorted.begin(), Sorted.end(), Upstream);
+  if (Place != Sorted.end() && *Place == Upstream)
+    return false;
+  Sorted.insert(Place, Upstream);
+  return true;
+}
+
+static std::size_t countedLosses(const crash_suspect &Suspect) {
+  return Suspect.Lost.size() - Suspect.Excused.size();
+}
+
+static bool isHeldBack(const crash_suspect &Suspect) {
+  return countedLosses(Suspect) >= LossesForQuarantine;
+}
+
+static void index(crash_suspects &Suspects, request_fingerprint Fingerprint,
+                  const crash_suspect &Suspect) {
+  Suspects.Expiry.insert(
+      {{isHeldBack(Suspect), Suspect.ExpiresAt}, Fingerprint});
+}
+
+static void unindex(crash_suspects &Suspects, request_fingerprint Fingerprint,
+                    const crash_suspect &Suspect) {
+  Suspects.Expiry.erase(
+      {{isHeldBack(Suspect), Suspect.ExpiresAt}, Fingerprint});
+}
+
+static void dropFirst(crash_suspects &Suspects) {
+  Suspects.Suspects.erase(Suspects.Expiry.begin()->second);
+  Suspects.Expiry.erase(Suspects.Expiry.begin());
+}
+
+/// Finds a suspect whose suspicion still holds.
+static const crash_suspect *findSuspect(const crash_suspects &Suspects,
+                                        request_fingerprint Fingerprint,
+                                        time_point Now) {
+  const auto Found = Suspects.Suspects.find(Fingerprint);
+  if (Found == Suspects.Suspects.end() || Found->second.ExpiresAt <= Now)
+    return nullptr;
+  return countedLosses(Found->second) > 0 ? &Found->second : nullptr;
+}
+
+static std::uint32_t runsOf(const crash_suspects &Suspects,
+                            request_fingerprint Fingerprint) {
+  std::uint32_t Count = 0;
+  for (const auto &[Upstream, Runs] : Suspects.Running)
+    Count += static_cast<std::uint32_t>(
+        std::count(Runs.begin(), Runs.end(), Fingerprint));
+  return Count;
+}
+
+/// Adds losses and prolongs the suspicion; returns whether any was new.
+static bool addLosses(crash_suspects &Suspects, request_fingerprint Fingerprint,
+                      std::span<const upstream_id> Lost, time_point ExpiresAt,
+                      time_point Now) {
+  auto Found = Suspects.Suspects.find(Fingerprint);
+  if (Found != Suspects.Suspects.end() && Found->second.ExpiresAt <= Now) {
+    unindex(Suspects, Fingerprint, Found->second);
+    Suspects.Suspects.erase(Found);
+    Found = Suspects.Suspects.end();
+  }
+  if (Found == Suspects.Suspects.end()) {
+    if (Suspects.Suspects.size() >= Suspects.Settings.MostSuspects)
+      dropFirst(Suspects);
+    Found = Suspects.Suspects.insert({Fingerprint, crash_suspect{}}).first;
+    Found->second.Running = runsOf(Suspects, Fingerprint);
+  } else {
+    unindex(Suspects, Fingerprint, Found->second);
+  }
+  crash_suspect &Suspect = Found->second;
+  bool Changed = false;
+  for (const upstream_id Upstream : Lost)
+    Changed = insertSorted(Suspect.Lost, Upstream) || Changed;
+  Suspect.ExpiresAt = std::max(Suspect.ExpiresAt, ExpiresAt);
+  index(Suspects, Fingerprint, Suspect);
+  return Changed;
+}
+
+static void blame(crash_suspects &Suspects, request_fingerprint Fingerprint,
+                  upstream_id Upstream, time_point Now) {
+  const time_point ExpiresAt = Now + Suspects.Settings.QuarantineTime;
+  addLosses(Suspects, Fingerprint, {&Upstream, 1}, ExpiresAt, Now);
+  crash_suspect &Suspect = Suspects.Suspects[Fingerprint];
+  unindex(Suspects, Fingerprint, Suspect);
+  std::erase(Suspect.Excused, Upstream);
+  Suspect.Unshared = true;
+  index(Suspects, Fingerprint, Suspect);
+}
+
+/// The request has run to its end: earlier losses were not its doing.
+static void excuse(crash_suspects &Suspects, request_fingerprint Fingerprint) {
+  const auto Found = Suspects.Suspects.find(Fingerprint);
+  if (Found == Suspects.Suspects.end())
+    return;
+  unindex(Suspects, Fingerprint, Found->second);
+  Found->second.Excused = Found->second.Lost;
+  index(Suspects, Fingerprint, Found->second);
+}
+
+static void countRun(crash_suspects &Suspects, request_fingerprint Fingerprint,
+                     bool Starts) {
+  const auto Found = Suspects.Suspects.find(Fingerprint);
+  if (Found == Suspects.Suspects.end())
+    return;
+  if (Starts)
+    ++Found->second.Running;
+  else if (Found->second.Running > 0)
+    --Found->second.Running;
+}
+
+bool isQuarantined(crash_suspects &Suspects, request_fingerprint Fingerprint,
+                   time_point Now) {
+  const crash_suspect *const Found = findSuspect(Suspects, Fingerprint, Now);
+  if (Found == nullptr || !isHeldBack(*Found))
+    return false;
+  crash_suspect &Suspect = Suspects.Suspects[Fingerprint];
+  const seconds Time = Suspects.Settings.QuarantineTime;
+  // Other hosts hear of it when a good part of the time has passed only.
+  if (Suspect.ExpiresAt - Now < Time * 3 / 4) {
+    unindex(Suspects, Fingerprint, Suspect);
+    Suspect.ExpiresAt = Now + Time;
+    Suspect.Unshared = true;
+    index(Suspects, Fingerprint, Suspect);
+  }
+  return true;
+}
+
+bool isSuspect(const crash_suspects &Suspects, request_fingerprint Fingerprint,
+               time_point Now) {
+  return findSuspect(Suspects, Fingerprint, Now) != nullptr;
+}
+
+bool mayStartOn(const crash_suspects &Suspects, upstream_id Upstream,
+                request_fingerprint Fingerprint, time_point Now) {
+  const crash_suspect *const Suspect = findSuspect(Suspects, Fingerprint, Now);
+  if (Suspect == nullptr)
+    return true;
+  if (Suspect->Running > 0 || contains(Suspect->Lost, Upstream))
+    return false;
+  const auto Found = Suspects.Running.find(Upstream);
+  if (Found == Suspects.Running.end())
+    return true;
+  return std::none_of(Found->second.begin(), Found->second.end(),
+                      [&](request_fingerprint Other) {
+                        return isSuspect(Suspects, Other, Now);
+                      });
+}
+
+void noteRunStarted(crash_suspects &Suspects, upstream_id Upstream,
+                    request_fingerprint Fingerprint) {
+  Suspects.Running[Upstream].push_back(Fingerprint);
+  countRun(Suspects, Fingerprint, true);
+}
+
+void noteRunEnded(crash_suspects &Suspects, upstream_id Upstream,
+                  request_fingerprint Fingerprint, run_end End,
+                  time_point Now) {
+  std::vector<request_fingerprint> &Runs = Suspects.Running[Upstream];
+  const auto Run = std::find(Runs.begin(), Runs.end(), Fingerprint);
+  if (Run == Runs.end())
+    return;
+  *Run = Runs.back();
+  Runs.pop_back();
+  countRun(Suspects, Fingerprint, false);
+  if (End == run_end::Lost)
+    blame(Suspects, Fingerprint, Upstream, Now);
+  else if (End == run_end::Completed)
+    excuse(Suspects, Fingerprint);
+}
+
+void noteUpstreamLost(crash_suspects &Suspects, upstream_id Upstream,
+                      time_point Now) {
+  const auto Found = Suspects.Running.find(Upstream);
+  if (Found == Suspects.Running.end())
+    return;
+  const std::vector<request_fingerprint> Runs = Found->second;
+  for (const request_fingerprint Fingerprint : Runs)
+    noteRunEnded(Suspects, Upstream, Fingerprint, run_end::Lost, Now);
+  Suspects.Running.erase(Upstream);
+}
+
+bool mergeSuspects(crash_suspects &Suspects,
+                   std::span<const suspect_record> Records, time_point Now) {
+  bool Changed = false;
+  for (const suspect_record &Record : Records) {
+    const milliseconds Remaining = std::min<milliseconds>(
+        Record.Remaining, Suspects.Settings.QuarantineTime);
+    if (Remaining <= milliseconds(0) || Record.Lost.empty())
+      continue;
+    Changed = addLosses(Suspects, Record.Fingerprint, Record.Lost,
+                        Now + Remaining, Now) ||
+              Changed;
+  }
+  return Changed;
+}
+
+std::vector<suspect_record> takeUnshared(crash_suspects &Suspects,
+                                         time_point Now) {
+  std::vector<suspect_record> Records;
+  for (auto &[Fingerprint, Suspect] : Suspects.Suspects) {
+    if (!Suspect.Unshared)
+      continue;
+    Suspect.Unshared = false;
+    const milliseconds Remaining =
+        std::chrono::duration_cast<milliseconds>(Suspect.ExpiresAt - Now);
+    if (Remaining > milliseconds(0) && countedLosses(Suspect) > 0)
+      Records.push_back({Fingerprint, Suspect.Lost, Remaining});
+  }
+  return Records;
+}
+
+void expireSuspects(crash_suspects &Suspects, time_point Now) {
+  std::erase_if(Suspects.Suspects, [&Suspects, Now](const auto &Entry) {
+    if (Entry.second.ExpiresAt > Now)
+      return false;
+    unindex(Suspects, Entry.first, Entry.second);
+    return true;
+  });
+  std::erase_if(Suspects.Running,
+                [](const auto &Entry) { return Entry.second.empty(); });
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibResilience/peer_health.h
@@ -0,0 +1,87 @@
+#ifndef PARSLEYSPINDLE_LIBRESILIENCE_PEER_HEALTH_H
+#define PARSLEYSPINDLE_LIBRESILIENCE_PEER_HEALTH_H
+
+#include "LibCore/runtime_clock.h"
+
+#include <cstdint>
+
+namespace spindle {
+
+/// A running mean of a latency and of how far it strays.
+struct latency_estimate {
+  double MeanSeconds = 0;
+  double DeviationSeconds = 0;
+  std::uint32_t Samples = 0;
+};
+
+/// Deadlines of one call.
+struct call_deadlines {
+  milliseconds FirstByte{30'000};
+  milliseconds BetweenBytes{10'000};
+};
+
+struct peer_health_settings {
+  /// Deadlines never get shorter than these.
+  call_deadlines Least{milliseconds(2'000), milliseconds(1'000)};
+  /// Deadlines follow the measured latency after this many samples.
+  std::uint32_t LeastSamples = 32;
+  /// A connection idle for longer is probed before it is used again.
+  milliseconds ProbeIdleAfter{15'000};
+  /// How long a probe's answer may take.
+  milliseconds ProbeTimeout{1'000};
+};
+
+/// What is known of the connections to one peer. Changed through the functions
+/// below only; none of them is thread-safe.
+struct peer_health {
+  peer_health_settings Settings;
+  latency_estimate FirstByte;
+  latency_estimate BetweenBytes;
+  /// Doubles the adapted deadlines each time one proved too short.
+  std::uint32_t Widened = 0;
+  time_point LastHeard;
+  /// Whether a deadline passed and nothing was heard since.
+  bool Suspect = false;
+};
+
+/// What to do about the connections to a peer.
+enum class connection_advice {
+  /// Nothing is wrong.
+  Keep,
+  /// Close the connection, use no idle one of the peer again, and try a new
+  /// connection.
+  VerifyPool,
+  /// New connections fail as well: the peer is down.
+  PeerDown,
+};
+
+/// Which connection a call may use.
+enum class connection_choice { Pooled, Fresh };
+
+/// Notes the time from the request's last byte to the answer's first.
+void noteFirstByte(peer_health &Health, nanoseconds Latency, time_point Now);
+/// Notes the time between two parts of an answer.
+void noteNextBytes(peer_health &Health, nanoseconds Gap, time_point Now);
+/// The deadlines for a call, adapted from measured latency, never longer than
+/// the route's.
+call_deadlines deadlinesFor(const peer_health &Health,
+                            const call_deadlines &Route);
+/// Notes that a deadline passed and says what to do. Every connection that was
+/// open then is in doubt.
+connection_advice noteSilence(peer_health &Health);
+/// Notes whether the new connection tried after VerifyPool answered. If it
+/// did, the silent connection was lost on the way; if it answered only after
+/// \p Latency longer than the deadline, the deadline was too short and widens.
+connection_advice noteVerified(peer_health &Health, bool Answered,
+                               nanoseconds Latency, nanoseconds Deadline,
+                               time_point Now);
+/// Which connection a call may use: calls that may not be repeated, and all
+/// calls to a suspect peer, only a new one. Thread-safe for readers.
+connection_choice chooseConnection(const peer_health &Health, bool Idempotent);
+/// Tells whether idle connections of the peer should be probed. Thread-safe
+/// for readers.
+bool probeDue(const peer_health &Health, time_point Now);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBRESILIENCE_PEER_HEALTH_H
--- /dev/null
+++ b/Libraries/LibResilience/retry_decision.cpp
@@ -0,0 +1,58 @@
+#include "LibResilience/retry_decision.h"
+
+namespace spindle {
+
+static run_state runStateOf(const call_progress &Progress) {
+  if (Progress.AnswerBegun)
+    return run_state::RunAnswerLost;
+  return Progress.MayHaveRun ? run_state::MaybeRun : run_state::NotRun;
+}
+
+static result_code codeOf(const call_progress &Progress,
+                          attempt_failure LastFailure) {
+  if (Progress.AnswerBegun)
+    return result_code::AnswerCutShort;
+  switch (LastFailure) {
+  case attempt_failure::NotConnected:
+    return result_code::UpstreamUnreachable;
+  case attempt_failure::Refused:
+    return result_code::NoUpstream;
+  case attempt_failure::ConnectionLost:
+    return result_code::UpstreamLost;
+  case attempt_failure::TimedOut:
+    return result_code::UpstreamTimeout;
+  }
+  return result_code::UpstreamLost;
+}
+
+/// Whether the call may be sent again at all, budgets aside.
+static bool isRepeatable(const call_progress &Progress) {
+  if (Progress.Attempts >= MostAttempts)
+    return false;
+  if (Progress.LostAttempts >= MostLostAttempts)
+    return false;
+  if (!Progress.MayHaveRun)
+    return true;
+  if (!Progress.Idempotent)
+    return false;
+  return !Progress.AnswerBegun || Progress.Resumable;
+}
+
+retry_decision decideRetry(const call_progress &Progress,
+                           attempt_failure LastFailure,
+                           const retry_circumstances &Circumstances) {
+  retry_decision Decision;
+  Decision.State = runStateOf(Progress);
+  Decision.Code = codeOf(Progress, LastFailure);
+  if (!isRepeatable(Progress) || !Circumstances.TimeLeft)
+    return Decision;
+  if (!Circumstances.BudgetLeft) {
+    Decision.Code = result_code::RetryBudgetExhausted;
+    return Decision;
+  }
+  Decision.Action =
+      Progress.AnswerBegun ? retry_action::Resume : retry_action::Retry;
+  return Decision;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibScheduling/fair_queue.h
@@ -0,0 +1,98 @@
+#ifndef PARSLEYSPINDLE_LIBSCHEDULING_FAIR_QUEUE_H
+#define PARSLEYSPINDLE_LIBSCHEDULING_FAIR_QUEUE_H
+
+#include "LibCore/result_code.h"
+#include "LibScheduling/queue_settings.h"
+#include "LibScheduling/service_meter.h"
+#include "LibScheduling/waiting_request.h"
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace spindle {
+
+inline constexpr std::size_t PriorityClassCount = 4;
+
+/// One tenant's weight against the others.
+struct tenant_weight {
+  tenant_id Tenant;
+  std::uint32_t Weight = 1;
+};
+
+/// The waiting requests of one tenant (of all tenants under Fifo).
+struct queue_lane {
+  double Weight = 1;
+  /// Virtual time at which the lane's next request starts: the tokens that
+  /// the lane was served, divided by its weight. Never behind the queue's
+  /// virtual time when the lane becomes backlogged, so that an idle tenant
+  /// gains no credit.
+  double NextStart = 0;
+  /// (rank, sequence), the first to be served first.
+  std::set<std::pair<time_point, std::uint64_t>> Waiting;
+  std::array<std::int64_t, PriorityClassCount> WaitingTokens{};
+};
+
+/// A queue of requests by start-time fair queueing. Between tenants, the one
+/// that was served the fewest tokens for its weight goes first. Within a
+/// tenant, requests are ordered by arrival plus one ageing step for each
+/// class below the first: a class goes before the next one until the other
+/// has waited an ageing step longer. Changed through the functions below
+/// only; none of them is thread-safe, each takes O(log n).
+struct fair_queue {
+  queue_settings Settings;
+  std::unordered_map<tenant_id, std::uint32_t> Weights;
+  std::unordered_map<tenant_id, queue_lane> Lanes;
+  /// (virtual start, lane) of every lane in which a request waits.
+  std::set<std::pair<double, tenant_id>> Backlogged;
+  double BackloggedWeight = 0;
+  std::unordered_map<std::uint64_t, waiting_request> Requests;
+  std::set<std::pair<time_point, std::uint64_t>> Deadlines;
+  std::unordered_map<tenant_id, std::uint32_t> WaitingOfTenant;
+  double VirtualTime = 0;
+  std::uint64_t LastSequence = 0;
+  service_meter Meter;
+};
+
+/// Replaces settings and weights. Requests that wait keep their place by the
+/// new order; a tenant without a weight counts as 1. Takes O(n log n).
+void configureQueue(fair_queue &Queue, const queue_settings &Settings,
+                    std::span<const tenant_weight> Weights);
+/// How long \p Request would wait, a lower bound by the measured service
+/// rate; none while the rate is unknown. The request must not be queued yet.
+std::optional<nanoseconds> estimateWait(const fair_queue &Queue,
+                                        const waiting_request &Request,
+                                        time_point Now);
+/// Tells why \p Request can't be queued: QueueFull, DeadlineUnreachable, or
+/// none if it can.
+std::optional<result_code> refusalOf(const fair_queue &Queue,
+                                     const waiting_request &Request,
+                                     time_point Now);
+/// Queues \p Request and returns its sequence number.
+/// Precondition: refusalOf() gave none.
+std::uint64_t pushRequest(fair_queue &Queue, waiting_request Request);
+/// Takes the request that starts next; none if nothing waits. Requests whose
+/// deadline has passed are left for takeExpired().
+std::optional<waiting_request> popRequest(fair_queue &Queue, time_point Now);
+/// Takes one request whose deadline has passed; none if there is none.
+std::optional<waiting_request> takeExpired(fair_queue &Queue, time_point Now);
+/// Takes a request out, because its caller has gone. Returns false if it
+/// does not wait.
+bool cancelRequest(fair_queue &Queue, std::uint64_t Sequence);
+/// Charges a request that starts without having waited.
+void chargeStart(fair_queue &Queue, tenant_id Tenant, tokens Cost);
+/// Corrects what a tenant was charged once the true cost is known.
+void settleCharge(fair_queue &Queue, tenant_id Tenant, tokens Charged,
+                  tokens Actual);
+/// The number of requests that wait.
+std::size_t waitingCount(const fair_queue &Queue);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBSCHEDULING_FAIR_QUEUE_H
