Tests: State what queues, retries and quarantine must hold

Cause: the policies decide who waits and what is repeated; each rule needs a check over arbitrary histories.

--- /dev/null
+++ b/Tests/LibResilience/test_crash_suspects.cpp
@@ -0,0 +1,177 @@
+#include "LibResilience/crash_suspects.h"
+#include "LibResilience/suspect_document.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace spindle;
+
+static request_fingerprint print(int Index) {
+  return fingerprintOf(tenant_id::ofName("t"), "adapter@1",
+                       "body" + std::to_string(Index));
+}
+
+static upstream_id engine(int Index) {
+  return upstream_id::ofName("engine" + std::to_string(Index));
+}
+
+namespace {
+
+/// Hosts that run requests on shared engines and tell each other before they
+/// go on, as suspect_board does.
+struct small_fleet {
+  static constexpr int Hosts = 3;
+  static constexpr int Engines = 9;
+  std::vector<crash_suspects> Boards{Hosts};
+  time_point Now{seconds(1)};
+
+  void share(int From) {
+    const std::vector<suspect_record> Records = takeUnshared(Boards[From], Now);
+    for (int Host = 0; Host < Hosts; ++Host)
+      if (Host != From)
+        mergeSuspects(Boards[Host], Records, Now);
+  }
+
+  bool start(int Host, int Engine, request_fingerprint Print) {
+    if (isQuarantined(Boards[Host], Print, Now) ||
+        !mayStartOn(Boards[Host], engine(Engine), Print, Now))
+      return false;
+    noteRunStarted(Boards[Host], engine(Engine), Print);
+    return true;
+  }
+
+  void crash(int Engine) {
+    for (int Host = 0; Host < Hosts; ++Host)
+      noteUpstreamLost(Boards[Host], engine(Engine), Now);
+    for (int Host = 0; Host < Hosts; ++Host)
+      share(Host);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a request that crashes engines takes down two at most") {
+  rc::prop("repeated for ever, through any host, among innocent requests", [] {
+    small_fleet Fleet;
+    const request_fingerprint Guilty = print(0);
+    std::vector<std::tuple<int, int, request_fingerprint>> Runs;
+    int Crashes = 0;
+    int NextPrint = 1;
+    for (int Step = 0; Step < 200; ++Step) {
+      const int Host = *rc::gen::inRange(0, small_fleet::Hosts);
+      const int Engine = *rc::gen::inRange(0, small_fleet::Engines);
+      const int Action = *rc::gen::inRange(0, 6);
+      if (Action < 2) {
+        if (Fleet.start(Host, Engine, print(NextPrint)))
+          Runs.push_back({Host, Engine, print(NextPrint++)});
+      } else if (Action == 2 && !Runs.empty()) {
+        const auto [RunHost, RunEngine, Print] = Runs.back();
+        Runs.pop_back();
+        noteRunEnded(Fleet.Boards[RunHost], engine(RunEngine), Print,
+                     run_end::Completed, Fleet.Now);
+      } else {
+        // The caller repeats the request before the quarantine ends, and the
+        // host's next share reaches the others before the caller's next try.
+        Fleet.Now += seconds(*rc::gen::inRange(0, 200));
+        for (int Tried = 0; Tried < small_fleet::Engines; ++Tried) {
+          const int Next = (Engine + Tried) % small_fleet::Engines;
+          if (!Fleet.start(Host, Next, Guilty))
+            continue;
+          ++Crashes;
+          Fleet.crash(Next);
+          std::erase_if(Runs, [Next](const auto &Run) {
+            return std::get<1>(Run) == Next;
+          });
+          break;
+        }
+        Fleet.share(Host);
+      }
+      RC_ASSERT(Crashes <= 2);
+    }
+  });
+}
+
+TEST_CASE("merging is a union, in any order, any number of times") {
+  rc::prop("hosts that hear the same records agree", [] {
+    const time_point Now{seconds(1)};
+    crash_suspects Left;
+    crash_suspects Right;
+    suspect_document Document;
+    std::vector<suspect_record> Records;
+    const int Count = *rc::gen::inRange(1, 20);
+    for (int Index = 0; Index < Count; ++Index)
+      Records.push_back({print(*rc::gen::inRange(0, 5)),
+                         {engine(*rc::gen::inRange(0, 4))},
+                         milliseconds(200'000)});
+    const wall_time Wall{1'000};
+    mergeSuspects(Left, Records, Now);
+    for (const suspect_record &Record : Records)
+      mergeIntoDocument(Document, {Record}, Wall);
+    RC_ASSERT(!mergeIntoDocument(Document, Records, Wall));
+    RC_ASSERT(!mergeSuspects(Left, Records, Now));
+    std::reverse(Records.begin(), Records.end());
+    mergeSuspects(Right, Records, Now);
+    mergeSuspects(Right, recordsOf(Document, Wall), Now);
+    for (int Index = 0; Index < 5; ++Index)
+      RC_ASSERT(isQuarantined(Left, print(Index), Now) ==
+                isQuarantined(Right, print(Index), Now));
+  });
+}
+
+TEST_CASE("suspicion falls on those that ran, and lifts from the innocent") {
+  crash_suspects Board;
+  const time_point Now{seconds(1)};
+  for (int Index = 0; Index < 3; ++Index)
+    noteRunStarted(Board, engine(0), print(Index));
+  noteRunEnded(Board, engine(0), print(2), run_end::Failed, Now);
+  noteUpstreamLost(Board, engine(0), Now);
+  // The handlers of the lost runs notice it later.
+  noteRunEnded(Board, engine(0), print(0), run_end::Lost, Now);
+  CHECK(isSuspect(Board, print(0), Now));
+  CHECK(isSuspect(Board, print(1), Now));
+  CHECK_FALSE(isSuspect(Board, print(2), Now));
+  CHECK_FALSE(isQuarantined(Board, print(0), Now));
+  CHECK_FALSE(mayStartOn(Board, engine(0), print(0), Now));
+  REQUIRE(mayStartOn(Board, engine(1), print(0), Now));
+  noteRunStarted(Board, engine(1), print(0));
+  SECTION("two suspects never share an upstream") {
+    CHECK_FALSE(mayStartOn(Board, engine(1), print(1), Now));
+    CHECK(mayStartOn(Board, engine(1), print(3), Now));
+  }
+  SECTION("a suspect runs once at a time") {
+    CHECK_FALSE(mayStartOn(Board, engine(2), print(0), Now));
+  }
+  SECTION("a whole answer clears it") {
+    noteRunEnded(Board, engine(1), print(0), run_end::Completed, Now);
+    CHECK_FALSE(isSuspect(Board, print(0), Now));
+  }
+  SECTION("a second loss holds it back until it has not been asked for") {
+    noteRunEnded(Board, engine(1), print(0), run_end::Lost, Now);
+    CHECK(isQuarantined(Board, print(0), Now + seconds(290)));
+    CHECK(isQuarantined(Board, print(0), Now + seconds(580)));
+    CHECK_FALSE(isQuarantined(Board, print(0), Now + seconds(881)));
+  }
+}
+
+TEST_CASE("memory stays bounded and quarantines are dropped last") {
+  crash_suspects Board;
+  Board.Settings.MostSuspects = 10;
+  time_point Now{seconds(1)};
+  for (const int Engine : {0, 1}) {
+    noteRunStarted(Board, engine(Engine), print(0));
+    noteUpstreamLost(Board, engine(Engine), Now);
+  }
+  for (int Index = 1; Index < 50; ++Index) {
+    Now += seconds(1);
+    noteRunStarted(Board, engine(2), print(Index));
+    noteUpstreamLost(Board, engine(2), Now);
+  }
+  CHECK(Board.Suspects.size() == 10);
+  CHECK(Board.Expiry.size() == 10);
+  CHECK(isQuarantined(Board, print(0), Now));
+  expireSuspects(Board, Now + seconds(1'000));
+  CHECK(Board.Suspects.empty());
+  CHECK(Board.Expiry.empty());
+}
--- /dev/null
+++ b/Tests/LibResilience/test_outlier_detector.cpp
@@ -0,0 +1,100 @@
+#include "LibResilience/outlier_detector.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace spindle;
+
+static const zone_id ZoneA = zone_id::ofName("a");
+static const zone_id ZoneB = zone_id::ofName("b");
+
+static std::vector<upstream_place> placesOf(int Count) {
+  std::vector<upstream_place> Places;
+  for (int Index = 0; Index < Count; ++Index)
+    Places.push_back({upstream_id::ofName("u" + std::to_string(Index)),
+                      Index % 3 == 0 ? ZoneB : ZoneA});
+  return Places;
+}
+
+TEST_CASE("never more than its share of a zone is ejected") {
+  rc::prop("any history of outcomes, restarts and changes", [] {
+    outlier_detector Detector;
+    std::vector<upstream_place> Places = placesOf(*rc::gen::inRange(1, 20));
+    time_point Now{seconds(1)};
+    setUpstreams(Detector, Places, Now);
+    for (int Step = 0; Step < 300; ++Step) {
+      const upstream_id Upstream =
+          Places[*rc::gen::inRange<std::size_t>(0, Places.size())].Upstream;
+      const int Action = *rc::gen::inRange(0, 20);
+      if (Action < 16)
+        for (int Call = 0; Call < 5; ++Call)
+          noteCallOutcome(
+              Detector, Upstream,
+              Action < 13 ? call_outcome::Failure : call_outcome::Success, Now);
+      else if (Action == 16)
+        noteIncarnation(Detector, Upstream, Step + 1, Now);
+      else if (Action == 17) {
+        Places = placesOf(*rc::gen::inRange(1, 20));
+        setUpstreams(Detector, Places, Now);
+      } else
+        Now += milliseconds(*rc::gen::inRange(0, 10'000));
+      for (const zone_id Zone : {ZoneA, ZoneB}) {
+        double Ejected = 0;
+        double Count = 0;
+        for (const upstream_place &Place : Places) {
+          const double Weight = weightOf(Detector, Place.Upstream, Now);
+          RC_ASSERT(Weight >= 0 && Weight <= 1);
+          Count += Place.Zone == Zone ? 1 : 0;
+          Ejected += Place.Zone == Zone && Weight == 0 ? 1 : 0;
+        }
+        RC_ASSERT(Ejected <= Detector.Settings.MostEjectedShare * Count);
+      }
+    }
+  });
+}
+
+TEST_CASE("an upstream that fails is ejected, longer each time") {
+  outlier_detector Detector;
+  const std::vector<upstream_place> Places = placesOf(6);
+  time_point Now{seconds(1)};
+  setUpstreams(Detector, Places, Now);
+  const upstream_id Upstream = Places[1].Upstream;
+  const auto Fail = [&](call_outcome Outcome) {
+    bool Ejected = false;
+    for (int Call = 0; Call < 5; ++Call)
+      Ejected = noteCallOutcome(Detector, Upstream, Outcome, Now) || Ejected;
+    return Ejected;
+  };
+  SECTION("losses to a suspect request are not held against it") {
+    CHECK_FALSE(Fail(call_outcome::LostToSuspect));
+    CHECK(weightOf(Detector, Upstream, Now) == 1);
+  }
+  SECTION("it returns slowly and is ejected for twice as long") {
+    REQUIRE(Fail(call_outcome::Failure));
+    CHECK(weightOf(Detector, Upstream, Now + milliseconds(4'999)) == 0);
+    Now += milliseconds(5'000);
+    CHECK(weightOf(Detector, Upstream, Now) == Approx(0.1));
+    CHECK(weightOf(Detector, Upstream, Now + seconds(5)) == Approx(0.5));
+    CHECK(weightOf(Detector, Upstream, Now + seconds(10)) == 1);
+    REQUIRE(Fail(call_outcome::Failure));
+    CHECK(isEjected(Detector, Upstream, Now + milliseconds(9'999)));
+    CHECK_FALSE(isEjected(Detector, Upstream, Now + seconds(10)));
+  }
+  SECTION("every second call failing ejects it too") {
+    bool Ejected = false;
+    for (int Call = 0; Call < 30; ++Call) {
+      const call_outcome Outcome =
+          Call % 2 == 0 ? call_outcome::Failure : call_outcome::Success;
+      Ejected = noteCallOutcome(Detector, Upstream, Outcome, Now) || Ejected;
+    }
+    CHECK(Ejected);
+  }
+  SECTION("an engine that came back empty starts slowly") {
+    noteIncarnation(Detector, Upstream, 1, Now);
+    CHECK(weightOf(Detector, Upstream, Now) == 1);
+    noteIncarnation(Detector, Upstream, 2, Now);
+    CHECK(weightOf(Detector, Upstream, Now) == Approx(0.1));
+  }
+}
--- /dev/null
+++ b/Tests/LibScheduling/test_fair_queue.cpp
@@ -0,0 +1,289 @@
+#include "LibScheduling/fair_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace spindle;
+
+namespace {
+
+constexpr int TenantCount = 4;
+
+tenant_id tenantOf(int Index) {
+  return tenant_id::ofName("tenant" + std::to_string(Index));
+}
+
+/// A queue beside a plain list of what it should hold.
+struct checked_queue {
+  fair_queue Queue;
+  std::vector<waiting_request> Waiting;
+  time_point Now{seconds(1'000)};
+  std::size_t Pushed = 0;
+  std::size_t Ended = 0;
+
+  time_point rankOf(const waiting_request &Request) const {
+    return Request.Enqueued +
+           static_cast<int>(Request.Priority) * Queue.Settings.AgeingStep;
+  }
+
+  void arrive(tenant_id Tenant, priority_class Class, std::int64_t Cost,
+              milliseconds Slack) {
+    waiting_request Request{0, Tenant, Class, {Cost}, Now, Now + Slack};
+    const auto OfTenant = std::count_if(
+        Waiting.begin(), Waiting.end(),
+        [&](const waiting_request &Other) { return Other.Tenant == Tenant; });
+    const std::optional<result_code> Refusal = refusalOf(Queue, Request, Now);
+    RC_ASSERT((Refusal == result_code::QueueFull) ==
+              (OfTenant >= Queue.Settings.QueueLimit));
+    if (Refusal)
+      return;
+    Request.Sequence = pushRequest(Queue, Request);
+    Waiting.push_back(Request);
+    ++Pushed;
+  }
+
+  void forget(std::uint64_t Sequence) {
+    const auto Count =
+        std::erase_if(Waiting, [&](const waiting_request &Request) {
+          return Request.Sequence == Sequence;
+        });
+    RC_ASSERT(Count == 1);
+    ++Ended;
+  }
+
+  void expire() {
+    while (const std::optional<waiting_request> Late =
+               takeExpired(Queue, Now)) {
+      RC_ASSERT(Late->Deadline <= Now);
+      forget(Late->Sequence);
+    }
+    for (const waiting_request &Request : Waiting)
+      RC_ASSERT(Request.Deadline > Now);
+  }
+
+  void serve() {
+    const bool AnyInTime = std::any_of(
+        Waiting.begin(), Waiting.end(),
+        [&](const waiting_request &Request) { return Request.Deadline > Now; });
+    const std::optional<waiting_request> Next = popRequest(Queue, Now);
+    RC_ASSERT(Next.has_value() == AnyInTime);
+    if (!Next)
+      return;
+    RC_ASSERT(Next->Deadline > Now);
+    for (const waiting_request &Other : Waiting)
+      if (Other.Tenant == Next->Tenant && Other.Deadline > Now)
+        RC_ASSERT(rankOf(*Next) <= rankOf(Other));
+    forget(Next->Sequence);
+  }
+};
+
+} // namespace
+
+TEST_CASE("any history conserves requests and keeps a tenant's order") {
+  rc::prop("every request starts in order, or is refused by its deadline", [] {
+    checked_queue Checked;
+    Checked.Queue.Settings.QueueLimit = 12;
+    const int Steps = *rc::gen::inRange(50, 300);
+    for (int Step = 0; Step < Steps; ++Step) {
+      const int Action = *rc::gen::inRange(0, 10);
+      if (Action < 5)
+        Checked.arrive(tenantOf(*rc::gen::inRange(0, TenantCount)),
+                       static_cast<priority_class>(*rc::gen::inRange(0, 4)),
+                       *rc::gen::inRange(1, 2'000),
+                       milliseconds(*rc::gen::inRange(1, 20'000)));
+      else if (Action < 7)
+        Checked.serve();
+      else if (Action == 7)
+        Checked.Now += milliseconds(*rc::gen::inRange(0, 3'000));
+      else if (Action == 8)
+        Checked.expire();
+      else if (!Checked.Waiting.empty()) {
+        const std::uint64_t Sequence = Checked.Waiting.front().Sequence;
+        RC_ASSERT(cancelRequest(Checked.Queue, Sequence));
+        RC_ASSERT(!cancelRequest(Checked.Queue, Sequence));
+        Checked.forget(Sequence);
+      }
+      RC_ASSERT(waitingCount(Checked.Queue) == Checked.Waiting.size());
+    }
+    Checked.Now += seconds(60);
+    Checked.expire();
+    RC_ASSERT(Checked.Pushed == Checked.Ended);
+    RC_ASSERT(Checked.Queue.Backlogged.empty());
+    RC_ASSERT(std::abs(Checked.Queue.BackloggedWeight) < 1e-9);
+  });
+}
+
+TEST_CASE("backlogged tenants are served by their weights") {
+  rc::prop("served tokens differ by at most one request for each weight", [] {
+    constexpr std::int64_t MostCost = 1'000;
+    fair_queue Queue;
+    Queue.Settings.QueueLimit = 1'000;
+    std::vector<tenant_weight> Weights;
+    for (int Index = 0; Index < TenantCount; ++Index)
+      Weights.push_back({tenantOf(Index),
+                         static_cast<std::uint32_t>(*rc::gen::inRange(1, 9))});
+    configureQueue(Queue, Queue.Settings, Weights);
+    const time_point Now{seconds(1)};
+    std::vector<double> Served(TenantCount, 0);
+    const auto Arrive = [&](int Index) {
+      const std::int64_t Cost =
+          *rc::gen::inRange<std::int64_t>(1, MostCost + 1);
+      pushRequest(Queue, {0,
+                          tenantOf(Index),
+                          priority_class::Plain,
+                          {Cost},
+                          Now,
+                          Now + seconds(100)});
+    };
+    // The first tenant is served alone for a while; the others, idle until
+    // then, must gain nothing from it.
+    const int Alone = *rc::gen::inRange(0, 20);
+    for (int Count = 0; Count < Alone; ++Count) {
+      Arrive(0);
+      popRequest(Queue, Now);
+    }
+    for (int Count = 0; Count < 200; ++Count) {
+      for (int Index = 0; Index < TenantCount; ++Index) {
+        const auto Lane = Queue.Lanes.find(tenantOf(Index));
+        if (Lane == Queue.Lanes.end() || Lane->second.Waiting.size() < 2)
+          Arrive(Index);
+      }
+      const std::optional<waiting_request> Next = popRequest(Queue, Now);
+      for (int Index = 0; Index < TenantCount; ++Index)
+        if (Next->Tenant == tenantOf(Index))
+          Served[Index] +=
+              static_cast<double>(Next->Cost.Count) / Weights[Index].Weight;
+      for (int Left = 0; Left < TenantCount; ++Left)
+        for (int Right = 0; Right < TenantCount; ++Right)
+          RC_ASSERT(Served[Left] - Served[Right] <=
+                    MostCost * (1.0 / Weights[Left].Weight +
+                                1.0 / Weights[Right].Weight));
+    }
+  });
+}
+
+static fair_queue queueServedAt(double TokensPerSecond, time_point &Now) {
+  fair_queue Queue;
+  for (int Count = 0; Count < 40; ++Count) {
+    const tenant_id Tenant = tenantOf(0);
+    pushRequest(
+        Queue,
+        {0, Tenant, priority_class::Rush, {100}, Now, Now + seconds(100)});
+    pushRequest(
+        Queue,
+        {0, Tenant, priority_class::Rush, {100}, Now, Now + seconds(100)});
+    for (int Start = 0; Start < 2; ++Start) {
+      Now += nanoseconds(static_cast<std::int64_t>(1e11 / TokensPerSecond));
+      popRequest(Queue, Now);
+    }
+  }
+  return Queue;
+}
+
+TEST_CASE("what can't start before its deadline is refused at once") {
+  time_point Now{seconds(1)};
+  fair_queue Queue = queueServedAt(1'000, Now);
+  for (int Count = 0; Count < 50; ++Count)
+    pushRequest(Queue, {0,
+                        tenantOf(0),
+                        priority_class::Plain,
+                        {100},
+                        Now,
+                        Now + seconds(100)});
+  waiting_request Late{0,     tenantOf(0), priority_class::Plain,
+                       {100}, Now,         Now + milliseconds(4'500)};
+  CHECK(refusalOf(Queue, Late, Now) == result_code::DeadlineUnreachable);
+  Late.Deadline = Now + milliseconds(5'500);
+  CHECK(refusalOf(Queue, Late, Now) == std::nullopt);
+  SECTION("a higher class has nothing before it") {
+    const waiting_request Rush{0,     tenantOf(0), priority_class::Rush,
+                               {100}, Now,         Now + milliseconds(10)};
+    CHECK(refusalOf(Queue, Rush, Now) == std::nullopt);
+  }
+  SECTION("another tenant has half of the service to itself") {
+    pushRequest(Queue, {0,
+                        tenantOf(1),
+                        priority_class::Plain,
+                        {1'000},
+                        Now,
+                        Now + seconds(100)});
+    waiting_request Other{0,     tenantOf(1), priority_class::Plain,
+                          {100}, Now,         Now + milliseconds(1'900)};
+    CHECK(refusalOf(Queue, Other, Now) == result_code::DeadlineUnreachable);
+    Other.Deadline = Now + milliseconds(2'100);
+    CHECK(refusalOf(Queue, Other, Now) == std::nullopt);
+  }
+}
+
+TEST_CASE("a batch review starts though rush requests never cease") {
+  fair_queue Queue;
+  Queue.Settings.RefuseEarly = false;
+  Queue.Settings.QueueLimit = 10'000;
+  const time_point Start{seconds(1)};
+  const std::uint64_t Batch = pushRequest(Queue, {0,
+                                                  tenantOf(0),
+                                                  priority_class::Batch,
+                                                  {100},
+                                                  Start,
+                                                  Start + seconds(60)});
+  time_point Now = Start;
+  while (true) {
+    // Two rush requests arrive for each that is served.
+    Now += milliseconds(100);
+    for (int Count = 0; Count < 2; ++Count)
+      pushRequest(Queue, {0,
+                          tenantOf(0),
+                          priority_class::Rush,
+                          {100},
+                          Now,
+                          Now + seconds(60)});
+    REQUIRE(Now < Start + seconds(30));
+    if (popRequest(Queue, Now)->Sequence == Batch)
+      break;
+  }
+  // Nothing that arrived after three ageing steps went before it.
+  CHECK(Now <= Start + 2 * 3 * Queue.Settings.AgeingStep + seconds(1));
+}
+
+TEST_CASE("fifo ignores tenants and classes") {
+  fair_queue Queue;
+  Queue.Settings.Policy = queueing_policy::Fifo;
+  const time_point Now{seconds(1)};
+  for (int Count = 0; Count < 3; ++Count)
+    pushRequest(Queue, {0,
+                        tenantOf(Count % 2),
+                        priority_class(3 - Count),
+                        {10},
+                        Now + milliseconds(Count),
+                        Now + seconds(9)});
+  SECTION("requests start in the order of arrival") {
+    for (std::uint64_t Sequence = 1; Sequence <= 3; ++Sequence)
+      CHECK(popRequest(Queue, Now)->Sequence == Sequence);
+  }
+  SECTION("a change of policy reorders what waits") {
+    configureQueue(Queue, {}, {});
+    CHECK(popRequest(Queue, Now)->Sequence == 3);
+  }
+}
+
+TEST_CASE("settling gives back what a request did not use") {
+  fair_queue Queue;
+  const time_point Now{seconds(1)};
+  for (int Count = 0; Count < 4; ++Count)
+    for (int Index = 0; Index < 2; ++Index)
+      pushRequest(Queue, {0,
+                          tenantOf(Index),
+                          priority_class::Plain,
+                          {100},
+                          Now,
+                          Now + seconds(9)});
+  const tenant_id First = popRequest(Queue, Now)->Tenant;
+  const tenant_id Second = popRequest(Queue, Now)->Tenant;
+  REQUIRE(First != Second);
+  settleCharge(Queue, Second, {100}, {1});
+  CHECK(popRequest(Queue, Now)->Tenant == Second);
+}
