LibHTTP: Tell a caller's connections apart

Cause: a stand-in that plays connections gone silent has to answer on new connections and not on those that were open before.

Change: http_exchange gets remotePort(), which is 0 where unknown.

Conclusion: existing implementations need no change.

--- a/Libraries/LibHTTP/beast_exchange.cpp
+++ b/Libraries/LibHTTP/beast_exchange.cpp
@@ -184,6 +184,12 @@
   return Error ? std::string() : Remote.address().to_string();
 }
 
+std::uint16_t beast_exchange::remotePort() const {
+  boost::system::error_code Error;
+  const asio::ip::tcp::endpoint Remote = Stream.socket().remote_endpoint(Error);
+  return Error ? std::uint16_t{0} : Remote.port();
+}
+
 bool beast_exchange::reusable() const {
   return Phase == phase::Finished && !closesAfter();
 }
--- a/Libraries/LibHTTP/beast_exchange.h
+++ b/Libraries/LibHTTP/beast_exchange.h
@@ -37,6 +37,7 @@
   bool callerGone() override;
   void watchCaller(std::shared_ptr<cancellation> Cancellation) override;
   std::string remoteAddress() const override;
+  std::uint16_t remotePort() const override;
 
   /// Tells whether the connection can carry another exchange.
   bool reusable() const;
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -7,6 +7,7 @@
 #include "LibRuntime/fiber_runtime.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
@@ -59,6 +60,8 @@
   virtual void watchCaller(std::shared_ptr<cancellation> Cancellation) = 0;
   /// The caller's address.
   virtual std::string remoteAddress() const = 0;
+  /// The caller's port, which tells its connections apart; 0 if unknown.
+  virtual std::uint16_t remotePort() const { return 0; }
 };
 
 /// Handles one exchange in a fiber of its own. A spindle_error that escapes is
