--- a/Libraries/LibPlatform/platform_message.cpp
+++ b/Libraries/LibPlatform/platform_message.cpp
@@ -36,6 +36,22 @@
   return Result;
 }
 
+std::string decodePathSegment(std::string_view Text) {
+  std::string Result;
+  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
+    unsigned Byte = 0;
+    const char *const Digits = Text.data() + Index + 1;
+    if (Text[Index] != '%' || Index + 2 >= Text.size() ||
+        std::from_chars(Digits, Digits + 2, Byte, 16).ptr != Digits + 2) {
+      Result.push_back(Text[Index]);
+      continue;
+    }
+    Result.push_back(static_cast<char>(Byte));
+    Index += 2;
+  }
+  return Result;
+}
+
 std::string platformPath(std::string_view Namespace, std::string_view Kind,
                          std::string_view Name) {
   std::string Path(PlatformPathPrefix);
--- a/Libraries/LibPlatform/platform_message.h
+++ b/Libraries/LibPlatform/platform_message.h
@@ -31,6 +31,9 @@
                          std::string_view Name);
 /// Encodes \p Text as one segment of a path. Thread-safe.
 std::string encodePathSegment(std::string_view Text);
+/// Decodes what encodePathSegment() wrote; faulty escapes stay as they are.
+/// Thread-safe.
+std::string decodePathSegment(std::string_view Text);
 /// Writes an object; without resourceVersion if its version is 0.
 /// Precondition: the object's body is JSON text. Thread-safe.
 std::string writeObject(const platform_object &Object);
--- /dev/null
+++ b/StandIns/platform_stand_in/platform_faults.h
@@ -0,0 +1,39 @@
+#ifndef PARSLEYSPINDLE_STANDINS_PLATFORM_STAND_IN_PLATFORM_FAULTS_H
+#define PARSLEYSPINDLE_STANDINS_PLATFORM_STAND_IN_PLATFORM_FAULTS_H
+
+#include "LibCore/runtime_clock.h"
+#include "platform_stand_in/rate_meter.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace spindle {
+
+/// The faults that are switched on; platform_server says what they do.
+struct platform_faults {
+  bool Down = false;
+  bool Hang = false;
+  bool StaleWatch = false;
+  milliseconds Slow{0};
+  std::int64_t LoseWrites = 0;
+  std::int64_t LoseAnswers = 0;
+  std::string LoseKind;
+  std::int64_t CloseWatches = 0;
+  std::int64_t DropHistory = 0;
+  std::vector<std::string> CutZones;
+  std::vector<std::string> CutHosts;
+  call_rates Rates;
+};
+
+/// Tells whether a client that calls itself \p UserAgent is cut off.
+/// Thread-safe.
+bool isCut(const platform_faults &Faults, std::string_view UserAgent);
+/// Uses up one of a count of lost writes or answers if it applies to \p Kind.
+bool takeLoss(const platform_faults &Faults, std::int64_t &Count,
+              std::string_view Kind);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_STANDINS_PLATFORM_STAND_IN_PLATFORM_FAULTS_H
