LibResidency: Grant no pin before the engine has seen the fence

Cause: an owner that pauses between its last check and the send gives its order late. An engine that honours fencing refuses it only once it has seen the new owner's number; until then the order could evict an adapter that the new owner has let others pin.

Change: a new owner first shows its number, by an order to load an adapter that is loaded already, and grants no pin there before. The validity of the ownership is checked by the pure code at each grant and order.

Conclusion: costs one order a takeover; engines that ignore fencing stay covered by the rule that ownership moves only when the former owner is gone.

--- a/Libraries/LibHost/residency_agent.cpp
+++ b/Libraries/LibHost/residency_agent.cpp
@@ -35,13 +35,6 @@
   return Holders;
 }
 
-bool residency_agent::state::ownsNow(const host_view &View,
-                                     upstream_id Engine) const {
-  const auto Owned = View.Owners.find(Engine);
-  return Owned != View.Owners.end() && Owned->second.Host == selfId() &&
-         Clock.now() < View.OwnershipValidUntil;
-}
-
 bool residency_agent::state::beginPolling(std::uint64_t Id) {
   const std::lock_guard<std::mutex> Lock(ViewMutex);
   return Asking.insert(Id).second;
@@ -75,8 +68,11 @@
                                         ? victim_policy::Lru
                                         : victim_policy::Value;
   }
-  const std::lock_guard<std::mutex> Lock(State->ViewMutex);
-  State->Configuration = std::move(Configuration);
+  {
+    const std::lock_guard<std::mutex> Lock(State->ViewMutex);
+    State->Configuration = std::move(Configuration);
+  }
+  State->adoptEngines(*State->view());
 }
 
 void residency_agent::applyView(std::shared_ptr<const host_view> View) {
--- a/Libraries/LibHost/residency_agent_state.h
+++ b/Libraries/LibHost/residency_agent_state.h
@@ -58,7 +58,6 @@
   host_id selfId() const { return {Self.host()}; }
   /// The live hosts, this one included.
   std::vector<pin_holder> holders(const host_view &View) const;
-  bool ownsNow(const host_view &View, upstream_id Engine) const;
   /// Marks \p Id as being asked; returns false if it is already.
   bool beginPolling(std::uint64_t Id);
   void endPolling(std::uint64_t Id);
@@ -73,7 +72,9 @@
   bool unloadVictim(const residency_order &Order);
   order_result giveOrder(const residency_order &Order, adapter_id Adapter,
                          bool IsLoad);
+  milliseconds orderLimit(const residency_order &Order);
   void runLoads();
+  void raiseFences();
   bool startOneLoad(const std::vector<pin_holder> &Holders);
   void resolveWaiting();
   host_link::PinReply handlePin(const host_link::PinRequest &Request);
--- a/Libraries/LibHost/residency_orders.cpp
+++ b/Libraries/LibHost/residency_orders.cpp
@@ -35,14 +35,30 @@
 
 void residency_agent::state::runLoads() {
   resolveWaiting();
-  const std::shared_ptr<const host_view> Current = view();
-  if (Clock.now() >= Current->OwnershipValidUntil)
-    return;
-  const std::vector<pin_holder> Holders = holders(*Current);
+  raiseFences();
+  const std::vector<pin_holder> Holders = holders(*view());
   while (startOneLoad(Holders)) {
   }
 }
 
+void residency_agent::state::raiseFences() {
+  std::vector<residency_order> Orders;
+  {
+    const std::lock_guard<std::mutex> Lock(OwnerMutex);
+    Orders = planFenceRaises(Owner, Clock.now());
+  }
+  for (const residency_order &Order : Orders)
+    Ports.Spawn([State = shared_from_this(), Order] {
+      const order_result Result =
+          State->giveOrder(Order, Order.Adapter, /*IsLoad=*/true);
+      {
+        const std::lock_guard<std::mutex> Lock(State->OwnerMutex);
+        endFenceRaise(State->Owner, Order, Result);
+      }
+      State->resolveWaiting();
+    });
+}
+
 bool residency_agent::state::startOneLoad(
     const std::vector<pin_holder> &Holders) {
   {
@@ -84,20 +100,26 @@
   }
 }
 
+milliseconds residency_agent::state::orderLimit(const residency_order &Order) {
+  const std::lock_guard<std::mutex> Lock(OwnerMutex);
+  const time_point Now = Clock.now();
+  // The order must have ended when others may own the engine.
+  const milliseconds Left =
+      std::chrono::duration_cast<milliseconds>(Owner.ValidUntil - Now);
+  if (!mayAct(Owner, Order.Engine, Order.Fence, Now) || Left.count() <= 0)
+    throw spindle_error(result_code::NotOwner, "the ownership has lapsed");
+  return std::min(Settings.OrderLimit, Left);
+}
+
 order_result residency_agent::state::giveOrder(const residency_order &Order,
                                                adapter_id Adapter,
                                                bool IsLoad) {
   const std::string Name = nameOf(Adapter);
   try {
-    const std::shared_ptr<const host_view> Current = view();
-    // The order must have ended when others may own the engine.
-    const milliseconds Left = std::chrono::duration_cast<milliseconds>(
-        Current->OwnershipValidUntil - Clock.now());
-    if (!ownsNow(*Current, Order.Engine) || Left <= milliseconds(0))
-      throw spindle_error(result_code::NotOwner, "the ownership has lapsed");
+    const endpoint Address = addressOf(Order.Engine);
+    const milliseconds Limit = orderLimit(Order);
     const auto &Give = IsLoad ? Ports.Engines.Load : Ports.Engines.Unload;
-    Give(addressOf(Order.Engine), Name, Order.Fence,
-         std::min(Settings.OrderLimit, Left));
+    Give(Address, Name, Order.Fence, Limit);
   } catch (const spindle_error &Error) {
     logEvent(log_event::AdapterOrderFailed,
              {{"adapter", Name},
--- a/Libraries/LibHost/residency_owner_part.cpp
+++ b/Libraries/LibHost/residency_owner_part.cpp
@@ -36,12 +36,17 @@
 void residency_agent::state::adoptEngines(const host_view &View) {
   std::vector<pin_resolution> Resolved;
   {
+    const snapshot_pointer Declared = configuration();
     const std::lock_guard<std::mutex> Lock(OwnerMutex);
+    Owner.ValidUntil = View.OwnershipValidUntil;
     for (const auto &[Id, Owned] : View.Owners) {
       if (Owned.Host != selfId())
         continue;
       engine_slots &Engine = Owner.Engines[Id];
       Engine.Engine = Id;
+      const upstream_declaration *Upstream =
+          Declared ? Declared->findUpstream(Id) : nullptr;
+      Engine.HonoursFencing = Upstream != nullptr && Upstream->HonoursFencing;
       if (Engine.Fence >= Owned.Fence)
         continue;
       takeOver(Engine, Owned.Fence, Clock.now());
@@ -72,7 +77,6 @@
 residency_agent::state::handlePin(const host_link::PinRequest &Request) {
   host_link::PinReply Reply;
   Reply.set_result_code(static_cast<int>(result_code::NotOwner));
-  const std::shared_ptr<const host_view> Current = view();
   waiting_pin Waiting;
   Waiting.Placement = {{Request.engine()}, {Request.adapter()}};
   Waiting.Holder = {{Request.sender().host()}, Request.sender().incarnation()};
@@ -83,8 +87,6 @@
   completion<pin_resolution> Answer;
   {
     const std::lock_guard<std::mutex> Lock(OwnerMutex);
-    if (!ownsNow(*Current, Waiting.Placement.Engine))
-      return Reply;
     Names[Waiting.Placement.Adapter] = Request.adapter_name();
     const pin_verdict Verdict = requestPin(Owner, Waiting, Waiting.Since);
     if (Verdict != pin_verdict::Waiting) {
@@ -116,8 +118,7 @@
     }
   }
   const pin_resolution Resolution = Answer.wait();
-  Reply.set_pinned(Resolution.Verdict == pin_verdict::Pinned &&
-                   ownsNow(*view(), Waiting.Placement.Engine));
+  Reply.set_pinned(Resolution.Verdict == pin_verdict::Pinned);
   Reply.set_fence(Resolution.Fence);
   Reply.set_result_code(static_cast<int>(resultOf(Resolution.Verdict)));
   return Reply;
--- a/Libraries/LibHost/residency_reports.cpp
+++ b/Libraries/LibHost/residency_reports.cpp
@@ -76,8 +76,10 @@
                  {{"engine", std::to_string(Engine.Value)}});
       for (const std::string &Name : Report.Loaded)
         Names[adapter_id::ofName(Name)] = Name;
-      applyReport(Slots, Report.Incarnation, Report.Slots, News.Loaded,
-                  News.Loading, News.Taken, Now);
+      applyReport(Slots,
+                  {Report.Incarnation, Report.Slots, Report.Fence, News.Loaded,
+                   News.Loading, News.Taken},
+                  Now);
       Loads[Engine] = {Report.Running, Report.Waiting, News.Taken};
       News.EvictableSlots = evictableSlots(Owner, Slots, Holders, Now);
       // The owner knows of orders that the late report doesn't show.
--- a/Libraries/LibResidency/engine_slots.cpp
+++ b/Libraries/LibResidency/engine_slots.cpp
@@ -55,7 +55,7 @@
   if (isOutdated(Engine, Holder, Sequence))
     return pin_outcome::Stale;
   engine_slot *Slot = findSlot(Engine, Adapter);
-  if (Slot == nullptr || !isServing(*Slot))
+  if (Slot == nullptr || !isServing(*Slot) || !isFenced(Engine))
     return pin_outcome::NotLoaded;
   Slot->LastUsed = Now;
   setPin(Engine, Adapter, Holder, Sequence);
@@ -109,38 +109,50 @@
   return Taken > Engine.LastOrderEnd && Taken > Slot.Since;
 }
 
-void applyReport(engine_slots &Engine, std::uint64_t Incarnation,
-                 std::uint32_t Slots, std::span<const adapter_id> Loaded,
-                 std::span<const adapter_id> Loading, time_point Taken,
-                 time_point Now) {
-  Engine.Slots = Slots;
-  const bool Restarted = Incarnation != Engine.Incarnation;
-  if (Restarted || !Engine.Known)
-    std::erase_if(Engine.Occupied,
-                  [](const engine_slot &Slot) { return !isOrdered(Slot); });
-  Engine.Incarnation = Incarnation;
-  // The former owner's last orders show only in reports of the present
-  // ownership.
-  Engine.Known = Engine.Known || Taken > Engine.OwnedSince;
+/// Forgets adapters that a report doesn't name, and adds those it does.
+static void mergeReport(engine_slots &Engine, const slot_report &Report,
+                        time_point Now) {
   std::erase_if(Engine.Occupied, [&](const engine_slot &Slot) {
-    return reportCovers(Engine, Slot, Taken) &&
-           !contains(Loaded, Slot.Adapter) && !contains(Loading, Slot.Adapter);
+    return reportCovers(Engine, Slot, Report.Taken) &&
+           !contains(Report.Loaded, Slot.Adapter) &&
+           !contains(Report.Loading, Slot.Adapter);
   });
-  if (Taken <= Engine.LastOrderEnd)
+  if (Report.Taken <= Engine.LastOrderEnd)
     return;
-  for (const adapter_id Adapter : Loaded) {
+  for (const adapter_id Adapter : Report.Loaded) {
     engine_slot *Slot = findSlot(Engine, Adapter);
     if (Slot == nullptr)
       Engine.Occupied.push_back({Adapter, slot_state::Loaded, Now, Now, false});
-    else if (reportCovers(Engine, *Slot, Taken))
+    else if (reportCovers(Engine, *Slot, Report.Taken))
       Slot->State = slot_state::Loaded;
   }
-  for (const adapter_id Adapter : Loading)
+  for (const adapter_id Adapter : Report.Loading)
     if (findSlot(Engine, Adapter) == nullptr)
       Engine.Occupied.push_back(
           {Adapter, slot_state::Unknown, Now, Now, false});
 }
 
+void applyReport(engine_slots &Engine, const slot_report &Report,
+                 time_point Now) {
+  const bool Restarted = Report.Incarnation != Engine.Incarnation;
+  if (Restarted || !Engine.Known)
+    std::erase_if(Engine.Occupied,
+                  [](const engine_slot &Slot) { return !isOrdered(Slot); });
+  if (Restarted)
+    Engine.FenceSeen = 0;
+  Engine.Slots = Report.Slots;
+  Engine.Incarnation = Report.Incarnation;
+  Engine.FenceSeen = std::max(Engine.FenceSeen, Report.Fence);
+  // The former owner's last orders show only in reports of the present
+  // ownership.
+  Engine.Known = Engine.Known || Report.Taken > Engine.OwnedSince;
+  mergeReport(Engine, Report, Now);
+}
+
+bool isFenced(const engine_slots &Engine) {
+  return !Engine.HonoursFencing || Engine.FenceSeen >= Engine.Fence;
+}
+
 bool pinsAreComplete(const engine_slots &Engine,
                      std::span<const pin_holder> Peers, milliseconds SettleTime,
                      time_point Now) {
--- a/Libraries/LibResidency/engine_slots.h
+++ b/Libraries/LibResidency/engine_slots.h
@@ -52,6 +52,10 @@
   std::uint32_t Slots = 0;
   /// The fencing number of the present ownership.
   std::uint64_t Fence = 0;
+  /// Whether the engine refuses orders with an old fencing number, and the
+  /// highest one that it is known to have seen.
+  bool HonoursFencing = false;
+  std::uint64_t FenceSeen = 0;
   time_point OwnedSince;
   /// False until a report that was taken after the takeover.
   bool Known = false;
@@ -79,7 +83,11 @@
 /// Starts a new ownership with a higher fence: nothing is known of pins.
 void takeOver(engine_slots &Engine, std::uint64_t Fence, time_point Now);
 
-/// Pins \p Adapter for \p Holder if it is loaded. Idempotent.
+/// Tells whether no order of a former owner can take effect any more. Until
+/// then no pin is granted: such an order may be on its way.
+bool isFenced(const engine_slots &Engine);
+
+/// Pins \p Adapter for \p Holder if it is loaded and isFenced(). Idempotent.
 pin_outcome pinAdapter(engine_slots &Engine, adapter_id Adapter,
                        const pin_holder &Holder, std::uint64_t Sequence,
                        time_point Now);
@@ -98,12 +106,21 @@
 /// Ends the pins of \p Host's incarnations up to \p LastGone.
 void releaseGone(engine_slots &Engine, host_id Host, std::uint64_t LastGone);
 
-/// Takes over what a report says, unless it is older than the last order.
-/// \p Taken is when the engine made the report. A new incarnation empties the
-/// table; pins stay, since their holders may be using a reloaded adapter.
-void applyReport(engine_slots &Engine, std::uint64_t Incarnation,
-                 std::uint32_t Slots, std::span<const adapter_id> Loaded,
-                 std::span<const adapter_id> Loading, time_point Taken,
+/// What an engine says of its slots.
+struct slot_report {
+  std::uint64_t Incarnation = 0;
+  std::uint32_t Slots = 0;
+  std::uint64_t Fence = 0;
+  std::vector<adapter_id> Loaded;
+  std::vector<adapter_id> Loading;
+  /// When the engine made the report.
+  time_point Taken;
+};
+
+/// Takes over what a report says, unless it is older than the last order. A
+/// new incarnation empties the table; pins stay, since their holders may be
+/// using a reloaded adapter.
+void applyReport(engine_slots &Engine, const slot_report &Report,
                  time_point Now);
 
 /// Tells whether every host of \p Peers has synced its pins since the takeover
--- a/Libraries/LibResidency/order_planning.cpp
+++ b/Libraries/LibResidency/order_planning.cpp
@@ -97,7 +97,8 @@
 /// Precondition: hasRoom().
 static residency_order planOrder(residency_owner &Owner, engine_slots &Engine,
                                  adapter_id Adapter, time_point Now) {
-  residency_order Order{Engine.Engine, Adapter, std::nullopt, Engine.Fence};
+  residency_order Order{Engine.Engine, Adapter, std::nullopt, Engine.Fence,
+                        false};
   Owner.Ordered.insert({Engine.Engine, Adapter});
   if (freeSlots(Engine) > 0) {
     beginLoad(Engine, Adapter, Now);
@@ -151,10 +152,29 @@
   });
 }
 
+std::vector<residency_order> planFenceRaises(residency_owner &Owner,
+                                             time_point Now) {
+  std::vector<residency_order> Orders;
+  if (Now >= Owner.ValidUntil)
+    return Orders;
+  for (auto &[Id, Engine] : Owner.Engines) {
+    if (!Engine.Known || isFenced(Engine))
+      continue;
+    const auto Loaded = std::ranges::find_if(Engine.Occupied, isServing);
+    if (Loaded == Engine.Occupied.end() ||
+        !Owner.Ordered.insert({Id, Loaded->Adapter}).second)
+      continue;
+    Orders.push_back({Id, Loaded->Adapter, std::nullopt, Engine.Fence, true});
+  }
+  return Orders;
+}
+
 std::vector<residency_order> planOrders(residency_owner &Owner,
                                         std::span<const pin_holder> Peers,
                                         std::size_t Loads, time_point Now) {
   std::vector<residency_order> Orders;
+  if (Now >= Owner.ValidUntil)
+    return Orders;
   forgetFailures(Owner, Now);
   endNeedlessDrains(Owner, Now);
   for (const load_candidate &Candidate : rankLoads(Owner, Now)) {
@@ -171,11 +191,13 @@
 
 bool wantsLoad(const residency_owner &Owner, std::span<const pin_holder> Peers,
                time_point Now) {
-  return std::ranges::any_of(
-      rankLoads(Owner, Now), [&](const load_candidate &Candidate) {
-        return hasRoom(Owner, Owner.Engines.at(Candidate.Placement.Engine),
-                       Peers, Now);
-      });
+  return Now < Owner.ValidUntil &&
+         std::ranges::any_of(
+             rankLoads(Owner, Now), [&](const load_candidate &Candidate) {
+               return hasRoom(Owner,
+                              Owner.Engines.at(Candidate.Placement.Engine),
+                              Peers, Now);
+             });
 }
 
 std::uint32_t evictableSlots(const residency_owner &Owner,
--- a/Libraries/LibResidency/residency_owner.cpp
+++ b/Libraries/LibResidency/residency_owner.cpp
@@ -10,10 +10,17 @@
          Now < Failures.RetryAt;
 }
 
+bool mayAct(const residency_owner &Owner, upstream_id Engine,
+            std::uint64_t Fence, time_point Now) {
+  const auto Found = Owner.Engines.find(Engine);
+  return Now < Owner.ValidUntil && Found != Owner.Engines.end() &&
+         Found->second.Fence == Fence;
+}
+
 pin_verdict requestPin(residency_owner &Owner, waiting_pin &Request,
                        time_point Now) {
   const auto Engine = Owner.Engines.find(Request.Placement.Engine);
-  if (Engine == Owner.Engines.end())
+  if (Engine == Owner.Engines.end() || Now >= Owner.ValidUntil)
     return pin_verdict::NotOwner;
   noteDemand(Owner.Uses, Request.Placement.Adapter, 1, Now);
   const pin_outcome Outcome =
@@ -59,8 +66,12 @@
 }
 
 /// Pins for all who wait for a loaded adapter.
-static std::vector<pin_resolution>
-pinWaiting(engine_slots &Engine, load_demand &Demand, time_point Now) {
+static std::vector<pin_resolution> pinWaiting(const residency_owner &Owner,
+                                              engine_slots &Engine,
+                                              load_demand &Demand,
+                                              time_point Now) {
+  if (Now >= Owner.ValidUntil)
+    return resolveAll(Demand, pin_verdict::NotOwner, Engine.Fence);
   std::vector<pin_resolution> Resolved;
   for (const waiting_pin &Waiting : Demand.Waiting) {
     const pin_outcome Outcome =
@@ -76,6 +87,18 @@
   return Resolved;
 }
 
+static void noteFenceSeen(engine_slots &Engine, std::uint64_t Fence) {
+  Engine.FenceSeen = std::max(Engine.FenceSeen, Fence);
+}
+
+void endFenceRaise(residency_owner &Owner, const residency_order &Order,
+                   order_result Result) {
+  Owner.Ordered.erase({Order.Engine, Order.Adapter});
+  const auto Engine = Owner.Engines.find(Order.Engine);
+  if (Engine != Owner.Engines.end() && Result == order_result::Done)
+    noteFenceSeen(Engine->second, Order.Fence);
+}
+
 bool endVictim(residency_owner &Owner, const residency_order &Order,
                order_result Result, time_point Now) {
   const auto Engine = Owner.Engines.find(Order.Engine);
@@ -85,7 +108,7 @@
     endUnload(Engine->second, *Order.Victim, Result, Now);
   Owner.Ordered.erase({Order.Engine, Order.Adapter});
   if (Result != order_result::Done || Engine->second.Fence != Order.Fence ||
-      freeSlots(Engine->second) == 0 ||
+      Now >= Owner.ValidUntil || freeSlots(Engine->second) == 0 ||
       findSlot(Engine->second, Order.Adapter) != nullptr)
     return false;
   beginLoad(Engine->second, Order.Adapter, Now);
@@ -118,13 +141,14 @@
   endLoad(Engine->second, Order.Adapter, Result, Now);
   if (Result != order_result::Done)
     return noteFailure(Owner, Order, Now);
+  noteFenceSeen(Engine->second, Order.Fence);
   const auto Demand = Owner.Demands.find({Order.Engine, Order.Adapter});
   if (Demand == Owner.Demands.end() || Engine->second.Fence != Order.Fence)
     return {};
   for (const waiting_pin &Waiting : Demand->second.Waiting)
     noteLoadWait(Owner.LoadWait, Now - Waiting.Since, Now);
   std::vector<pin_resolution> Resolved =
-      pinWaiting(Engine->second, Demand->second, Now);
+      pinWaiting(Owner, Engine->second, Demand->second, Now);
   tidyDemand(Owner, Demand->first);
   return Resolved;
 }
@@ -133,7 +157,7 @@
                                           upstream_id Engine, time_point Now) {
   std::vector<pin_resolution> Resolved;
   const auto Found = Owner.Engines.find(Engine);
-  if (Found == Owner.Engines.end())
+  if (Found == Owner.Engines.end() || !isFenced(Found->second))
     return Resolved;
   auto Demand = Owner.Demands.lower_bound({Engine, adapter_id{}});
   while (Demand != Owner.Demands.end() && Demand->first.Engine == Engine) {
@@ -144,7 +168,7 @@
     if (Slot == nullptr || !isServing(*Slot))
       continue;
     const std::vector<pin_resolution> Pinned =
-        pinWaiting(Found->second, Waiting, Now);
+        pinWaiting(Owner, Found->second, Waiting, Now);
     Resolved.insert(Resolved.end(), Pinned.begin(), Pinned.end());
     tidyDemand(Owner, Placement);
   }
--- a/Libraries/LibResidency/residency_owner.h
+++ b/Libraries/LibResidency/residency_owner.h
@@ -41,6 +41,8 @@
 /// What a host decides as the owner of its engines.
 struct residency_owner {
   residency_settings Settings;
+  /// From then on this host may neither grant pins nor give orders.
+  time_point ValidUntil;
   std::map<upstream_id, engine_slots> Engines;
   std::map<placement, load_demand> Demands;
   /// Adapters whose order is in progress.
@@ -73,14 +75,21 @@
   adapter_id Adapter;
   std::optional<adapter_id> Victim;
   std::uint64_t Fence = 0;
+  /// The adapter is loaded already: the order only shows the engine the new
+  /// fencing number, and costs no load.
+  bool OnlyRaisesFence = false;
 };
 
 /// The functions below are not thread-safe: the caller holds the lock of the
 /// owner.
 
+/// Tells whether this host may act as the owner of \p Engine under \p Fence.
+/// Checked at the moment of use.
+bool mayAct(const residency_owner &Owner, upstream_id Engine,
+            std::uint64_t Fence, time_point Now);
+
 /// Pins at once if the adapter is loaded, else lets the request wait; then
-/// \p Request gets its ticket. The caller has checked that the ownership is
-/// valid at \p Now.
+/// \p Request gets its ticket.
 pin_verdict requestPin(residency_owner &Owner, waiting_pin &Request,
                        time_point Now);
 /// Ends a request's wait. Does nothing if it has ended already.
@@ -94,6 +103,13 @@
 std::vector<residency_order> planOrders(residency_owner &Owner,
                                         std::span<const pin_holder> Peers,
                                         std::size_t Loads, time_point Now);
+/// Names the orders that show engines the present fence; until they are done
+/// no pin is granted there. They end with endFenceRaise().
+std::vector<residency_order> planFenceRaises(residency_owner &Owner,
+                                             time_point Now);
+void endFenceRaise(residency_owner &Owner, const residency_order &Order,
+                   order_result Result);
+
 /// Tells whether planOrders() would order a load.
 bool wantsLoad(const residency_owner &Owner, std::span<const pin_holder> Peers,
                time_point Now);
