LibScheduling: Let tenants catch up and bound what ageing takes

Change: a tenant's virtual start may lag by what virtual time passed in CreditTime, 20 s; classes go first to last, and requests that aged past a higher class get at most a quarter of the tenant's tokens.

--- a/Libraries/LibHost/dispatch_queue.cpp
+++ b/Libraries/LibHost/dispatch_queue.cpp
@@ -173,7 +173,7 @@
   {
     const lock Lock(State->Mutex);
     if (State->Running < State->Capacity && waitingCount(State->Queue) == 0) {
-      chargeStart(State->Queue, Tenant, Cost);
+      chargeStart(State->Queue, Tenant, Cost, Enqueued);
       ++State->Running;
       Ticket.Queue = State;
       return Ticket;
--- a/Libraries/LibScheduling/fair_queue.cpp
+++ b/Libraries/LibScheduling/fair_queue.cpp
@@ -9,7 +9,11 @@
   return std::max<std::int64_t>(Cost.Count, 1);
 }
 
-static std::size_t classIndex(const waiting_request &Request) {
+/// Under Fifo all classes count as the first.
+static std::size_t classIndex(const fair_queue &Queue,
+                              const waiting_request &Request) {
+  if (Queue.Settings.Policy == queueing_policy::Fifo)
+    return 0;
   return static_cast<std::size_t>(Request.Priority);
 }
 
@@ -18,14 +22,6 @@
   return Queue.Settings.Policy == queueing_policy::Fair ? Tenant : tenant_id{};
 }
 
-static time_point rankOf(const fair_queue &Queue,
-                         const waiting_request &Request) {
-  if (Queue.Settings.Policy == queueing_policy::Fifo)
-    return Request.Enqueued;
-  const int Classes = static_cast<int>(Request.Priority);
-  return Request.Enqueued + Classes * Queue.Settings.AgeingStep;
-}
-
 static double weightOf(const fair_queue &Queue, tenant_id Lane) {
   const auto Found = Queue.Weights.find(Lane);
   if (Found == Queue.Weights.end())
@@ -35,7 +31,7 @@
 
 static queue_lane &findLane(fair_queue &Queue, tenant_id Id) {
   queue_lane &Lane = Queue.Lanes[Id];
-  if (Lane.Waiting.empty())
+  if (Lane.Count == 0)
     Lane.Weight = weightOf(Queue, Id);
   return Lane;
 }
@@ -43,31 +39,49 @@
 /// Moves a lane's virtual start, which also is its key among the backlogged.
 static void moveStart(fair_queue &Queue, tenant_id Id, queue_lane &Lane,
                       double NextStart) {
-  if (!Lane.Waiting.empty()) {
+  if (Lane.Count > 0) {
     Queue.Backlogged.erase({Lane.NextStart, Id});
     Queue.Backlogged.insert({NextStart, Id});
   }
   Lane.NextStart = NextStart;
 }
 
+/// Samples of the virtual time in one CreditTime.
+static constexpr int SamplesPerCreditTime = 16;
+
+/// What the virtual time was CreditTime ago; keeps the samples for it.
+static double creditFloor(fair_queue &Queue, time_point Now) {
+  std::deque<std::pair<time_point, double>> &Samples = Queue.EarlierTimes;
+  const nanoseconds Between = Queue.Settings.CreditTime / SamplesPerCreditTime;
+  if (Between <= nanoseconds(0))
+    return Queue.VirtualTime;
+  if (Samples.empty() || Now - Samples.back().first >= Between)
+    Samples.push_back({Now, Queue.VirtualTime});
+  const time_point Oldest = Now - Queue.Settings.CreditTime;
+  while (Samples.size() > 1 && Samples[1].first <= Oldest)
+    Samples.pop_front();
+  return Samples.front().second;
+}
+
 static void insertIntoLane(fair_queue &Queue, const waiting_request &Request) {
   const tenant_id Id = laneOf(Queue, Request.Tenant);
   queue_lane &Lane = findLane(Queue, Id);
-  if (Lane.Waiting.empty()) {
-    Lane.NextStart = std::max(Lane.NextStart, Queue.VirtualTime);
-    Queue.Backlogged.insert({Lane.NextStart, Id});
-    Queue.BackloggedWeight += Lane.Weight;
-  }
-  Lane.Waiting.insert({rankOf(Queue, Request), Request.Sequence});
-  Lane.WaitingTokens[classIndex(Request)] += chargedTokens(Request.Cost);
+  const std::size_t Class = classIndex(Queue, Request);
+  Lane.Waiting[Class].insert({Request.Enqueued, Request.Sequence});
+  Lane.WaitingTokens[Class] += chargedTokens(Request.Cost);
+  if (++Lane.Count > 1)
+    return;
+  Queue.Backlogged.insert({Lane.NextStart, Id});
+  Queue.BackloggedWeight += Lane.Weight;
 }
 
 static void eraseFromLane(fair_queue &Queue, const waiting_request &Request) {
   const tenant_id Id = laneOf(Queue, Request.Tenant);
   queue_lane &Lane = Queue.Lanes[Id];
-  Lane.Waiting.erase({rankOf(Queue, Request), Request.Sequence});
-  Lane.WaitingTokens[classIndex(Request)] -= chargedTokens(Request.Cost);
-  if (!Lane.Waiting.empty())
+  const std::size_t Class = classIndex(Queue, Request);
+  Lane.Waiting[Class].erase({Request.Enqueued, Request.Sequence});
+  Lane.WaitingTokens[Class] -= chargedTokens(Request.Cost);
+  if (--Lane.Count > 0)
     return;
   Queue.Backlogged.erase({Lane.NextStart, Id});
   Queue.BackloggedWeight -= Lane.Weight;
@@ -99,8 +113,7 @@
     insertIntoLane(Queue, Request);
   // Tenants that are no longer declared leave nothing behind.
   std::erase_if(Queue.Lanes, [&Queue](const auto &Entry) {
-    return Entry.second.Waiting.empty() &&
-           Queue.Weights.count(Entry.first) == 0;
+    return Entry.second.Count == 0 && Queue.Weights.count(Entry.first) == 0;
   });
   std::erase_if(Queue.WaitingOfTenant,
                 [](const auto &Entry) { return Entry.second == 0; });
@@ -110,10 +123,8 @@
 /// aged past it are left out, so that the estimate errs towards queueing.
 static std::int64_t tokensAhead(const fair_queue &Queue, const queue_lane &Lane,
                                 const waiting_request &Request) {
-  const bool Fair = Queue.Settings.Policy == queueing_policy::Fair;
-  const std::size_t Last = Fair ? classIndex(Request) : PriorityClassCount - 1;
   std::int64_t Ahead = 0;
-  for (std::size_t Class = 0; Class <= Last; ++Class)
+  for (std::size_t Class = 0; Class <= classIndex(Queue, Request); ++Class)
     Ahead += Lane.WaitingTokens[Class];
   return Ahead;
 }
@@ -125,7 +136,7 @@
   if (!Rate || Rate->PerSecond <= 0)
     return std::nullopt;
   const auto Found = Queue.Lanes.find(laneOf(Queue, Request.Tenant));
-  if (Found == Queue.Lanes.end() || Found->second.Waiting.empty())
+  if (Found == Queue.Lanes.end() || Found->second.Count == 0)
     return nanoseconds(0);
   const queue_lane &Lane = Found->second;
   const double Share = Lane.Weight / std::max(Queue.BackloggedWeight, 1.0);
@@ -159,6 +170,11 @@
   Queue.Requests.insert({Request.Sequence, Request});
   Queue.Deadlines.insert({Request.Deadline, Request.Sequence});
   ++Queue.WaitingOfTenant[Request.Tenant];
+  const tenant_id Id = laneOf(Queue, Request.Tenant);
+  queue_lane &Lane = findLane(Queue, Id);
+  const double Floor = creditFloor(Queue, Request.Enqueued);
+  if (Lane.Count == 0)
+    Lane.NextStart = std::max(Lane.NextStart, Floor);
   insertIntoLane(Queue, Request);
   return Request.Sequence;
 }
@@ -171,26 +187,59 @@
   moveStart(Queue, Id, Lane, Lane.NextStart + Served);
 }
 
-/// The first request of the lane whose deadline has not passed; 0 if none.
-static std::uint64_t firstInTime(const fair_queue &Queue,
-                                 const queue_lane &Lane, time_point Now) {
-  for (const auto &[Rank, Sequence] : Lane.Waiting)
-    if (Queue.Requests.at(Sequence).Deadline > Now)
-      return Sequence;
-  return 0;
+/// The first request of a class whose deadline has not passed; null if none.
+static const waiting_request *firstInTime(const fair_queue &Queue,
+                                          const queue_lane &Lane,
+                                          std::size_t Class, time_point Now) {
+  for (const auto &[Arrival, Sequence] : Lane.Waiting[Class]) {
+    const waiting_request &Request = Queue.Requests.at(Sequence);
+    if (Request.Deadline > Now)
+      return &Request;
+  }
+  return nullptr;
+}
+
+/// The request that the lane starts next; null if none is in time.
+static const waiting_request *chooseInLane(fair_queue &Queue, queue_lane &Lane,
+                                           time_point Now) {
+  const waiting_request *Highest = nullptr;
+  const waiting_request *Oldest = nullptr;
+  time_point OldestRank;
+  for (std::size_t Class = 0; Class < PriorityClassCount; ++Class) {
+    const waiting_request *const First = firstInTime(Queue, Lane, Class, Now);
+    if (First == nullptr)
+      continue;
+    const int Steps = static_cast<int>(Class);
+    const time_point Rank = First->Enqueued + Steps * Queue.Settings.AgeingStep;
+    if (Highest == nullptr)
+      Highest = First;
+    if (Oldest == nullptr || Rank < OldestRank) {
+      Oldest = First;
+      OldestRank = Rank;
+    }
+  }
+  if (Highest == nullptr)
+    return nullptr;
+  const bool Ages = Oldest != Highest && Lane.AgedCredit >= 0;
+  const waiting_request *const Chosen = Ages ? Oldest : Highest;
+  const double Cost = static_cast<double>(chargedTokens(Chosen->Cost));
+  const double Share = Queue.Settings.AgedShare;
+  Lane.AgedCredit += Ages ? -Cost * (1 - Share) : Cost * Share;
+  Lane.AgedCredit = std::min(Lane.AgedCredit, 0.0);
+  return Chosen;
 }
 
 std::optional<waiting_request> popRequest(fair_queue &Queue, time_point Now) {
   for (const auto &[Start, Id] : Queue.Backlogged) {
     queue_lane &Lane = Queue.Lanes[Id];
-    const std::uint64_t Sequence = firstInTime(Queue, Lane, Now);
-    if (Sequence == 0)
+    const waiting_request *const Chosen = chooseInLane(Queue, Lane, Now);
+    if (Chosen == nullptr)
       continue;
-    const tokens Cost = Queue.Requests.at(Sequence).Cost;
-    noteStarted(Queue.Meter, {chargedTokens(Cost)}, Now);
+    creditFloor(Queue, Now);
+    noteStarted(Queue.Meter, {chargedTokens(Chosen->Cost)}, Now);
     const tenant_id LaneId = Id;
-    const waiting_request Request = eraseRequest(Queue, Sequence);
-    chargeLane(Queue, LaneId, Lane, Cost);
+    const waiting_request Request = eraseRequest(Queue, Chosen->Sequence);
+    chargeLane(Queue, LaneId, Lane, Request.Cost);
     return Request;
   }
   return std::nullopt;
@@ -209,11 +258,13 @@
   return true;
 }
 
-void chargeStart(fair_queue &Queue, tenant_id Tenant, tokens Cost) {
+void chargeStart(fair_queue &Queue, tenant_id Tenant, tokens Cost,
+                 time_point Now) {
   const tenant_id Id = laneOf(Queue, Tenant);
   queue_lane &Lane = findLane(Queue, Id);
-  if (Lane.Waiting.empty())
-    Lane.NextStart = std::max(Lane.NextStart, Queue.VirtualTime);
+  const double Floor = creditFloor(Queue, Now);
+  if (Lane.Count == 0)
+    Lane.NextStart = std::max(Lane.NextStart, Floor);
   chargeLane(Queue, Id, Lane, Cost);
 }
 
--- a/Libraries/LibScheduling/fair_queue.h
+++ b/Libraries/LibScheduling/fair_queue.h
@@ -8,7 +8,7 @@
 
 #include <array>
 #include <cstddef>
-#include <map>
+#include <deque>
 #include <optional>
 #include <set>
 #include <span>
@@ -30,21 +30,27 @@
 struct queue_lane {
   double Weight = 1;
   /// Virtual time at which the lane's next request starts: the tokens that
-  /// the lane was served, divided by its weight. Never behind the queue's
-  /// virtual time when the lane becomes backlogged, so that an idle tenant
-  /// gains no credit.
+  /// the lane was served, divided by its weight. When the lane becomes
+  /// backlogged, it is raised to what the queue's virtual time was
+  /// CreditTime ago, so that an idle tenant gains no more credit than that.
   double NextStart = 0;
-  /// (rank, sequence), the first to be served first.
-  std::set<std::pair<time_point, std::uint64_t>> Waiting;
+  /// (arrival, sequence) by class; under Fifo all are in the first.
+  std::array<std::set<std::pair<time_point, std::uint64_t>>, PriorityClassCount>
+      Waiting;
+  std::size_t Count = 0;
   std::array<std::int64_t, PriorityClassCount> WaitingTokens{};
+  /// Tokens that aged requests were served beyond their share, negative; an
+  /// aged request goes before a higher class only while it is 0.
+  double AgedCredit = 0;
 };
 
 /// A queue of requests by start-time fair queueing. Between tenants, the one
 /// that was served the fewest tokens for its weight goes first. Within a
-/// tenant, requests are ordered by arrival plus one ageing step for each
-/// class below the first: a class goes before the next one until the other
-/// has waited an ageing step longer. Changed through the functions below
-/// only; none of them is thread-safe, each takes O(log n).
+/// tenant, classes go first to last, each in order of arrival. A request rises
+/// by a class with each ageing step; those that have thus overtaken a higher
+/// class get at most AgedShare of the tenant's tokens, so that neither starves
+/// the other. Changed through the functions below only; none of them is
+/// thread-safe, each takes O(log n).
 struct fair_queue {
   queue_settings Settings;
   std::unordered_map<tenant_id, std::uint32_t> Weights;
@@ -56,6 +62,8 @@
   std::set<std::pair<time_point, std::uint64_t>> Deadlines;
   std::unordered_map<tenant_id, std::uint32_t> WaitingOfTenant;
   double VirtualTime = 0;
+  /// Virtual time at some earlier moments, the oldest first.
+  std::deque<std::pair<time_point, double>> EarlierTimes;
   std::uint64_t LastSequence = 0;
   service_meter Meter;
 };
@@ -86,7 +94,8 @@
 /// does not wait.
 bool cancelRequest(fair_queue &Queue, std::uint64_t Sequence);
 /// Charges a request that starts without having waited.
-void chargeStart(fair_queue &Queue, tenant_id Tenant, tokens Cost);
+void chargeStart(fair_queue &Queue, tenant_id Tenant, tokens Cost,
+                 time_point Now);
 /// Corrects what a tenant was charged once the true cost is known.
 void settleCharge(fair_queue &Queue, tenant_id Tenant, tokens Charged,
                   tokens Actual);
--- a/Libraries/LibScheduling/queue_settings.h
+++ b/Libraries/LibScheduling/queue_settings.h
@@ -20,6 +20,12 @@
   milliseconds QueueTimeout{10'000};
   /// A waiting request rises by one class each time this passes.
   milliseconds AgeingStep{4'000};
+  /// The part of a tenant's tokens that requests get which have aged past a
+  /// higher class that waits.
+  double AgedShare = 0.25;
+  /// A tenant that used less than its part goes before the others until it has
+  /// had what it left unused in this time.
+  milliseconds CreditTime{20'000};
   /// Whether a request is refused at once when the measured service rate
   /// says that it can't start before its deadline.
   bool RefuseEarly = true;
