LibHost: Serve requests from end to end

Cause: the matters have their parts; nothing joined them. A call on a pooled connection is no longer sent twice by the client when a crash may be why the connection closed.

--- a/Libraries/LibCore/result_code.h
+++ b/Libraries/LibCore/result_code.h
@@ -1,7 +1,6 @@
 #ifndef PARSLEYSPINDLE_LIBCORE_RESULT_CODE_H
 #define PARSLEYSPINDLE_LIBCORE_RESULT_CODE_H
 
-#include <chrono>
 #include <span>
 #include <stdexcept>
 #include <string>
@@ -44,15 +43,10 @@
 
   result_code code() const { return Code; }
   run_state state() const { return State; }
-  /// When a repeat may succeed; 0 if that is not known.
-  std::chrono::seconds retryAfter() const { return RetryAfter; }
-  /// Sets what retryAfter() returns. Precondition: \p Wait is not negative.
-  void setRetryAfter(std::chrono::seconds Wait) { RetryAfter = Wait; }
 
 private:
   result_code Code;
   run_state State;
-  std::chrono::seconds RetryAfter{0};
 };
 
 } // namespace spindle
--- a/Libraries/LibHTTP/error_response.cpp
+++ b/Libraries/LibHTTP/error_response.cpp
@@ -1,6 +1,7 @@
 #include "LibHTTP/error_response.h"
 
 #include "LibCore/result_code.h"
+#include "LibCore/retry_after_error.h"
 #include "LibHTTP/http_server.h"
 
 #include <nlohmann/json.hpp>
@@ -31,9 +32,13 @@
                         Error.what());
   http_response Response =
       makeResponse(Known->code(), Known->state(), Known->what());
-  if (Known->retryAfter().count() > 0)
+  if (const retry_after_error *const Later =
+          dynamic_cast<const retry_after_error *>(&Error)) {
+    const std::chrono::seconds Wait =
+        std::chrono::ceil<std::chrono::seconds>(Later->retryAfter());
     Response.Head.Fields.push_back(
-        {"Retry-After", std::to_string(Known->retryAfter().count())});
+        {"Retry-After", std::to_string(Wait.count())});
+  }
   return Response;
 }
 
--- a/Libraries/LibHTTP/http_client.cpp
+++ b/Libraries/LibHTTP/http_client.cpp
@@ -23,13 +23,27 @@
   return Call;
 }
 
+/// As startFresh(), for a request that may have run already.
+static std::unique_ptr<beast_call>
+resend(const std::shared_ptr<connection_pool> &Pool, const endpoint &Peer,
+       const http_request_head &Request, std::string_view Body,
+       const http_call_limits &Limits) {
+  try {
+    return startFresh(Pool, Peer, Request, Body, Limits);
+  } catch (const spindle_error &Error) {
+    if (Error.state() != run_state::NotRun)
+      throw;
+    throw spindle_error(result_code::UpstreamLost, Error.what());
+  }
+}
+
 std::unique_ptr<http_call> http_client::start(const endpoint &Peer,
                                               const http_request_head &Request,
                                               std::string_view Body,
                                               const http_call_limits &Limits,
                                               connection_use Use) {
   client_connection_pointer Idle;
-  if (Use == connection_use::PooledIdempotent)
+  if (Use != connection_use::FreshOnce)
     Idle = State->Pool->take(Peer);
   if (!Idle)
     return startFresh(State->Pool, Peer, Request, Body, Limits);
@@ -40,11 +54,11 @@
     return Call;
   } catch (const spindle_error &) {
     // The peer may close an idle connection just when it is used again.
-    if (!Call->closedBeforeAnswer())
+    if (Use == connection_use::PooledOnce || !Call->closedBeforeAnswer())
       throw;
   }
   Call.reset();
-  return startFresh(State->Pool, Peer, Request, Body, Limits);
+  return resend(State->Pool, Peer, Request, Body, Limits);
 }
 
 http_response
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -32,6 +32,9 @@
   /// of the answer, the call is sent once more on a new connection. Only for
   /// idempotent calls.
   PooledIdempotent,
+  /// A pooled connection if there is one, never sent twice: a connection that
+  /// closes may mean that the request has crashed its server.
+  PooledOnce,
   /// Only a connection just opened, never sent twice.
   FreshOnce,
 };
--- /dev/null
+++ b/Libraries/LibHost/caller_identity.cpp
@@ -0,0 +1,129 @@
+#include "LibHost/caller_identity.h"
+
+#include "LibConfiguration/key_decision.h"
+#include "LibCore/digest.h"
+#include "LibCore/result_code.h"
+
+#include <algorithm>
+#include <array>
+
+namespace spindle {
+
+// Fields and parameters that carry credentials in common use.
+static constexpr std::array<std::string_view, 8> CredentialFields = {
+    "Authorization", "Proxy-Authorization", "Cookie",     "X-Api-Key",
+    "Api-Key",       "X-Auth-Token",        "X-Auth-Key", "X-Access-Token"};
+static constexpr std::array<std::string_view, 6> CredentialParameters = {
+    "key", "api_key", "apikey", "api-key", "access_token", "token"};
+// Shorter texts occur by chance; keys granted by the tools are far longer.
+static constexpr std::size_t ShortestKeySearched = 8;
+
+std::string_view presentedKey(const http_request_head &Request) {
+  static constexpr std::string_view Scheme = "Bearer ";
+  const std::string_view Value = findField(Request.Fields, "Authorization");
+  if (Value.size() <= Scheme.size() ||
+      !sameFieldName(Value.substr(0, Scheme.size()), Scheme))
+    return {};
+  std::string_view Key = Value.substr(Scheme.size());
+  while (!Key.empty() && Key.front() == ' ')
+    Key.remove_prefix(1);
+  return Key;
+}
+
+caller_identity identifyCaller(const http_request_head &Request,
+                               const configuration_snapshot &Snapshot,
+                               time_point Now, time_point LastConfirmed) {
+  const std::string_view Key = presentedKey(Request);
+  if (Key.empty())
+    throw spindle_error(result_code::KeyMissing,
+                        "the request has no \"Authorization: Bearer\" key");
+  caller_identity Caller;
+  Caller.Key = std::string(Key);
+  Caller.Digest = sha256Hex(Key);
+  const key_decision Decision =
+      decideKey(Snapshot, Caller.Digest, Now, LastConfirmed);
+  if (Decision.Verdict == key_verdict::Unknown)
+    throw spindle_error(result_code::KeyUnknown, "the key is not granted");
+  if (Decision.Verdict == key_verdict::NotConfirmed)
+    throw spindle_error(
+        result_code::KeyNotConfirmed,
+        "this host can't confirm at present that the key is still granted");
+  Caller.Tenant = Decision.Tenant;
+  return Caller;
+}
+
+static bool contains(std::string_view Text, std::string_view Key) {
+  return Key.size() >= ShortestKeySearched &&
+         Text.find(Key) != std::string_view::npos;
+}
+
+template <std::size_t count>
+static bool namesCredential(const std::array<std::string_view, count> &Names,
+                            std::string_view Name) {
+  return std::any_of(
+      Names.begin(), Names.end(),
+      [Name](std::string_view Known) { return sameFieldName(Known, Name); });
+}
+
+http_fields fieldsForUpstream(const http_fields &Fields, std::string_view Key) {
+  http_fields Result;
+  for (const http_field &Field : Fields) {
+    if (namesCredential(CredentialFields, Field.Name))
+      continue;
+    // The client names the upstream itself, and answers "continue" itself.
+    if (sameFieldName(Field.Name, "Host") ||
+        sameFieldName(Field.Name, "Expect"))
+      continue;
+    if (contains(Field.Value, Key) || contains(Field.Name, Key))
+      continue;
+    Result.push_back(Field);
+  }
+  return Result;
+}
+
+/// Decodes percent escapes and "+", so that an encoded key is found too.
+static std::string decodeAll(std::string_view Text) {
+  const std::string Query = "?x=" + std::string(Text);
+  return queryParameter(Query, "x");
+}
+
+static std::string keptQuery(std::string_view Query) {
+  std::string Result;
+  while (!Query.empty()) {
+    const std::size_t End = std::min(Query.find('&'), Query.size());
+    const std::string_view Pair = Query.substr(0, End);
+    Query.remove_prefix(std::min(End + 1, Query.size()));
+    const std::string Name = decodeAll(Pair.substr(0, Pair.find('=')));
+    if (namesCredential(CredentialParameters, Name))
+      continue;
+    Result += Result.empty() ? "?" : "&";
+    Result += Pair;
+  }
+  return Result;
+}
+
+std::string targetForUpstream(std::string_view Target, std::string_view Key) {
+  std::string Result(pathOf(Target));
+  if (Result.size() < Target.size())
+    Result += keptQuery(Target.substr(Result.size() + 1));
+  std::string Decoded;
+  std::string_view Rest = Result;
+  while (!Rest.empty()) {
+    const std::size_t End = std::min(Rest.find('&'), Rest.size());
+    Decoded += decodeAll(Rest.substr(0, End));
+    Decoded += ' ';
+    Rest.remove_prefix(std::min(End + 1, Rest.size()));
+  }
+  if (contains(Result, Key) || contains(Decoded, Key))
+    throw spindle_error(result_code::BadRequest,
+                        "the request's target contains its key");
+  return Result;
+}
+
+void refuseKeyInBody(std::string_view Body, std::string_view Key) {
+  if (contains(Body, Key))
+    throw spindle_error(result_code::BadRequest,
+                        "the request's body contains its key");
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibHost/caller_identity.h
@@ -0,0 +1,45 @@
+#ifndef PARSLEYSPINDLE_LIBHOST_CALLER_IDENTITY_H
+#define PARSLEYSPINDLE_LIBHOST_CALLER_IDENTITY_H
+
+#include "LibConfiguration/configuration_snapshot.h"
+#include "LibHTTP/http_message.h"
+
+#include <string>
+#include <string_view>
+
+namespace spindle {
+
+/// Whose request it is. On a route open to all, everything may be empty.
+struct caller_identity {
+  tenant_id Tenant;
+  /// As presented; never logged and never sent on.
+  std::string Key;
+  /// SHA-256 of the key in hexadecimal.
+  std::string Digest;
+};
+
+/// Reads the key from "Authorization: Bearer KEY" and decides on it.
+/// \p LastConfirmed is when the configuration was last confirmed as newest.
+/// \throws spindle_error KeyMissing, KeyUnknown, KeyNotConfirmed.
+/// Thread-safe.
+caller_identity identifyCaller(const http_request_head &Request,
+                               const configuration_snapshot &Snapshot,
+                               time_point Now, time_point LastConfirmed);
+/// The key that a request presents, granted or not; empty if there is none.
+/// Thread-safe.
+std::string_view presentedKey(const http_request_head &Request);
+
+/// The header fields that may be sent on to an upstream: none that carries a
+/// credential, contains \p Key, or concerns only the caller's connection.
+/// Thread-safe.
+http_fields fieldsForUpstream(const http_fields &Fields, std::string_view Key);
+/// The target without query parameters that carry a credential.
+/// \throws spindle_error BadRequest if the rest contains \p Key, plain or
+/// percent-encoded. Thread-safe.
+std::string targetForUpstream(std::string_view Target, std::string_view Key);
+/// \throws spindle_error BadRequest if \p Body contains \p Key. Thread-safe.
+void refuseKeyInBody(std::string_view Body, std::string_view Key);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHOST_CALLER_IDENTITY_H
--- /dev/null
+++ b/Libraries/LibHost/host.cpp
@@ -0,0 +1,381 @@
+#include "LibHost/host.h"
+
+#include "LibEngine/http_engine.h"
+#include "LibHTTP/http_server.h"
+#include "LibHost/membership_agent.h"
+#include "LibHost/periodic_tasks.h"
+#include "LibHost/request_router.h"
+#include "LibLog/log.h"
+#include "LibPeer/host_link_server.h"
+#include "LibPlatform/http_platform.h"
+
+#include <atomic>
+#include <optional>
+
+namespace spindle {
+
+namespace {
+
+constexpr milliseconds MembershipPause{250};
+constexpr milliseconds WatchLimit{30'000};
+constexpr milliseconds PauseAfterFailedWatch{1'000};
+constexpr milliseconds GossipPause{1'000};
+constexpr milliseconds LimiterPause{100};
+constexpr milliseconds OrderSweepPause{1'000};
+constexpr milliseconds ReportPause{200};
+constexpr milliseconds LoadPause{50};
+constexpr milliseconds PinSyncPause{500};
+constexpr milliseconds SuspectSharePause{1'000};
+constexpr milliseconds SuspectPullPause{5'000};
+constexpr milliseconds DrainStepPause{100};
+// A drain ends only after no request has run for so long.
+constexpr milliseconds QuietBeforeClose{300};
+
+host_link::Sender makeSender(const host_settings &Settings,
+                             std::uint64_t Incarnation) {
+  host_link::Sender Sender;
+  Sender.set_protocol(HostLinkProtocol);
+  Sender.set_host(host_id::ofName(Settings.Name).Value);
+  Sender.set_zone(zone_id::ofName(Settings.Zone).Value);
+  Sender.set_incarnation(Incarnation);
+  return Sender;
+}
+
+http_platform_settings platformSettings(const host_settings &Settings) {
+  http_platform_settings Result;
+  Result.Servers = Settings.Platform.Servers;
+  Result.CallTimeout = Settings.Platform.CallTimeout;
+  Result.Namespace = Settings.Platform.Namespace;
+  Result.UserAgent = "spindle/" + Settings.Zone + "/" + Settings.Name;
+  return Result;
+}
+
+rate_limiter_settings limiterSettings(const host_settings &Settings) {
+  rate_limiter_settings Result;
+  Result.AdmissionWait = Settings.Timeouts.AdmissionWait;
+  return Result;
+}
+
+configuration_follower_settings
+followerSettings(const host_settings &Settings) {
+  configuration_follower_settings Result;
+  Result.PollInterval = Settings.Timeouts.ConfigurationPoll;
+  Result.PeerCallTimeout = Settings.Timeouts.PeerCall;
+  Result.Seeds = Settings.Seeds;
+  return Result;
+}
+
+order_desk_settings orderSettings() {
+  order_desk_settings Result;
+  Result.Sleep = sleepFor;
+  return Result;
+}
+
+http_server_limits serverLimits(const host_settings &Settings) {
+  http_server_limits Result;
+  Result.HeaderBytes = Settings.Limits.HeaderBytes;
+  Result.IdleTimeout = Settings.Timeouts.IdleConnection;
+  Result.ProgressTimeout = Settings.Timeouts.CallerStall;
+  return Result;
+}
+
+membership_settings membershipSettings(const host_settings &Settings,
+                                       const endpoint &Link,
+                                       std::uint64_t Incarnation) {
+  membership_settings Result;
+  Result.Name = Settings.Name;
+  Result.Zone = Settings.Zone;
+  Result.Link = Link;
+  Result.Incarnation = Incarnation;
+  Result.Boot = readBootIdentity();
+  Result.Lease = Settings.Lease;
+  Result.Seed = Incarnation;
+  return Result;
+}
+
+} // namespace
+
+struct host::state {
+  state(const runtime_clock &Clock, fiber_runtime &Runtime,
+        const host_settings &Settings, std::uint64_t Incarnation);
+  ~state();
+
+  residency_ports residencyPorts();
+  host_link_handlers linkHandlers();
+  void connectParts();
+  void applySnapshot(const snapshot_pointer &Snapshot);
+  void applyView(const membership_agent::view_pointer &View);
+  void updateUpstreams();
+  void startTasks();
+  void startConfigurationTasks();
+  void startServing();
+  bool ready() const;
+  void runDrain();
+  void waitForQuiet(time_point Until);
+
+  const runtime_clock &Clock;
+  fiber_runtime &Runtime;
+  const host_settings Settings;
+  const std::uint64_t Incarnation;
+  const host_link::Sender Self;
+  metrics Metrics;
+  http_client Client;
+  platform_port Platform;
+  host_link_port Link;
+  configuration_follower Configuration;
+  rate_limiter Limiter;
+  dispatch_queue Queue;
+  engine_table Upstreams;
+  residency_agent Residency;
+  upstream_health Health;
+  suspect_board Suspects;
+  order_desk Orders;
+  in_flight_requests InFlight;
+  request_services Services;
+  std::optional<host_link_server> LinkServer;
+  std::optional<membership_agent> Membership;
+  std::optional<http_server> MetricsServer;
+  std::optional<http_server> CallerServer;
+  std::atomic<bool> Serving{false};
+  std::atomic<bool> Draining{false};
+  std::atomic<bool> Drained{false};
+  periodic_tasks Tasks;
+};
+
+host::state::state(const runtime_clock &Clock, fiber_runtime &Runtime,
+                   const host_settings &HostSettings, std::uint64_t Incarnation)
+    : Clock(Clock), Runtime(Runtime), Settings(HostSettings),
+      Incarnation(Incarnation), Self(makeSender(Settings, Incarnation)),
+      Platform(makeHttpPlatform(Client, platformSettings(Settings))),
+      Link(makeGrpcHostLink()),
+      Configuration(Clock, Platform, Link, Self, followerSettings(Settings)),
+      Limiter(Clock, Link, Self, &Metrics, limiterSettings(Settings)),
+      Queue(Clock, &Metrics, {}),
+      Upstreams(Clock, zone_id::ofName(Settings.Zone), Incarnation),
+      Residency(Clock, residencyPorts(), Self, Upstreams, &Metrics, {}),
+      Health(Clock, &Metrics),
+      Suspects(Clock, &Metrics, {Link, Platform, Self}),
+      Orders(Clock, Platform, Incarnation, Settings.Name, orderSettings()),
+      Services{Clock,     Metrics,   Client, Configuration, Limiter, Queue,
+               Residency, Upstreams, Health, Suspects,      Orders,  InFlight},
+      Tasks(Runtime) {
+  LinkServer.emplace(Runtime, Settings.Listen.HostLink, linkHandlers());
+  Membership.emplace(
+      Clock, Platform,
+      membershipSettings(Settings, LinkServer->address(), Incarnation));
+  connectParts();
+  startServing();
+  startTasks();
+}
+
+host::state::~state() {
+  Tasks.stop();
+  CallerServer.reset();
+  MetricsServer.reset();
+  LinkServer.reset();
+}
+
+residency_ports host::state::residencyPorts() {
+  residency_ports Ports;
+  Ports.Engines = makeHttpEngine(Client);
+  Ports.Hosts = Link;
+  Ports.Budget.TryReserve = [this](time_point Now) {
+    return Limiter.tryReserveLoad(Now);
+  };
+  Ports.Budget.Settle = [this] { Limiter.settleLoad(); };
+  Ports.Spawn = [this](std::function<void()> Work) {
+    Runtime.spawn(std::move(Work));
+  };
+  return Ports;
+}
+
+host_link_handlers host::state::linkHandlers() {
+  host_link_handlers Handlers;
+  Handlers.Borrow = [this](const host_link::BorrowRequest &Request) {
+    return Limiter.handleBorrow(Request);
+  };
+  Handlers.Repay = [this](const host_link::RepayRequest &Request) {
+    return Limiter.handleRepay(Request);
+  };
+  Handlers.Pin = [this](const host_link::PinRequest &Request) {
+    return Residency.handlePin(Request);
+  };
+  Handlers.SyncPins = [this](const host_link::SyncPinsRequest &Request) {
+    return Residency.handleSyncPins(Request);
+  };
+  Handlers.Residency = [this](const host_link::ResidencyRequest &Request) {
+    return Residency.handleResidency(Request);
+  };
+  Handlers.Announce = [this](const host_link::AnnounceRequest &Request) {
+    return Configuration.handleAnnounce(Request);
+  };
+  Handlers.FetchPart = [this](const host_link::FetchPartRequest &Request) {
+    return Configuration.handleFetchPart(Request);
+  };
+  Handlers.ShareSuspects =
+      [this](const host_link::ShareSuspectsRequest &Request) {
+        return Suspects.handleShareSuspects(Request);
+      };
+  return Handlers;
+}
+
+void host::state::connectParts() {
+  Configuration.onChange(
+      [this](const snapshot_pointer &Snapshot) { applySnapshot(Snapshot); });
+  Membership->onChange(
+      [this](const membership_agent::view_pointer &View) { applyView(View); });
+}
+
+void host::state::applySnapshot(const snapshot_pointer &Snapshot) {
+  const policy_declaration &Policy = Snapshot->policy();
+  Limiter.setLoadBudget(Policy.WeightStoreLoadsPerSecond,
+                        Policy.WeightStoreLoadsInFlight);
+  Limiter.applyConfiguration(*Snapshot);
+  Queue.applyConfiguration(*Snapshot);
+  Upstreams.applyConfiguration(*Snapshot);
+  Residency.applyConfiguration(Snapshot);
+  Health.applyConfiguration(*Snapshot);
+  Suspects.applyConfiguration(*Snapshot);
+  Membership->applyConfiguration(Snapshot);
+  InFlight.cancelWithdrawn(*Snapshot);
+  // Only now is the version in force here, and may be confirmed as such.
+  Membership->setAppliedVersion(Snapshot->version());
+}
+
+void host::state::applyView(const membership_agent::view_pointer &View) {
+  Limiter.applyView(*View);
+  Configuration.applyView(*View);
+  Upstreams.applyView(*View);
+  Residency.applyView(View);
+  Suspects.applyView(View);
+}
+
+void host::state::updateUpstreams() {
+  const snapshot_pointer Snapshot = Configuration.current();
+  if (!Snapshot)
+    return;
+  engine_load_summary Load;
+  for (const upstream_declaration &Upstream : Snapshot->upstreams()) {
+    const upstream_id Id = upstream_id::ofName(Upstream.Name);
+    Upstreams.setHealth(Id, Health.weightOf(Id));
+    if (Upstream.Kind != upstream_kind::Engine)
+      continue;
+    const std::uint32_t Requests = Upstreams.load(Id);
+    const std::uint32_t Running = std::min(Requests, Upstream.BatchSize);
+    Load.BatchSlots += Upstream.BatchSize;
+    Load.Running += Running;
+    Load.Waiting += Requests - Running;
+  }
+  Queue.noteEngineLoad(Load, std::max(1U, Membership->view()->FleetHosts));
+}
+
+void host::state::startTasks() {
+  Tasks.repeat("membership", MembershipPause, [this] { Membership->tick(); });
+  Tasks.repeatVarying("machine watch", [this] {
+    return Membership->watchMachines(WatchLimit) ? milliseconds(0)
+                                                 : PauseAfterFailedWatch;
+  });
+  startConfigurationTasks();
+  Tasks.repeat("limiter", LimiterPause, [this] { Limiter.maintain(); });
+  Tasks.repeat("orders", OrderSweepPause, [this] { Orders.sweep(); });
+  Tasks.repeat("reports", ReportPause, [this] {
+    Residency.pollReports();
+    updateUpstreams();
+  });
+  Tasks.repeat("loads", LoadPause, [this] { Residency.runLoads(); });
+  Tasks.repeat("pins", PinSyncPause, [this] { Residency.syncPins(); });
+  Tasks.repeat("suspect sharing", SuspectSharePause,
+               [this] { Suspects.shareOnce(); });
+  Tasks.repeat("suspect reading", SuspectPullPause,
+               [this] { Suspects.pullOnce(); });
+}
+
+void host::state::startConfigurationTasks() {
+  Tasks.repeatVarying("configuration poll", [this] {
+    Configuration.pollOnce();
+    return Configuration.pollInterval();
+  });
+  Tasks.repeatVarying("configuration watch", [this] {
+    const bool Watched =
+        Configuration.isRelay() && Configuration.watchOnce(WatchLimit);
+    return Watched ? milliseconds(0) : PauseAfterFailedWatch;
+  });
+  Tasks.repeat("gossip", GossipPause, [this] { Configuration.gossipOnce(); });
+}
+
+void host::state::startServing() {
+  const http_handler Serve = [this](http_exchange &Exchange) {
+    routeRequest(Services, Exchange, [this] { return ready(); });
+  };
+  CallerServer.emplace(Runtime, Settings.Listen.Callers, serverLimits(Settings),
+                       Serve, writeErrorResponse);
+  const http_handler ShowMetrics = [this](http_exchange &Exchange) {
+    if (pathOf(Exchange.request().Target) != "/metrics")
+      throw spindle_error(result_code::NoRoute, "only /metrics is served here");
+    Exchange.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}},
+                     Metrics.toText());
+  };
+  MetricsServer.emplace(Runtime, Settings.Listen.Metrics, http_server_limits{},
+                        ShowMetrics, writeErrorResponse);
+  Serving.store(true);
+}
+
+bool host::state::ready() const {
+  return Serving.load() && !Draining.load() &&
+         Configuration.current() != nullptr;
+}
+
+void host::state::waitForQuiet(time_point Until) {
+  time_point QuietSince = Clock.now();
+  while (Clock.now() < Until && Clock.now() - QuietSince < QuietBeforeClose) {
+    if (CallerServer->runningExchanges() > 0)
+      QuietSince = Clock.now();
+    sleepFor(DrainStepPause);
+  }
+}
+
+void host::state::runDrain() {
+  logEvent(log_event::DrainStarted, {});
+  const time_point Until = Clock.now() + Settings.Timeouts.Drain;
+  Membership->startDrain();
+  Limiter.startDrain();
+  Residency.startDrain();
+  CallerServer->startDrain();
+  sleepFor(Settings.Timeouts.DrainDelay);
+  waitForQuiet(Until);
+  CallerServer->closeIdle();
+  waitForQuiet(Until);
+  while (Clock.now() < Until &&
+         !(Membership->enginesReleased() && Orders.unwrittenOutcomes() == 0))
+    sleepFor(DrainStepPause);
+  Membership->finishDrain();
+  while (Clock.now() < Until && !Membership->drained())
+    sleepFor(DrainStepPause);
+  logEvent(log_event::DrainFinished, {});
+  Drained.store(true);
+}
+
+host::host(const runtime_clock &Clock, fiber_runtime &Runtime,
+           const host_settings &Settings, std::uint64_t Incarnation)
+    : State(std::make_unique<state>(Clock, Runtime, Settings, Incarnation)) {}
+
+host::~host() = default;
+
+host_addresses host::addresses() const {
+  return {State->CallerServer->address(), State->LinkServer->address(),
+          State->MetricsServer->address()};
+}
+
+void host::startDrain() {
+  if (State->Draining.exchange(true))
+    return;
+  State->Runtime.spawn([this] { State->runDrain(); });
+}
+
+bool host::drained() const { return State->Drained.load(); }
+
+bool host::stopWanted() const {
+  return State->Membership->drainRequested() || State->Membership->replaced();
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibHost/model_handler.h
@@ -0,0 +1,16 @@
+#ifndef PARSLEYSPINDLE_LIBHOST_MODEL_HANDLER_H
+#define PARSLEYSPINDLE_LIBHOST_MODEL_HANDLER_H
+
+#include "LibHost/request_context.h"
+
+namespace spindle {
+
+/// Serves POST /v1/completions and /v1/chat/completions and GET /v1/models.
+/// Blocks the calling fiber until the answer is sent.
+/// \throws spindle_error whose state is true of the request; if the answer has
+/// begun, the connection must be cut.
+void handleModelRequest(request_context &Context);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHOST_MODEL_HANDLER_H
--- /dev/null
+++ b/Libraries/LibHost/periodic_tasks.cpp
@@ -0,0 +1,50 @@
+#include "LibHost/periodic_tasks.h"
+
+#include "LibLog/log.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+// Long pauses are slept in pieces, so that a stop does not wait for them.
+static constexpr milliseconds LongestSleep{100};
+
+void periodic_tasks::repeat(std::string Name, milliseconds Pause,
+                            std::function<void()> Work) {
+  repeatVarying(std::move(Name), [Pause, Work = std::move(Work)] {
+    Work();
+    return Pause;
+  });
+}
+
+void periodic_tasks::repeatVarying(std::string Name,
+                                   std::function<milliseconds()> Work) {
+  // What failed is tried again after this, whatever its usual pause.
+  static constexpr milliseconds PauseAfterFailure{500};
+  ++Running;
+  Runtime.spawn([this, Name = std::move(Name), Work = std::move(Work)] {
+    while (!Stopping.load()) {
+      milliseconds Pause = PauseAfterFailure;
+      try {
+        Pause = Work();
+      } catch (const std::exception &Error) {
+        logEvent(log_event::PeriodicTaskFailed,
+                 {{"task", Name}, {"reason", Error.what()}});
+      }
+      while (Pause.count() > 0 && !Stopping.load()) {
+        const milliseconds Step = std::min(Pause, LongestSleep);
+        sleepFor(Step);
+        Pause -= Step;
+      }
+    }
+    --Running;
+  });
+}
+
+void periodic_tasks::stop() {
+  Stopping.store(true);
+  while (Running.load() > 0)
+    sleepFor(milliseconds(1));
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibHost/request_context.cpp
@@ -0,0 +1,29 @@
+#include "LibHost/request_context.h"
+
+namespace spindle {
+
+void throwIfCancelled(const request_context &Context) {
+  const std::optional<result_code> Reason = Context.Cancellation->reason();
+  if (!Reason)
+    return;
+  throw spindle_error(*Reason, *Reason == result_code::KeyWithdrawn
+                                   ? "the key was withdrawn"
+                                   : "the caller has gone");
+}
+
+rate_charge::rate_charge(rate_limiter &Limiter, tenant_id Tenant,
+                         tokens Estimate, time_point Deadline)
+    : Limiter(Limiter),
+      Reservation(Limiter.reserve(Tenant, Estimate, Deadline)) {}
+
+rate_charge::~rate_charge() {
+  if (!Settled)
+    settle(Started ? Reservation.Reserved : tokens{0});
+}
+
+void rate_charge::settle(tokens Used) {
+  Settled = true;
+  Limiter.settle(std::move(Reservation), Used);
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibHost/request_context.h
@@ -0,0 +1,77 @@
+#ifndef PARSLEYSPINDLE_LIBHOST_REQUEST_CONTEXT_H
+#define PARSLEYSPINDLE_LIBHOST_REQUEST_CONTEXT_H
+
+#include "LibHTTP/http_client.h"
+#include "LibHTTP/http_server.h"
+#include "LibHost/caller_identity.h"
+#include "LibHost/configuration_follower.h"
+#include "LibHost/dispatch_queue.h"
+#include "LibHost/engine_table.h"
+#include "LibHost/in_flight_requests.h"
+#include "LibHost/order_desk.h"
+#include "LibHost/rate_limiter.h"
+#include "LibHost/residency_agent.h"
+#include "LibHost/suspect_board.h"
+#include "LibHost/upstream_health.h"
+#include "LibMetrics/metrics.h"
+
+namespace spindle {
+
+/// The parts of a host that serve requests. The handlers are free functions
+/// over it. Every part is thread-safe and outlives the requests.
+struct request_services {
+  const runtime_clock &Clock;
+  metrics &Metrics;
+  http_client &Client;
+  configuration_follower &Configuration;
+  rate_limiter &Limiter;
+  dispatch_queue &Queue;
+  residency_agent &Residency;
+  engine_table &Upstreams;
+  upstream_health &Health;
+  suspect_board &Suspects;
+  order_desk &Orders;
+  in_flight_requests &InFlight;
+};
+
+/// One request on its way through the host. Used by one fiber.
+struct request_context {
+  request_services &Services;
+  http_exchange &Exchange;
+  /// The configuration that the whole request is served by.
+  snapshot_pointer Snapshot;
+  const route_declaration &Route;
+  caller_identity Caller;
+  /// Ends the request early when its caller leaves or its key is withdrawn.
+  std::shared_ptr<cancellation> Cancellation;
+};
+
+/// \throws spindle_error with the reason if the request was cancelled.
+void throwIfCancelled(const request_context &Context);
+
+/// A reservation of tokens that is settled exactly once: by settle(), or as
+/// unused when the request ends without having run. Used by one fiber.
+class rate_charge {
+public:
+  /// \throws as rate_limiter::reserve().
+  rate_charge(rate_limiter &Limiter, tenant_id Tenant, tokens Estimate,
+              time_point Deadline);
+  ~rate_charge();
+  rate_charge(const rate_charge &) = delete;
+  rate_charge &operator=(const rate_charge &) = delete;
+
+  /// Notes that an attempt may have run: what is not settled counts as used.
+  void noteStarted() { Started = true; }
+  /// Replaces the reservation by what was used. Precondition: called once.
+  void settle(tokens Used);
+
+private:
+  rate_limiter &Limiter;
+  rate_reservation Reservation;
+  bool Started = false;
+  bool Settled = false;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHOST_REQUEST_CONTEXT_H
--- a/Tests/LibHTTP/test_http.cpp
+++ b/Tests/LibHTTP/test_http.cpp
@@ -1,4 +1,4 @@
-#include "LibCore/result_code.h"
+#include "LibCore/retry_after_error.h"
 #include "LibHTTP/http_client.h"
 #include "LibHTTP/http_server.h"
 
@@ -78,9 +78,8 @@
 
 TEST_CASE("a refusal carries its code, state and when to come again") {
   loopback Loopback([](http_exchange &) {
-    spindle_error Error(result_code::RateExceeded, "too much");
-    Error.setRetryAfter(std::chrono::seconds(7));
-    throw spindle_error(Error);
+    throw retry_after_error(result_code::RateExceeded, "too much",
+                            milliseconds(6'100));
   });
   const http_response Response = Loopback.call({"GET", "/", {}}, "");
   REQUIRE(Response.Head.Status == 429);
