--- /dev/null
+++ b/Libraries/LibScheduling/fair_queue.cpp
@@ -0,0 +1,287 @@
+#include "LibScheduling/fair_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace spindle {
+
+static std::int64_t chargedTokens(tokens Cost) {
+  return std::max<std::int64_t>(Cost.Count, 1);
+}
+
+/// Under Fifo all classes count as the first.
+static std::size_t classIndex(const fair_queue &Queue,
+                              const waiting_request &Request) {
+  if (Queue.Settings.Policy == queueing_policy::Fifo)
+    return 0;
+  return static_cast<std::size_t>(Request.Priority);
+}
+
+/// Under Fifo all tenants share the lane of no tenant.
+static tenant_id laneOf(const fair_queue &Queue, tenant_id Tenant) {
+  return Queue.Settings.Policy == queueing_policy::Fair ? Tenant : tenant_id{};
+}
+
+static double weightOf(const fair_queue &Queue, tenant_id Lane) {
+  const auto Found = Queue.Weights.find(Lane);
+  if (Found == Queue.Weights.end())
+    return 1;
+  return std::max<std::uint32_t>(Found->second, 1);
+}
+
+static queue_lane &findLane(fair_queue &Queue, tenant_id Id) {
+  queue_lane &Lane = Queue.Lanes[Id];
+  if (Lane.Count == 0)
+    Lane.Weight = weightOf(Queue, Id);
+  return Lane;
+}
+
+/// Moves a lane's virtual start, which also is its key among the backlogged.
+static void moveStart(fair_queue &Queue, tenant_id Id, queue_lane &Lane,
+                      double NextStart) {
+  if (Lane.Count > 0) {
+    Queue.Backlogged.erase({Lane.NextStart, Id});
+    Queue.Backlogged.insert({NextStart, Id});
+  }
+  Lane.NextStart = NextStart;
+}
+
+/// Samples of the virtual time in one CreditTime.
+static constexpr int SamplesPerCreditTime = 16;
+
+/// What the virtual time was CreditTime ago; keeps the samples for it.
+static double creditFloor(fair_queue &Queue, time_point Now) {
+  std::deque<std::pair<time_point, double>> &Samples = Queue.EarlierTimes;
+  const nanoseconds Between = Queue.Settings.CreditTime / SamplesPerCreditTime;
+  if (Between <= nanoseconds(0))
+    return Queue.VirtualTime;
+  if (Samples.empty() || Now - Samples.back().first >= Between)
+    Samples.push_back({Now, Queue.VirtualTime});
+  const time_point Oldest = Now - Queue.Settings.CreditTime;
+  while (Samples.size() > 1 && Samples[1].first <= Oldest)
+    Samples.pop_front();
+  return Samples.front().second;
+}
+
+static void insertIntoLane(fair_queue &Queue, const waiting_request &Request) {
+  const tenant_id Id = laneOf(Queue, Request.Tenant);
+  queue_lane &Lane = findLane(Queue, Id);
+  const std::size_t Class = classIndex(Queue, Request);
+  Lane.Waiting[Class].insert({Request.Enqueued, Request.Sequence});
+  Lane.WaitingTokens[Class] += chargedTokens(Request.Cost);
+  if (++Lane.Count > 1)
+    return;
+  Queue.Backlogged.insert({Lane.NextStart, Id});
+  Queue.BackloggedWeight += Lane.Weight;
+}
+
+static void eraseFromLane(fair_queue &Queue, const waiting_request &Request) {
+  const tenant_id Id = laneOf(Queue, Request.Tenant);
+  queue_lane &Lane = Queue.Lanes[Id];
+  const std::size_t Class = classIndex(Queue, Request);
+  Lane.Waiting[Class].erase({Request.Enqueued, Request.Sequence});
+  Lane.WaitingTokens[Class] -= chargedTokens(Request.Cost);
+  if (--Lane.Count > 0)
+    return;
+  Queue.Backlogged.erase({Lane.NextStart, Id});
+  Queue.BackloggedWeight -= Lane.Weight;
+}
+
+/// Takes a request out of every index.
+static waiting_request eraseRequest(fair_queue &Queue, std::uint64_t Sequence) {
+  const auto Found = Queue.Requests.find(Sequence);
+  assert(Found != Queue.Requests.end());
+  const waiting_request Request = Found->second;
+  Queue.Requests.erase(Found);
+  Queue.Deadlines.erase({Request.Deadline, Sequence});
+  --Queue.WaitingOfTenant[Request.Tenant];
+  eraseFromLane(Queue, Request);
+  if (Queue.Requests.empty())
+    noteDrained(Queue.Meter);
+  return Request;
+}
+
+void configureQueue(fair_queue &Queue, const queue_settings &Settings,
+                    std::span<const tenant_weight> Weights) {
+  for (const auto &[Sequence, Request] : Queue.Requests)
+    eraseFromLane(Queue, Request);
+  Queue.Settings = Settings;
+  Queue.Weights.clear();
+  for (const tenant_weight &Weight : Weights)
+    Queue.Weights[Weight.Tenant] = Weight.Weight;
+  for (const auto &[Sequence, Request] : Queue.Requests)
+    insertIntoLane(Queue, Request);
+  // Tenants that are no longer declared leave nothing behind.
+  std::erase_if(Queue.Lanes, [&Queue](const auto &Entry) {
+    return Entry.second.Count == 0 && Queue.Weights.count(Entry.first) == 0;
+  });
+  std::erase_if(Queue.WaitingOfTenant,
+                [](const auto &Entry) { return Entry.second == 0; });
+}
+
+/// The tokens that the lane serves before \p Request. Lower classes that have
+/// aged past it are left out, so that the estimate errs towards queueing.
+static std::int64_t tokensAhead(const fair_queue &Queue, const queue_lane &Lane,
+                                const waiting_request &Request) {
+  std::int64_t Ahead = 0;
+  for (std::size_t Class = 0; Class <= classIndex(Queue, Request); ++Class)
+    Ahead += Lane.WaitingTokens[Class];
+  return Ahead;
+}
+
+std::optional<nanoseconds> estimateWait(const fair_queue &Queue,
+                                        const waiting_request &Request,
+                                        time_point Now) {
+  const std::optional<token_rate> Rate = serviceRate(Queue.Meter, Now);
+  if (!Rate || Rate->PerSecond <= 0)
+    return std::nullopt;
+  const auto Found = Queue.Lanes.find(laneOf(Queue, Request.Tenant));
+  if (Found == Queue.Lanes.end() || Found->second.Count == 0)
+    return nanoseconds(0);
+  const queue_lane &Lane = Found->second;
+  const double Share = Lane.Weight / std::max(Queue.BackloggedWeight, 1.0);
+  const std::int64_t Ahead = tokensAhead(Queue, Lane, Request);
+  const double Seconds = static_cast<double>(Ahead) / (Rate->PerSecond * Share);
+  return std::chrono::duration_cast<nanoseconds>(
+      std::chrono::duration<double>(std::min(Seconds, 1e6)));
+}
+
+std::optional<result_code> refusalOf(const fair_queue &Queue,
+                                     const waiting_request &Request,
+                                     time_point Now) {
+  const auto Waiting = Queue.WaitingOfTenant.find(Request.Tenant);
+  const std::uint32_t Count =
+      Waiting == Queue.WaitingOfTenant.end() ? 0 : Waiting->second;
+  if (Count >= Queue.Settings.QueueLimit)
+    return result_code::QueueFull;
+  if (Request.Deadline <= Now)
+    return result_code::DeadlineUnreachable;
+  if (!Queue.Settings.RefuseEarly)
+    return std::nullopt;
+  const std::optional<nanoseconds> Wait = estimateWait(Queue, Request, Now);
+  if (Wait && Now + *Wait > Request.Deadline)
+    return result_code::DeadlineUnreachable;
+  return std::nullopt;
+}
+
+std::uint64_t pushRequest(fair_queue &Queue, waiting_request Request) {
+  Request.Sequence = ++Queue.LastSequence;
+  noteBacklogged(Queue.Meter, Request.Enqueued);
+  Queue.Requests.insert({Request.Sequence, Request});
+  Queue.Deadlines.insert({Request.Deadline, Request.Sequence});
+  ++Queue.WaitingOfTenant[Request.Tenant];
+  const tenant_id Id = laneOf(Queue, Request.Tenant);
+  queue_lane &Lane = findLane(Queue, Id);
+  const double Floor = creditFloor(Queue, Request.Enqueued);
+  if (Lane.Count == 0)
+    Lane.NextStart = std::max(Lane.NextStart, Floor);
+  insertIntoLane(Queue, Request);
+  return Request.Sequence;
+}
+
+/// Charges the lane for a start at its virtual start time.
+static void chargeLane(fair_queue &Queue, tenant_id Id, queue_lane &Lane,
+                       tokens Cost) {
+  Queue.VirtualTime = std::max(Queue.VirtualTime, Lane.NextStart);
+  const double Served = static_cast<double>(chargedTokens(Cost)) / Lane.Weight;
+  moveStart(Queue, Id, Lane, Lane.NextStart + Served);
+}
+
+/// The first request of a class whose deadline has not passed; null if none.
+static const waiting_request *firstInTime(const fair_queue &Queue,
+                                          const queue_lane &Lane,
+                                          std::size_t Class, time_point Now) {
+  for (const auto &[Arrival, Sequence] : Lane.Waiting[Class]) {
+    const waiting_request &Request = Queue.Requests.at(Sequence);
+    if (Request.Deadline > Now)
+      return &Request;
+  }
+  return nullptr;
+}
+
+/// The request that the lane starts next; null if none is in time.
+static const waiting_request *chooseInLane(fair_queue &Queue, queue_lane &Lane,
+                                           time_point Now) {
+  const waiting_request *Highest = nullptr;
+  const waiting_request *Oldest = nullptr;
+  time_point OldestRank;
+  for (std::size_t Class = 0; Class < PriorityClassCount; ++Class) {
+    const waiting_request *const First = firstInTime(Queue, Lane, Class, Now);
+    if (First == nullptr)
+      continue;
+    const int Steps = static_cast<int>(Class);
+    const time_point Rank = First->Enqueued + Steps * Queue.Settings.AgeingStep;
+    if (Highest == nullptr)
+      Highest = First;
+    if (Oldest == nullptr || Rank < OldestRank) {
+      Oldest = First;
+      OldestRank = Rank;
+    }
+  }
+  if (Highest == nullptr)
+    return nullptr;
+  const bool Ages = Oldest != Highest && Lane.AgedCredit >= 0;
+  const waiting_request *const Chosen = Ages ? Oldest : Highest;
+  const double Cost = static_cast<double>(chargedTokens(Chosen->Cost));
+  const double Share = Queue.Settings.AgedShare;
+  Lane.AgedCredit += Ages ? -Cost * (1 - Share) : Cost * Share;
+  Lane.AgedCredit = std::min(Lane.AgedCredit, 0.0);
+  return Chosen;
+}
+
+std::optional<waiting_request> popRequest(fair_queue &Queue, time_point Now) {
+  for (const auto &[Start, Id] : Queue.Backlogged) {
+    queue_lane &Lane = Queue.Lanes[Id];
+    const waiting_request *const Chosen = chooseInLane(Queue, Lane, Now);
+    if (Chosen == nullptr)
+      continue;
+    creditFloor(Queue, Now);
+    noteStarted(Queue.Meter, {chargedTokens(Chosen->Cost)}, Now);
+    const tenant_id LaneId = Id;
+    const waiting_request Request = eraseRequest(Queue, Chosen->Sequence);
+    chargeLane(Queue, LaneId, Lane, Request.Cost);
+    return Request;
+  }
+  return std::nullopt;
+}
+
+std::optional<waiting_request> takeExpired(fair_queue &Queue, time_point Now) {
+  if (Queue.Deadlines.empty() || Queue.Deadlines.begin()->first > Now)
+    return std::nullopt;
+  return eraseRequest(Queue, Queue.Deadlines.begin()->second);
+}
+
+bool cancelRequest(fair_queue &Queue, std::uint64_t Sequence) {
+  if (Queue.Requests.count(Sequence) == 0)
+    return false;
+  eraseRequest(Queue, Sequence);
+  return true;
+}
+
+void chargeStart(fair_queue &Queue, tenant_id Tenant, tokens Cost,
+                 time_point Now) {
+  const tenant_id Id = laneOf(Queue, Tenant);
+  queue_lane &Lane = findLane(Queue, Id);
+  const double Floor = creditFloor(Queue, Now);
+  if (Lane.Count == 0)
+    Lane.NextStart = std::max(Lane.NextStart, Floor);
+  chargeLane(Queue, Id, Lane, Cost);
+}
+
+void settleCharge(fair_queue &Queue, tenant_id Tenant, tokens Charged,
+                  tokens Actual) {
+  const tenant_id Id = laneOf(Queue, Tenant);
+  const auto Found = Queue.Lanes.find(Id);
+  if (Found == Queue.Lanes.end())
+    return;
+  queue_lane &Lane = Found->second;
+  const std::int64_t More = chargedTokens(Actual) - chargedTokens(Charged);
+  const double Change = static_cast<double>(More) / Lane.Weight;
+  moveStart(Queue, Id, Lane, Lane.NextStart + Change);
+}
+
+std::size_t waitingCount(const fair_queue &Queue) {
+  return Queue.Requests.size();
+}
+
+} // namespace spindle
