LibHTTP: Number a server's connections

Cause: the kernel gives ports out again, so a port doesn't tell for sure whether a connection was open before some event.

Change: connectionNumber() takes remotePort()'s place; a server numbers its connections in the order of their start.

Conclusion: a stand-in can mute the connections open at a time and no other.

--- a/Libraries/LibHTTP/beast_exchange.cpp
+++ b/Libraries/LibHTTP/beast_exchange.cpp
@@ -16,9 +16,10 @@
 beast_exchange::beast_exchange(tcp_stream &Stream, beast::flat_buffer &Buffer,
                                request_parser &Parser,
                                const http_server_limits &Limits,
-                               const std::atomic<bool> &Draining)
+                               const std::atomic<bool> &Draining,
+                               std::uint64_t Connection)
     : Stream(Stream), Buffer(Buffer), Parser(Parser), Limits(Limits),
-      Draining(Draining) {
+      Draining(Draining), Connection(Connection) {
   const http::request<http::buffer_body> &Message = Parser.get();
   Head.Method = std::string(Message.method_string());
   Head.Target = std::string(Message.target());
@@ -184,12 +185,6 @@
   return Error ? std::string() : Remote.address().to_string();
 }
 
-std::uint16_t beast_exchange::remotePort() const {
-  boost::system::error_code Error;
-  const asio::ip::tcp::endpoint Remote = Stream.socket().remote_endpoint(Error);
-  return Error ? std::uint16_t{0} : Remote.port();
-}
-
 bool beast_exchange::reusable() const {
   return Phase == phase::Finished && !closesAfter();
 }
--- a/Libraries/LibHTTP/beast_exchange.h
+++ b/Libraries/LibHTTP/beast_exchange.h
@@ -21,7 +21,7 @@
   /// \p Parser has read the header. All references must outlive the object.
   beast_exchange(tcp_stream &Stream, boost::beast::flat_buffer &Buffer,
                  request_parser &Parser, const http_server_limits &Limits,
-                 const std::atomic<bool> &Draining);
+                 const std::atomic<bool> &Draining, std::uint64_t Connection);
   ~beast_exchange() override;
 
   const http_request_head &request() const override { return Head; }
@@ -37,7 +37,7 @@
   bool callerGone() override;
   void watchCaller(std::shared_ptr<cancellation> Cancellation) override;
   std::string remoteAddress() const override;
-  std::uint16_t remotePort() const override;
+  std::uint64_t connectionNumber() const override { return Connection; }
 
   /// Tells whether the connection can carry another exchange.
   bool reusable() const;
@@ -57,6 +57,7 @@
   request_parser &Parser;
   const http_server_limits &Limits;
   const std::atomic<bool> &Draining;
+  const std::uint64_t Connection;
   http_request_head Head;
   phase Phase = phase::Waiting;
   bool ContinueSent = false;
--- a/Libraries/LibHTTP/http_server.cpp
+++ b/Libraries/LibHTTP/http_server.cpp
@@ -33,6 +33,7 @@
 
   tcp_stream Stream;
   std::size_t Thread;
+  std::uint64_t Number = 0;
   beast::flat_buffer Buffer;
   bool Idle = true;
 };
@@ -68,6 +69,7 @@
   acceptor Acceptor;
   endpoint Bound;
   std::size_t NextThread = 0;
+  std::uint64_t LastConnection = 0;
   std::atomic<bool> Draining{false};
   std::atomic<bool> Closed{false};
   std::atomic<std::size_t> Running{0};
@@ -94,6 +96,7 @@
         if (!Error) {
           const connection_pointer Connection =
               std::make_shared<server_connection>(std::move(Socket), Thread);
+          Connection->Number = ++Self->LastConnection;
           Self->add(Connection);
           Self->Runtime.spawnOn(Thread, [Self, Connection] {
             Self->serve(*Connection);
@@ -130,7 +133,7 @@
   }
   ++Running;
   beast_exchange Exchange(Connection.Stream, Connection.Buffer, Parser, Limits,
-                          Draining);
+                          Draining, Connection.Number);
   handle(Exchange);
   --Running;
   return Exchange.reusable() && !Closed.load();
@@ -166,7 +169,7 @@
   if (!TooLarge && !Malformed)
     return;
   beast_exchange Exchange(Connection.Stream, Connection.Buffer, Parser, Limits,
-                          Draining);
+                          Draining, Connection.Number);
   const spindle_error Refusal =
       TooLarge
           ? spindle_error(result_code::HeaderTooLarge,
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -60,8 +60,9 @@
   virtual void watchCaller(std::shared_ptr<cancellation> Cancellation) = 0;
   /// The caller's address.
   virtual std::string remoteAddress() const = 0;
-  /// The caller's port, which tells its connections apart; 0 if unknown.
-  virtual std::uint16_t remotePort() const { return 0; }
+  /// Numbers the server's connections in the order of their start, from 1;
+  /// 0 if unknown.
+  virtual std::uint64_t connectionNumber() const { return 0; }
 };
 
 /// Handles one exchange in a fiber of its own. A spindle_error that escapes is
