--- /dev/null
+++ b/Tests/LibResilience/test_suspect_board.cpp
@@ -0,0 +1,179 @@
+#include "LibCore/result_code.h"
+#include "LibHost/suspect_board.h"
+#include "LibHost/upstream_health.h"
+#include "Support/fake_platform.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace spindle;
+
+namespace {
+
+/// Boards of several hosts, two to a zone, that reach each other directly.
+struct board_fleet {
+  static constexpr int Hosts = 6;
+
+  board_fleet() {
+    Clock.pause();
+    for (int Host = 0; Host < Hosts; ++Host)
+      Boards.push_back(makeBoard(Host));
+    for (int Host = 0; Host < Hosts; ++Host)
+      Boards[Host]->applyView(viewOf(Host));
+  }
+
+  runtime_clock Clock;
+  fake_platform Platform;
+  std::vector<std::unique_ptr<suspect_board>> Boards;
+  /// Hosts that peers can't reach.
+  std::set<int> Cut;
+  std::size_t Messages = 0;
+
+  static zone_id zoneOf(int Host) {
+    return zone_id::ofName("zone" + std::to_string(Host / 2));
+  }
+  static host_id idOf(int Host) {
+    return host_id::ofName("host" + std::to_string(Host));
+  }
+
+  std::unique_ptr<suspect_board> makeBoard(int Host) {
+    suspect_board_ports Ports;
+    Ports.Platform = Platform.port();
+    Ports.Self.set_host(idOf(Host).Value);
+    Ports.Self.set_zone(zoneOf(Host).Value);
+    Ports.Peers.ShareSuspects =
+        [this](const endpoint &Peer,
+               const host_link::ShareSuspectsRequest &Request, milliseconds) {
+          ++Messages;
+          if (Cut.count(Peer.Port) != 0)
+            throw spindle_error(result_code::PeerUnreachable, "cut");
+          return Boards[Peer.Port]->handleShareSuspects(Request);
+        };
+    return std::make_unique<suspect_board>(Clock, nullptr, std::move(Ports));
+  }
+
+  std::shared_ptr<const host_view> viewOf(int Self) {
+    host_view View;
+    for (int Host = 0; Host < Hosts; ++Host) {
+      peer_host Peer;
+      Peer.Id = idOf(Host);
+      Peer.Zone = zoneOf(Host);
+      Peer.Link.Port = static_cast<std::uint16_t>(Host);
+      if (Host != Self)
+        View.Peers.push_back(Peer);
+    }
+    return std::make_shared<const host_view>(View);
+  }
+
+  bool holdsBack(int Host, request_fingerprint Print) {
+    try {
+      Boards[Host]->check(Print);
+      return false;
+    } catch (const spindle_error &Error) {
+      CHECK(Error.code() == result_code::RequestQuarantined);
+      CHECK(Error.state() == run_state::NotRun);
+      return true;
+    }
+  }
+
+  void lose(int Host, const char *Upstream, request_fingerprint Print) {
+    const upstream_id Id = upstream_id::ofName(Upstream);
+    REQUIRE(Boards[Host]->mayStartOn(Id, Print));
+    Boards[Host]->noteStart(Id, Print);
+    Boards[Host]->noteEnd(Id, Print, run_end::Lost);
+    Boards[Host]->shareOnce();
+  }
+};
+
+} // namespace
+
+static const request_fingerprint Print = request_fingerprint::ofName("crash");
+
+TEST_CASE("every host holds a request back after its second crash") {
+  board_fleet Fleet;
+  Fleet.lose(0, "engine0", Print);
+  for (int Host = 0; Host < board_fleet::Hosts; ++Host) {
+    CHECK(Fleet.Boards[Host]->isSuspect(Print));
+    CHECK_FALSE(Fleet.holdsBack(Host, Print));
+  }
+  // The second crash happens through another host.
+  Fleet.lose(3, "engine1", Print);
+  for (int Host = 0; Host < board_fleet::Hosts; ++Host)
+    CHECK(Fleet.holdsBack(Host, Print));
+  CHECK_FALSE(Fleet.holdsBack(0, request_fingerprint::ofName("other")));
+  SECTION("sharing without news sends nothing") {
+    const std::size_t Messages = Fleet.Messages;
+    const std::size_t Writes = Fleet.Platform.writes();
+    Fleet.Boards[0]->shareOnce();
+    CHECK(Fleet.Messages == Messages);
+    CHECK(Fleet.Platform.writes() == Writes);
+  }
+  SECTION("it runs again when it has not been asked for long enough") {
+    Fleet.Clock.advance(seconds(301));
+    CHECK_FALSE(Fleet.holdsBack(0, Print));
+    Fleet.Boards[0]->pullOnce();
+    CHECK_FALSE(Fleet.holdsBack(0, Print));
+  }
+}
+
+TEST_CASE("a host that peers can't reach learns from the platform") {
+  board_fleet Fleet;
+  Fleet.Cut = {5};
+  SECTION("though the answer to a write is lost") {
+    Fleet.Platform.setFaults({false, 1, 0});
+  }
+  SECTION("though a write fails") { Fleet.Platform.setFaults({false, 0, 1}); }
+  SECTION("though the platform was down") {
+    Fleet.Platform.setFaults({true, 0, 0});
+    Fleet.lose(1, "engine7", request_fingerprint::ofName("earlier"));
+    Fleet.Platform.setFaults({});
+  }
+  Fleet.lose(0, "engine0", Print);
+  Fleet.lose(1, "engine1", Print);
+  CHECK_FALSE(Fleet.Boards[5]->isSuspect(Print));
+  Fleet.Boards[0]->shareOnce();
+  Fleet.Boards[1]->shareOnce();
+  Fleet.Boards[5]->pullOnce();
+  CHECK(Fleet.holdsBack(5, Print));
+}
+
+TEST_CASE("the health of upstreams follows outcomes and budgets") {
+  runtime_clock Clock;
+  Clock.pause();
+  intent Intent;
+  Intent.Policy.RetryPercent = 0;
+  Intent.Tenants.push_back({"a", {}, {}});
+  for (const char *Name : {"e0", "e1", "e2"}) {
+    upstream_declaration Upstream;
+    Upstream.Name = Name;
+    Upstream.Zone = "z";
+    Intent.Upstreams.push_back(Upstream);
+  }
+  upstream_health Health(Clock, nullptr);
+  Health.applyConfiguration(configuration_snapshot(1, Intent));
+  const upstream_id First = upstream_id::ofName("e0");
+  for (int Call = 0; Call < 5; ++Call)
+    Health.noteOutcome(First, call_outcome::Failure);
+  CHECK(Health.weightOf(First) == 0);
+  CHECK(Health.weightOf(upstream_id::ofName("e1")) == 1);
+
+  const tenant_id Tenant = tenant_id::ofName("a");
+  const time_point Deadline = Clock.now() + seconds(60);
+  call_progress Progress;
+  Progress.Idempotent = true;
+  noteFailedAttempt(Progress, attempt_failure::NotConnected, false);
+  int Retries = 0;
+  while (
+      Health.mayRetry(Tenant, Progress, attempt_failure::NotConnected, Deadline)
+          .Action == retry_action::Retry)
+    ++Retries;
+  CHECK(Retries == 3);
+  // A new configuration does not refill a budget.
+  Health.applyConfiguration(configuration_snapshot(2, Intent));
+  CHECK(
+      Health.mayRetry(Tenant, Progress, attempt_failure::NotConnected, Deadline)
+          .Code == result_code::RetryBudgetExhausted);
+}
