--- a/Libraries/LibHost/host.cpp
+++ b/Libraries/LibHost/host.cpp
@@ -109,7 +109,7 @@
   void startTasks();
   void startConfigurationTasks();
   void startServing();
-  bool ready() const;
+  bool ready();
   void runDrain();
   void waitForQuiet(time_point Until);
 
@@ -137,6 +137,7 @@
   std::optional<http_server> MetricsServer;
   std::optional<http_server> CallerServer;
   std::atomic<bool> Serving{false};
+  std::atomic<bool> HadShare{false};
   std::atomic<bool> Draining{false};
   std::atomic<bool> Drained{false};
   periodic_tasks Tasks;
@@ -320,9 +321,14 @@
   Serving.store(true);
 }
 
-bool host::state::ready() const {
-  return Serving.load() && !Draining.load() &&
-         Configuration.current() != nullptr;
+bool host::state::ready() {
+  if (!Serving.load() || Draining.load() || !Configuration.current())
+    return false;
+  // A host that has just started waits for its share; one that can't get any
+  // still serves what other hosts lend it.
+  if (Limiter.holdsShare() || !Membership->view()->PlatformReachable)
+    HadShare.store(true);
+  return HadShare.load();
 }
 
 void host::state::waitForQuiet(time_point Until) {
--- a/Libraries/LibHost/model_handler.cpp
+++ b/Libraries/LibHost/model_handler.cpp
@@ -5,6 +5,10 @@
 #include "LibEngine/event_stream_reader.h"
 #include "LibHost/upstream_attempt.h"
 
+#include <array>
+#include <charconv>
+#include <random>
+
 #include <nlohmann/json.hpp>
 
 namespace spindle {
@@ -26,6 +30,8 @@
   completion_request Request;
   adapter_view Adapter;
   std::string AdapterName;
+  /// Differs at each attempt.
+  std::string RequestId;
   std::uint32_t MaxTokens = DefaultMaxTokens;
   priority_class Priority = priority_class::Plain;
   request_fingerprint Fingerprint;
@@ -54,6 +60,15 @@
                            Body.dump());
 }
 
+/// Returns an id that no other request of the fleet has, but by chance.
+std::string newRequestId() {
+  thread_local std::mt19937_64 Generator{std::random_device{}()};
+  std::array<char, 20> Text{};
+  const std::to_chars_result End =
+      std::to_chars(Text.data(), Text.data() + Text.size(), Generator(), 16);
+  return {Text.data(), End.ptr};
+}
+
 adapter_view findAdapter(const request_context &Context,
                          std::string_view Model) {
   const std::optional<adapter_view> Adapter =
@@ -113,11 +128,15 @@
   return Context.Services.Residency.acquire(Wanted);
 }
 
-http_request_head upstreamHead(const request_context &Context) {
+/// \p RequestId comes back at the end of the answer's id, which shows that it
+/// is the answer to this attempt.
+http_request_head upstreamHead(const request_context &Context,
+                               const std::string &RequestId) {
   http_request_head Head;
   Head.Method = "POST";
   Head.Target = std::string(pathOf(Context.Exchange.request().Target));
-  Head.Fields = {{"Content-Type", "application/json"}};
+  Head.Fields = {{"Content-Type", "application/json"},
+                 {"X-Request-Id", RequestId}};
   return Head;
 }
 
@@ -140,7 +159,7 @@
 
 tokens passWhole(request_context &Context, const model_run &Run,
                  http_call &Call) {
-  answer_verifier Verifier(Run.AdapterName);
+  answer_verifier Verifier(Run.AdapterName, Run.RequestId);
   const std::string Body = Call.readAll(AnswerLimitBytes);
   Verifier.acceptWhole(Body);
   throwIfCancelled(Context);
@@ -158,7 +177,7 @@
 /// Passes on verified events, those of one read together.
 tokens passEvents(request_context &Context, const model_run &Run,
                   upstream_attempt &Attempt, http_call &Call) {
-  answer_verifier Verifier(Run.AdapterName);
+  answer_verifier Verifier(Run.AdapterName, Run.RequestId);
   event_stream_reader Reader;
   std::string Accepted;
   char Space[ReadBytes];
@@ -199,10 +218,11 @@
   request_services &Services = Context.Services;
   const std::string Body =
       upstreamBody(Run.Request, Run.AdapterName, Run.MaxTokens, Run.Priority);
+  Run.RequestId = newRequestId();
   Charge.noteStarted();
   const std::unique_ptr<http_call> Call = Services.Client.start(
-      Pin.Address, upstreamHead(Context), Body, limitsFor(Context, Pin.Engine),
-      connectionFor(Context, Pin.Engine, true));
+      Pin.Address, upstreamHead(Context, Run.RequestId), Body,
+      limitsFor(Context, Pin.Engine), connectionFor(Context, Pin.Engine, true));
   const int Status = Call->head().Status;
   if (Status == HttpNotFound || Status == HttpTooManyRequests ||
       Status >= FirstServerError)
--- a/Services/spindled/main.cpp
+++ b/Services/spindled/main.cpp
@@ -104,7 +104,7 @@
             << std::endl;
 }
 
-void serveUntilStopped(const host_settings &Settings, const sigset_t &Signals) {
+[[noreturn]] void serveUntilStopped(const host_settings &Settings, const sigset_t &Signals) {
   const runtime_clock Clock;
   std::random_device Random;
   const std::uint64_t Incarnation =
@@ -122,6 +122,9 @@
       logEvent(log_event::StoppedAtOnce, {});
       _exit(ExitFailure);
     }
+  // All is handed over and answered. Waiting for open watches of the platform
+  // would only delay the end.
+  _exit(EXIT_SUCCESS);
 }
 
 } // namespace
@@ -152,7 +155,6 @@
     logEvent(log_event::ProcessStarted,
              {{"host", Settings.Name}, {"zone", Settings.Zone}});
     serveUntilStopped(Settings, Signals);
-    return EXIT_SUCCESS;
   } catch (const std::exception &Error) {
     std::cerr << "spindled: " << Error.what() << "\n";
     return ExitUsage;
