--- a/Services/spindled/main.cpp
+++ b/Services/spindled/main.cpp
@@ -104,7 +104,8 @@
             << std::endl;
 }
 
-[[noreturn]] void serveUntilStopped(const host_settings &Settings, const sigset_t &Signals) {
+[[noreturn]] void serveUntilStopped(const host_settings &Settings,
+                                    const sigset_t &Signals) {
   const runtime_clock Clock;
   std::random_device Random;
   const std::uint64_t Incarnation =
