Tests: Try the platform's adapter and the stand-ins' models

Cause: the adapter and the models had been tried by hand only.

Change: the adapter runs against the stand-in over loopback: conditional writes, lost answers, each fault, change of server, watches that deliver, are too old, are silent or kept by bookmarks. Properties replay the store's history and drive the engine's batch through random histories.

--- a/StandIns/platform_stand_in/platform_faults.h
+++ b/StandIns/platform_stand_in/platform_faults.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace spindle {
 
 /// The faults that are switched on; platform_server says what they do.
@@ -34,6 +36,12 @@
 bool takeLoss(const platform_faults &Faults, std::int64_t &Count,
               std::string_view Kind);
 
+/// Writes all faults as the switches of /control. Thread-safe.
+nlohmann::json toSwitches(const platform_faults &Faults);
+/// Reads what toSwitches() writes. Thread-safe.
+/// \throws nlohmann::json::exception if a switch is missing.
+platform_faults fromSwitches(const nlohmann::json &Switches);
+
 } // namespace spindle
 
 #endif // PARSLEYSPINDLE_STANDINS_PLATFORM_STAND_IN_PLATFORM_FAULTS_H
--- a/StandIns/platform_stand_in/platform_server.cpp
+++ b/StandIns/platform_stand_in/platform_server.cpp
@@ -4,69 +4,13 @@
 #include "LibPlatform/platform_message.h"
 #include "LibRuntime/fiber_runtime.h"
 #include "LibStandIn/json_exchange.h"
-#include "platform_stand_in/platform_faults.h"
-
-#include <map>
-#include <mutex>
-
-#include <boost/fiber/condition_variable.hpp>
+#include "platform_stand_in/platform_state.h"
 
 namespace spindle {
 
 using nlohmann::json;
 using lock = std::unique_lock<std::mutex>;
 
-namespace {
-
-/// What a path of the API names; an empty name stands for the collection.
-struct object_path {
-  std::string Kind;
-  std::string Name;
-};
-
-/// One call, its body read.
-struct api_call {
-  http_exchange &Exchange;
-  object_path Path;
-  platform_object Object;
-};
-
-} // namespace
-
-struct platform_server::state {
-  explicit state(const platform_server_settings &Settings)
-      : Settings(Settings), Store(Settings.HistoryEvents),
-        Weights(Settings.Weights) {
-    Faults.Rates = Settings.Rates;
-  }
-
-  void serveApi(http_exchange &Exchange);
-  bool passFaults(http_exchange &Exchange);
-  void serveRead(const api_call &Call);
-  void serveWrite(const api_call &Call);
-  store_result write(const api_call &Call);
-  void serveWatch(const api_call &Call);
-  void streamChanges(const api_call &Call, std::uint64_t From);
-  std::vector<std::string> nextLines(const api_call &Call, std::uint64_t &From,
-                                     time_point Deadline, bool &Ended);
-  bool admit(const api_call &Call, call_kind Kind);
-  bool cut(const http_exchange &Exchange);
-  json readSwitches();
-  void applySwitches(const json &Switches);
-  json counts();
-  void serveWeights(http_exchange &Exchange);
-  boost::fibers::condition_variable_any &changed(const std::string &Kind);
-
-  const platform_server_settings Settings;
-  std::mutex Mutex;
-  object_store Store;
-  rate_meter Meter;
-  weight_store Weights;
-  platform_faults Faults;
-  /// Signalled at each write of a kind. Entries are never removed.
-  std::map<std::string, boost::fibers::condition_variable_any> Changed;
-};
-
 static std::optional<object_path> parsePath(std::string_view Target) {
   std::string_view Path = pathOf(Target);
   if (!Path.starts_with(PlatformPathPrefix))
@@ -231,7 +175,7 @@
       return Call.Exchange.abort();
     Result = write(Call);
     if (Result.Status == store_status::Done)
-      changed(Call.Path.Kind).notify_all();
+      Changed[Call.Path.Kind].notify_all();
     if (takeLoss(Faults, Faults.LoseAnswers, Call.Path.Kind))
       return Call.Exchange.abort();
   }
@@ -241,157 +185,8 @@
   respondText(Call.Exchange, Status, writeObject(Result.Object));
 }
 
-boost::fibers::condition_variable_any &
-platform_server::state::changed(const std::string &Kind) {
-  return Changed[Kind];
-}
-
-void platform_server::state::serveWatch(const api_call &Call) {
-  const std::string &Target = Call.Exchange.request().Target;
-  std::uint64_t From = 0;
-  try {
-    From = std::stoull(queryParameter(Target, "resourceVersion"));
-  } catch (const std::exception &) {
-    return respondError(Call.Exchange, 400, "resourceVersion is not a number");
-  }
-  {
-    const lock Lock(Mutex);
-    std::vector<platform_event> Unused;
-    if (Store.changesSince(Call.Path.Kind, From, Unused) ==
-        store_status::Done) {
-      Meter.watchStarted();
-      Unused.clear();
-    } else {
-      From = 0;
-    }
-  }
-  if (From == 0 && queryParameter(Target, "resourceVersion") != "0")
-    return respondError(Call.Exchange, 410, "the version is no longer kept");
-  try {
-    streamChanges(Call, From);
-  } catch (const std::exception &) {
-    // The caller has gone.
-    Call.Exchange.abort();
-  }
-  const lock Lock(Mutex);
-  Meter.watchEnded();
-}
-
-static std::string_view typeName(platform_change Change) {
-  switch (Change) {
-  case platform_change::Added:
-    return "ADDED";
-  case platform_change::Modified:
-    return "MODIFIED";
-  case platform_change::Deleted:
-    return "DELETED";
-  }
-  return "";
-}
-
-static std::string eventLine(const platform_event &Event) {
-  return "{\"type\":\"" + std::string(typeName(Event.Change)) +
-         "\",\"object\":" + writeObject(Event.Object) + "}\n";
-}
-
-/// Waits for changes after \p From and returns their lines, or a bookmark.
-/// Sets \p Ended at the watch's end and returns the error's line, if any.
-std::vector<std::string> platform_server::state::nextLines(const api_call &Call,
-                                                           std::uint64_t &From,
-                                                           time_point Deadline,
-                                                           bool &Ended) {
-  lock Lock(Mutex);
-  const std::int64_t CloseEpoch = Faults.CloseWatches;
-  const time_point BookmarkAt =
-      std::min(boot_clock::now() + Settings.BookmarkInterval, Deadline);
-  while (true) {
-    std::vector<platform_event> Events;
-    const bool Silent =
-        Faults.StaleWatch || Faults.Hang ||
-        isCut(Faults, findField(Call.Exchange.request().Fields, "User-Agent"));
-    if (Faults.Down || Faults.CloseWatches != CloseEpoch) {
-      Ended = true;
-      return {};
-    }
-    if (!Silent && Store.changesSince(Call.Path.Kind, From, Events) !=
-                       store_status::Done) {
-      Ended = true;
-      return {"{\"type\":\"ERROR\",\"object\":{\"kind\":\"Status\","
-              "\"code\":410}}\n"};
-    }
-    if (!Events.empty()) {
-      std::vector<std::string> Lines;
-      for (const platform_event &Event : Events)
-        Lines.push_back(eventLine(Event));
-      From = Events.back().Object.Version;
-      return Lines;
-    }
-    const time_point Now = boot_clock::now();
-    Ended = Now >= Deadline && !Silent;
-    if (Now >= BookmarkAt && !Silent) {
-      From = Store.version();
-      return {"{\"type\":\"BOOKMARK\",\"object\":{\"kind\":\"\",\"metadata\":{"
-              "\"resourceVersion\":\"" +
-              std::to_string(From) + "\"}}}\n"};
-    }
-    const nanoseconds Wait =
-        Silent ? nanoseconds(milliseconds(50)) : BookmarkAt - Now;
-    changed(Call.Path.Kind).wait_for(Lock, Wait);
-    if (Silent && Call.Exchange.callerGone()) {
-      Ended = true;
-      return {};
-    }
-  }
-}
-
-void platform_server::state::streamChanges(const api_call &Call,
-                                           std::uint64_t From) {
-  const std::string Limit =
-      queryParameter(Call.Exchange.request().Target, "timeoutSeconds");
-  const time_point Deadline =
-      boot_clock::now() + seconds(Limit.empty() ? 300 : std::stol(Limit));
-  http_response_head Head;
-  Head.Fields.push_back({"Content-Type", "application/json"});
-  Call.Exchange.startStream(Head);
-  bool Ended = false;
-  while (!Ended)
-    for (const std::string &Line : nextLines(Call, From, Deadline, Ended))
-      Call.Exchange.writeSome(Line);
-  Call.Exchange.finishStream();
-}
-
-json platform_server::state::readSwitches() {
-  const lock Lock(Mutex);
-  return {{"down", Faults.Down},
-          {"hang", Faults.Hang},
-          {"stale_watch", Faults.StaleWatch},
-          {"slow_ms", Faults.Slow.count()},
-          {"lose_writes", Faults.LoseWrites},
-          {"lose_answers", Faults.LoseAnswers},
-          {"lose_kind", Faults.LoseKind},
-          {"close_watches", Faults.CloseWatches},
-          {"drop_history", Faults.DropHistory},
-          {"cut_zones", Faults.CutZones},
-          {"cut_hosts", Faults.CutHosts},
-          {"reads_per_second", Faults.Rates.ReadsPerSecond},
-          {"writes_per_second", Faults.Rates.WritesPerSecond}};
-}
-
 void platform_server::state::applySwitches(const json &Switches) {
-  platform_faults New;
-  Switches.at("down").get_to(New.Down);
-  Switches.at("hang").get_to(New.Hang);
-  Switches.at("stale_watch").get_to(New.StaleWatch);
-  New.Slow = milliseconds(Switches.at("slow_ms").get<std::int64_t>());
-  Switches.at("lose_writes").get_to(New.LoseWrites);
-  Switches.at("lose_answers").get_to(New.LoseAnswers);
-  Switches.at("lose_kind").get_to(New.LoseKind);
-  Switches.at("close_watches").get_to(New.CloseWatches);
-  Switches.at("drop_history").get_to(New.DropHistory);
-  Switches.at("cut_zones").get_to(New.CutZones);
-  Switches.at("cut_hosts").get_to(New.CutHosts);
-  Switches.at("reads_per_second").get_to(New.Rates.ReadsPerSecond);
-  Switches.at("writes_per_second").get_to(New.Rates.WritesPerSecond);
+  platform_faults New = fromSwitches(Switches);
   const lock Lock(Mutex);
   if (New.DropHistory > Faults.DropHistory)
     Store.dropHistory();
@@ -436,7 +231,11 @@
   const std::string_view Path = pathOf(Exchange.request().Target);
   if (Path == "/control")
     return serveControl(
-        Exchange, [this] { return State->readSwitches(); },
+        Exchange,
+        [this] {
+          const lock Lock(State->Mutex);
+          return toSwitches(State->Faults);
+        },
         [this](const json &Switches) { State->applySwitches(Switches); });
   if (Path == "/control/counts")
     return respondJson(Exchange, 200, State->counts());
