--- /dev/null
+++ b/Libraries/LibLoad/load_scenario.cpp
@@ -0,0 +1,161 @@
+#include "LibLoad/load_scenario.h"
+
+#include "LibSettings/field_table.h"
+
+namespace spindle {
+
+template <typename record>
+static field<record> numberField(std::string Name, double record::*Member,
+                                 std::string Unit, double Least, double Most,
+                                 std::string Meaning, bool Required = false) {
+  return makeField<record>(
+      {std::move(Name), "number", std::move(Unit),
+       std::to_string(Least) + ".." + std::to_string(Most), std::move(Meaning),
+       Required},
+      Member,
+      [Least, Most](const nlohmann::json &Value) {
+        return readNumber(Value, Least, Most);
+      },
+      [](double Value) { return Value; });
+}
+
+static const field_table<load_tenant> &tenantFields() {
+  using record = load_tenant;
+  static const field_table<record> Table = {
+      textField<record>("name", &record::Name, "The tenant.", true),
+      textField<record>("key", &record::Key, "The callers' key.", true),
+      textField<record>("adapterPrefix", &record::AdapterPrefix,
+                        "The start of its adapters' names.", true),
+      integerField<record>("adapters", &record::Adapters, "", 1, 1'000'000,
+                           "How many adapters it has."),
+      textField<record>("version", &record::Version, "Their version."),
+      numberField<record>("part", &record::Part, "", 0, 1e6,
+                          "Its part of the arrivals."),
+      numberField<record>("ratePerSecond", &record::RatePerSecond, "tokens/s",
+                          0.001, 1e9, "Its rate, as in the intent."),
+      numberField<record>("burst", &record::BurstTokens, "tokens", 1, 1e12,
+                          "Its burst, as in the intent."),
+  };
+  return Table;
+}
+
+static const field_table<load_class> &classFields() {
+  using record = load_class;
+  static const field_table<record> Table = {
+      choiceField<record>("class", &record::Class,
+                          {{"rush", priority_class::Rush},
+                           {"chat", priority_class::Chat},
+                           {"plain", priority_class::Plain},
+                           {"batch", priority_class::Batch}},
+                          "The class.", true),
+      numberField<record>("part", &record::Part, "", 0, 1e6,
+                          "Its part of the arrivals."),
+      numberField<record>("promptTokens", &record::PromptTokens, "tokens", 1,
+                          1e6, "The mean length of a prompt."),
+      numberField<record>("answerTokens", &record::AnswerTokens, "tokens", 1,
+                          1e6, "The mean length of an answer."),
+      flagField<record>("preamble", &record::Preamble,
+                        "Whether prompts begin with the common preamble."),
+  };
+  return Table;
+}
+
+static const field_table<load_event> &eventFields() {
+  using record = load_event;
+  static const field_table<record> Table = {
+      numberField<record>("atSeconds", &record::AtSeconds, "s", 0, 3'600,
+                          "When.", true),
+      textField<record>("target", &record::Target,
+                        "The program's name in the list of targets.", true),
+      makeField<record>(
+          {"control", "object", "", "",
+           "The switches of a stand-in; none: SIGTERM.", false},
+          &record::Control,
+          [](const nlohmann::json &Value) { return Value.dump(); },
+          [](const std::string &Text) { return Text; }),
+  };
+  return Table;
+}
+
+static const field_table<load_scenario> &scenarioFields() {
+  using record = load_scenario;
+  static const field_table<record> Table = {
+      textField<record>("name", &record::Name, "The scenario.", true),
+      textField<record>("meaning", &record::Meaning, "What it shows."),
+      numberField<record>("seconds", &record::Seconds, "s", 0.1, 600,
+                          "How long requests arrive."),
+      numberField<record>("requestsPerSecond", &record::RequestsPerSecond,
+                          "requests/s", 0, 1e5, "Arrivals of completions."),
+      numberField<record>("ordersPerSecond", &record::OrdersPerSecond,
+                          "requests/s", 0, 1e5, "Arrivals of orders."),
+      numberField<record>("stockChecksPerSecond", &record::StockChecksPerSecond,
+                          "requests/s", 0, 1e5,
+                          "Arrivals of idempotent calls."),
+      numberField<record>("crashesPerSecond", &record::CrashesPerSecond,
+                          "requests/s", 0, 100,
+                          "Repeats of one request that crashes engines."),
+      numberField<record>("zipfExponent", &record::ZipfExponent, "", 0, 5,
+                          "How skewed the popularity of adapters is."),
+      numberField<record>("driftSeconds", &record::DriftSeconds, "s", 0, 3'600,
+                          "Time between changes of popularity; 0: never."),
+      integerField<record>("driftRanks", &record::DriftRanks, "", 0, 100'000,
+                           "How far popularity moves at a change."),
+      integerField<record>("heavyTenant", &record::HeavyTenant, "", -1, 1'000,
+                           "The tenant, from 0, that sends more; -1: none."),
+      numberField<record>("heavyTimes", &record::HeavyTimes, "", 0, 1'000,
+                          "How many times its part it sends."),
+      numberField<record>("firstHostPart", &record::FirstHostPart, "", 0, 1,
+                          "The part that goes to the first host in any case."),
+      recordListField<record>("events", &record::Events, eventFields(),
+                              "What happens to programs meanwhile."),
+  };
+  return Table;
+}
+
+static const field_table<load_scenarios> &fileFields() {
+  using record = load_scenarios;
+  static const field_table<record> Table = {
+      integerField<record>("seed", &record::Seed, "", 0, 1'000'000'000,
+                           "Where all random choices start."),
+      integerField<record>("preambleTokens", &record::PreambleTokens, "tokens",
+                           0, 100'000, "The length of the common preamble."),
+      textField<record>("crashMark", &record::CrashMark,
+                        "The text that crashes an engine stand-in."),
+      textField<record>("orderPath", &record::OrderPath, "Where orders go."),
+      textField<record>("stockPath", &record::StockPath,
+                        "Where stock checks go."),
+      recordListField<record>("tenants", &record::Tenants, tenantFields(),
+                              "The tenants.", true),
+      recordListField<record>("classes", &record::Classes, classFields(),
+                              "The classes.", true),
+      recordListField<record>("scenarios", &record::Scenarios, scenarioFields(),
+                              "The scenarios.", true),
+  };
+  return Table;
+}
+
+load_scenarios parseScenarios(std::string_view Text,
+                              std::string_view FileName) {
+  const nlohmann::json Root =
+      parseJsonText(Text, FileName, result_code::InvalidSettings);
+  const json_places Places = findPlaces(Text);
+  std::vector<input_problem> Problems = Places.Duplicates;
+  load_scenarios Scenarios =
+      readRecord(Root, fileFields(), field_context{"", Problems});
+  if (Scenarios.Tenants.empty())
+    Problems.push_back({"tenants", "must not be empty"});
+  if (Scenarios.Classes.empty())
+    Problems.push_back({"classes", "must not be empty"});
+  for (std::size_t Index = 0; Index < Scenarios.Scenarios.size(); ++Index)
+    if (Scenarios.Scenarios[Index].HeavyTenant >=
+        static_cast<int>(Scenarios.Tenants.size()))
+      Problems.push_back(
+          {"scenarios[" + std::to_string(Index) + "].heavyTenant",
+           "names no tenant"});
+  if (!Problems.empty())
+    throw spindle_error(result_code::InvalidSettings,
+                        describeProblems(Problems, FileName, Text, Places));
+  return Scenarios;
+}
+
+} // namespace spindle
