LibHTTP: Bound connections, headers in time, and idle connections

Cause: the settings name these bounds and nothing applied them. Change: a limit on callers' connections, a deadline from a request's first byte to the end of its header apart from the idle timeout, and settable idle connections a peer; the connect timeout reaches calls to upstreams.

--- a/Libraries/LibHTTP/connection_pool.cpp
+++ b/Libraries/LibHTTP/connection_pool.cpp
@@ -4,7 +4,6 @@
 
 // Below the idle timeout of common servers, so that they rarely close first.
 static constexpr seconds MostIdleTime{30};
-static constexpr std::size_t MostIdleConnections = 256;
 
 client_connection_pointer connection_pool::takeLast(const endpoint &Peer) {
   const std::lock_guard<std::mutex> Lock(Mutex);
@@ -51,7 +50,7 @@
   Connection->Stream.expires_never();
   const std::lock_guard<std::mutex> Lock(Mutex);
   idle_list &List = Idle[{&currentIoContext(), Connection->Peer}];
-  if (List.size() < MostIdleConnections)
+  if (List.size() < MostIdle)
     List.push_back(std::move(Connection));
 }
 
--- a/Libraries/LibHTTP/connection_pool.h
+++ b/Libraries/LibHTTP/connection_pool.h
@@ -13,6 +13,9 @@
 /// Idle connections by event loop and peer. Thread-safe in every method.
 class connection_pool {
 public:
+  /// \p MostIdle bounds the idle connections a thread and peer.
+  explicit connection_pool(std::size_t MostIdle) : MostIdle(MostIdle) {}
+
   /// Takes an idle connection of the calling thread that looks alive; null if
   /// there is none. Precondition: onRuntimeThread().
   client_connection_pointer take(const endpoint &Peer);
@@ -33,6 +36,7 @@
   client_connection_pointer takeLast(const endpoint &Peer);
   bool usable(client_connection &Connection);
 
+  const std::size_t MostIdle;
   mutable std::mutex Mutex;
   std::map<std::pair<loop_key, endpoint>, idle_list> Idle;
   std::map<endpoint, std::uint64_t> SuspicionCounts;
--- a/Libraries/LibHTTP/http_client.cpp
+++ b/Libraries/LibHTTP/http_client.cpp
@@ -6,10 +6,13 @@
 namespace spindle {
 
 struct http_client::state {
-  std::shared_ptr<connection_pool> Pool = std::make_shared<connection_pool>();
+  std::shared_ptr<connection_pool> Pool;
 };
 
-http_client::http_client() : State(std::make_shared<state>()) {}
+http_client::http_client(std::size_t MostIdlePerPeer)
+    : State(std::make_shared<state>()) {
+  State->Pool = std::make_shared<connection_pool>(MostIdlePerPeer);
+}
 http_client::~http_client() = default;
 
 static std::unique_ptr<beast_call>
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -68,7 +68,8 @@
 /// Destroy a client before the runtime, when no fiber uses it.
 class http_client {
 public:
-  http_client();
+  /// \p MostIdlePerPeer bounds the idle connections a thread and peer.
+  explicit http_client(std::size_t MostIdlePerPeer = 64);
   ~http_client();
   http_client(const http_client &) = delete;
   http_client &operator=(const http_client &) = delete;
--- a/Libraries/LibHTTP/http_server.cpp
+++ b/Libraries/LibHTTP/http_server.cpp
@@ -44,6 +44,7 @@
 
 // A client that connects and goes away at once should not use up the backlog.
 static constexpr int ListenBacklog = 1024;
+static constexpr std::size_t FirstReadBytes = 4096;
 
 struct http_server::state {
   state(fiber_runtime &Runtime, http_server_limits Limits, http_handler Handler,
@@ -54,11 +55,13 @@
   void listen(const endpoint &Address);
   void accept(const std::shared_ptr<state> &Self);
   void serve(server_connection &Connection);
+  bool waitForRequest(server_connection &Connection);
   bool serveOne(server_connection &Connection);
   void handle(beast_exchange &Exchange);
   void rejectHeader(server_connection &Connection, request_parser &Parser,
                     boost::system::error_code Error);
-  void add(const connection_pointer &Connection);
+  /// Returns false if there are too many connections already.
+  bool add(const connection_pointer &Connection);
   void remove(const connection_pointer &Connection);
   void closeConnections(bool OnlyIdle);
 
@@ -97,11 +100,11 @@
           const connection_pointer Connection =
               std::make_shared<server_connection>(std::move(Socket), Thread);
           Connection->Number = ++Self->LastConnection;
-          Self->add(Connection);
-          Self->Runtime.spawnOn(Thread, [Self, Connection] {
-            Self->serve(*Connection);
-            Self->remove(Connection);
-          });
+          if (Self->add(Connection))
+            Self->Runtime.spawnOn(Thread, [Self, Connection] {
+              Self->serve(*Connection);
+              Self->remove(Connection);
+            });
         }
         Self->accept(Self);
       });
@@ -117,16 +120,33 @@
   Connection.Stream.close();
 }
 
+/// Waits for the first byte of the next request; false if none comes.
+bool http_server::state::waitForRequest(server_connection &Connection) {
+  if (Connection.Buffer.size() == 0) {
+    Connection.Stream.expires_after(Limits.IdleTimeout);
+    const io_result Read = awaitIo([&](auto Handler) {
+      Connection.Stream.async_read_some(
+          Connection.Buffer.prepare(FirstReadBytes), std::move(Handler));
+    });
+    if (Read.Error)
+      return false;
+    Connection.Buffer.commit(Read.Bytes);
+  }
+  Connection.Idle = false;
+  return true;
+}
+
 bool http_server::state::serveOne(server_connection &Connection) {
   request_parser Parser;
   Parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
   Parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-  Connection.Stream.expires_after(Limits.IdleTimeout);
+  if (!waitForRequest(Connection))
+    return false;
+  Connection.Stream.expires_after(Limits.HeaderTimeout);
   const io_result Read = awaitIo([&](auto Handler) {
     http::async_read_header(Connection.Stream, Connection.Buffer, Parser,
                             std::move(Handler));
   });
-  Connection.Idle = false;
   if (Read.Error) {
     rejectHeader(Connection, Parser, Read.Error);
     return false;
@@ -184,9 +204,12 @@
   }
 }
 
-void http_server::state::add(const connection_pointer &Connection) {
+bool http_server::state::add(const connection_pointer &Connection) {
   const std::lock_guard<std::mutex> Lock(Mutex);
+  if (Connections.size() >= Limits.Connections)
+    return false;
   Connections.insert(Connection);
+  return true;
 }
 
 void http_server::state::remove(const connection_pointer &Connection) {
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -19,6 +19,10 @@
 /// Bounds on what one caller may use.
 struct http_server_limits {
   std::size_t HeaderBytes = 16 * 1024;
+  /// Connections beyond this are closed at once.
+  std::size_t Connections = 20'000;
+  /// From a request's first byte to the end of its header.
+  milliseconds HeaderTimeout{10'000};
   /// How long an idle keep-alive connection is kept.
   milliseconds IdleTimeout{60'000};
   /// How long one read or write of a body may make no progress.
--- a/Libraries/LibHost/host.cpp
+++ b/Libraries/LibHost/host.cpp
@@ -74,6 +74,8 @@
 http_server_limits serverLimits(const host_settings &Settings) {
   http_server_limits Result;
   Result.HeaderBytes = Settings.Limits.HeaderBytes;
+  Result.Connections = Settings.Limits.Connections;
+  Result.HeaderTimeout = Settings.Timeouts.Header;
   Result.IdleTimeout = Settings.Timeouts.IdleConnection;
   Result.ProgressTimeout = Settings.Timeouts.CallerStall;
   return Result;
@@ -147,6 +149,7 @@
                    const host_settings &HostSettings, std::uint64_t Incarnation)
     : Clock(Clock), Runtime(Runtime), Settings(HostSettings),
       Incarnation(Incarnation), Self(makeSender(Settings, Incarnation)),
+      Client(Settings.Limits.IdleConnectionsPerUpstream),
       Platform(makeHttpPlatform(Client, platformSettings(Settings))),
       Link(makeGrpcHostLink()),
       Configuration(Clock, Platform, Link, Self, followerSettings(Settings)),
@@ -157,8 +160,19 @@
       Health(Clock, &Metrics),
       Suspects(Clock, &Metrics, {Link, Platform, Self}),
       Orders(Clock, Platform, Incarnation, Settings.Name, orderSettings()),
-      Services{Clock,     Metrics,   Client, Configuration, Limiter, Queue,
-               Residency, Upstreams, Health, Suspects,      Orders,  InFlight},
+      Services{Clock,
+               Metrics,
+               Client,
+               Configuration,
+               Limiter,
+               Queue,
+               Residency,
+               Upstreams,
+               Health,
+               Suspects,
+               Orders,
+               InFlight,
+               Settings.Timeouts.Connect},
       Tasks(Runtime) {
   LinkServer.emplace(Runtime, Settings.Listen.HostLink, linkHandlers());
   Membership.emplace(
--- a/Libraries/LibHost/request_context.h
+++ b/Libraries/LibHost/request_context.h
@@ -32,6 +32,7 @@
   suspect_board &Suspects;
   order_desk &Orders;
   in_flight_requests &InFlight;
+  milliseconds ConnectTimeout;
 };
 
 /// One request on its way through the host. Used by one fiber.
--- a/Libraries/LibHost/upstream_attempt.cpp
+++ b/Libraries/LibHost/upstream_attempt.cpp
@@ -76,6 +76,7 @@
   const call_deadlines Adapted =
       Context.Services.Health.deadlinesFor(Upstream, Route);
   http_call_limits Limits;
+  Limits.Connect = Context.Services.ConnectTimeout;
   Limits.FirstByte = Adapted.FirstByte;
   Limits.BetweenBytes = Adapted.BetweenBytes;
   Limits.Cancellation = Context.Cancellation;
--- a/Tests/LibHTTP/test_http.cpp
+++ b/Tests/LibHTTP/test_http.cpp
@@ -184,6 +184,26 @@
           }) == result_code::UpstreamUnreachable);
 }
 
+TEST_CASE("connections beyond the limit are closed and the others served") {
+  http_server_limits Limits;
+  Limits.Connections = 1;
+  loopback Loopback(
+      [](http_exchange &Exchange) {
+        Exchange.respond({200, {}}, "ok");
+      },
+      Limits);
+  Loopback.Runtime.runBlocking([&] {
+    const std::unique_ptr<http_call> First =
+        Loopback.Client.start(Loopback.Server.address(), {"GET", "/", {}}, "",
+                              {}, connection_use::FreshOnce);
+    CHECK(codeOf([&] {
+            Loopback.Client.start(Loopback.Server.address(), {"GET", "/", {}},
+                                  "", {}, connection_use::FreshOnce);
+          }) == result_code::UpstreamLost);
+    CHECK(First->readAll(100) == "ok");
+  });
+}
+
 TEST_CASE("query parameters are decoded") {
   REQUIRE(pathOf("/a/b?c=d") == "/a/b");
   REQUIRE(queryParameter("/a?x=1&watch=tr%75e+", "watch") == "true ");
