spindlectl: Add the operators' commands

Operators state an intent, receive a plan and confirm it; grant and withdraw keys; ask a host to drain; and read status, intent and audit trail.

The commands are a library over the platform's port, so that tests run them without processes.

--- /dev/null
+++ b/Utilities/spindlectl/commands.h
@@ -0,0 +1,41 @@
+#ifndef PARSLEYSPINDLE_SPINDLECTL_COMMANDS_H
+#define PARSLEYSPINDLE_SPINDLECTL_COMMANDS_H
+
+#include "spindlectl/exit_code.h"
+#include "spindlectl/operator_context.h"
+
+#include <string>
+#include <vector>
+
+namespace spindle {
+
+/// Runs the command that \p Words name, such as {"keys", "withdraw", "k1"}.
+/// \p File is the value of --output or --key-file. Errors are written to the
+/// context's error stream and become exit codes. One command at a time uses a
+/// context.
+exit_code runCommand(operator_context &Context,
+                     const std::vector<std::string> &Words,
+                     const std::string &File);
+
+/// Shows what an intent file would change and writes the plan to \p Output.
+exit_code planIntent(operator_context &Context, const std::string &IntentFile,
+                     const std::string &Output);
+/// Confirms a plan and waits until it is in force.
+exit_code applyPlan(operator_context &Context, const std::string &PlanFile);
+/// Shows hosts, shares and owners.
+exit_code showStatus(operator_context &Context);
+/// Shows the intent in force, or one of its lists.
+exit_code showIntent(operator_context &Context, const std::string &What);
+/// Grants a key, which is read from \p KeyFile, or made and printed once.
+exit_code grantKey(operator_context &Context, const std::string &Tenant,
+                   const std::string &Name, const std::string &KeyFile);
+/// Withdraws a key and waits until no host takes it.
+exit_code withdrawKey(operator_context &Context, const std::string &Name);
+/// Asks a host to drain and waits until it does.
+exit_code drainHost(operator_context &Context, const std::string &Host);
+/// Shows the newest changes.
+exit_code showAudit(operator_context &Context);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_SPINDLECTL_COMMANDS_H
--- /dev/null
+++ b/Utilities/spindlectl/main.cpp
@@ -0,0 +1,182 @@
+#include "LibCore/result_code.h"
+#include "LibHTTP/http_client.h"
+#include "LibLog/log.h"
+#include "LibPlatform/http_platform.h"
+#include "LibRuntime/fiber_runtime.h"
+#include "spindlectl/commands.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+
+#include <openssl/rand.h>
+#include <popt.h>
+
+using namespace spindle;
+
+namespace {
+
+/// What the command line asks for.
+struct command_line {
+  std::vector<endpoint> Platform;
+  std::string Namespace = "default";
+  std::string File;
+  std::string Operator;
+  bool Json = false;
+  bool Yes = false;
+  milliseconds WaitLimit{30'000};
+  std::vector<std::string> Words;
+};
+
+std::string takeText(char *Text) {
+  const std::unique_ptr<char, decltype(&std::free)> Owned(Text, &std::free);
+  return Text == nullptr ? std::string() : std::string(Text);
+}
+
+std::string readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    throw spindle_error(result_code::InvalidIntent, Path + " can't be read");
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+void writeFile(const std::string &Path, const std::string &Text) {
+  std::ofstream File(Path);
+  File << Text;
+  File.close();
+  if (!File)
+    throw spindle_error(result_code::InvalidIntent, Path + " can't be written");
+}
+
+std::string randomHex(std::size_t Bytes) {
+  static constexpr char Digits[] = "0123456789abcdef";
+  std::vector<unsigned char> Raw(Bytes);
+  if (RAND_bytes(Raw.data(), static_cast<int>(Bytes)) != 1)
+    throw spindle_error(result_code::Internal, "no random bytes");
+  std::string Text;
+  for (const unsigned char Byte : Raw) {
+    Text.push_back(Digits[Byte >> 4]);
+    Text.push_back(Digits[Byte & 0xf]);
+  }
+  return Text;
+}
+
+bool askOperator(const std::string &Question) {
+  std::cerr << Question << " [y/N] " << std::flush;
+  std::string Answer;
+  std::getline(std::cin, Answer);
+  return Answer == "y" || Answer == "yes";
+}
+
+std::vector<endpoint> parseServers(const std::string &Text) {
+  std::vector<endpoint> Servers;
+  std::stringstream List(Text);
+  for (std::string Server; std::getline(List, Server, ',');)
+    Servers.push_back(parseEndpoint(Server));
+  if (Servers.empty())
+    throw spindle_error(result_code::BadRequest,
+                        "--platform ADDRESS:PORT[,...] is missing");
+  return Servers;
+}
+
+command_line parseCommandLine(int Count, const char **Arguments) {
+  char *Platform = nullptr;
+  char *Namespace = nullptr;
+  char *Output = nullptr;
+  char *KeyFile = nullptr;
+  char *Operator = nullptr;
+  int Json = 0;
+  int Yes = 0;
+  int Version = 0;
+  int Wait = 30;
+  const poptOption Options[] = {
+      {"platform", 'p', POPT_ARG_STRING, &Platform, 0,
+       "the platform's API servers", "ADDRESS:PORT[,...]"},
+      {"namespace", 0, POPT_ARG_STRING, &Namespace, 0,
+       "the namespace of the system's objects", "NAME"},
+      {"output", 'o', POPT_ARG_STRING, &Output, 0, "where plan writes", "PLAN"},
+      {"key-file", 0, POPT_ARG_STRING, &KeyFile, 0,
+       "the key that keys grant takes", "FILE"},
+      {"operator", 0, POPT_ARG_STRING, &Operator, 0,
+       "the name in the audit trail", "NAME"},
+      {"wait", 'w', POPT_ARG_INT, &Wait, 0,
+       "how long to wait for the hosts, 30 by default", "SECONDS"},
+      {"json", 'j', POPT_ARG_NONE, &Json, 0, "write JSON", nullptr},
+      {"yes", 'y', POPT_ARG_NONE, &Yes, 0, "don't ask", nullptr},
+      {"version", 0, POPT_ARG_NONE, &Version, 0, "show the version", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> Context(
+      poptGetContext("spindlectl", Count, Arguments, Options, 0),
+      &poptFreeContext);
+  poptSetOtherOptionHelp(Context.get(), "COMMAND [ARGUMENT...]");
+  const int Result = poptGetNextOpt(Context.get());
+  if (Result < -1)
+    throw spindle_error(result_code::BadRequest,
+                        std::string(poptBadOption(Context.get(), 0)) + ": " +
+                            poptStrerror(Result));
+  if (Version != 0) {
+    std::cout << "spindlectl " << SPINDLE_VERSION << "\n";
+    std::exit(0);
+  }
+  command_line Line;
+  while (const char *Word = poptGetArg(Context.get()))
+    Line.Words.emplace_back(Word);
+  const std::string Servers = takeText(Platform);
+  Line.Platform = parseServers(Servers);
+  if (Namespace != nullptr)
+    Line.Namespace = takeText(Namespace);
+  const std::string PlanFile = takeText(Output);
+  Line.File = takeText(KeyFile);
+  Line.File = Line.File.empty() ? PlanFile : Line.File;
+  Line.Operator = takeText(Operator);
+  if (Line.Operator.empty()) {
+    const char *User = std::getenv("USER");
+    Line.Operator = User == nullptr ? "unknown" : User;
+  }
+  Line.Json = Json != 0;
+  Line.Yes = Yes != 0;
+  Line.WaitLimit = seconds(Wait);
+  return Line;
+}
+
+exit_code run(const command_line &Line) {
+  const runtime_clock Clock;
+  fiber_runtime Runtime(1);
+  http_client Client;
+  http_platform_settings Platform;
+  Platform.Servers = Line.Platform;
+  Platform.Namespace = Line.Namespace;
+  operator_context Context{Clock, makeHttpPlatform(Client, Platform), std::cout,
+                           std::cerr};
+  Context.Confirm =
+      Line.Yes ? [](const std::string &) { return true; } : askOperator;
+  Context.Sleep = [](milliseconds Pause) { sleepFor(Pause); };
+  Context.ReadFile = readFile;
+  Context.WriteFile = writeFile;
+  Context.RandomHex = randomHex;
+  Context.Operator = Line.Operator;
+  Context.Json = Line.Json;
+  Context.WaitLimit = Line.WaitLimit;
+  exit_code Code = exit_code::Refused;
+  Runtime.runBlocking(
+      [&] { Code = runCommand(Context, Line.Words, Line.File); });
+  return Code;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  try {
+    startLogging({log_severity::Error, false});
+    const command_line Line =
+        parseCommandLine(Count, const_cast<const char **>(Arguments));
+    return static_cast<int>(run(Line));
+  } catch (const std::exception &Error) {
+    std::cerr << "spindlectl: " << Error.what() << "\n";
+    return static_cast<int>(exit_code::BadInput);
+  }
+}
