--- a/StandIns/engine_stand_in/engine_faults.cpp
+++ b/StandIns/engine_stand_in/engine_faults.cpp
@@ -56,7 +56,7 @@
   return milliseconds(Switches.at(Name).get<std::int64_t>());
 }
 
-engine_faults fromSwitches(const json &Switches) {
+engine_faults readEngineFaults(const json &Switches) {
   engine_faults Faults;
   Switches.at("down").get_to(Faults.Down);
   Switches.at("silent").get_to(Faults.Silent);
--- a/StandIns/engine_stand_in/engine_faults.h
+++ b/StandIns/engine_stand_in/engine_faults.h
@@ -53,7 +53,7 @@
 nlohmann::json toSwitches(const engine_faults &Faults);
 /// Reads what toSwitches() writes. Thread-safe.
 /// \throws nlohmann::json::exception if a switch is missing.
-engine_faults fromSwitches(const nlohmann::json &Switches);
+engine_faults readEngineFaults(const nlohmann::json &Switches);
 
 } // namespace spindle
 
--- a/StandIns/engine_stand_in/engine_server.cpp
+++ b/StandIns/engine_stand_in/engine_server.cpp
@@ -336,7 +336,7 @@
 }
 
 void engine_server::state::applySwitches(const json &Switches) {
-  engine_faults New = fromSwitches(Switches);
+  engine_faults New = readEngineFaults(Switches);
   Credentials.setSecrets(New.Secrets);
   bool Restart = false;
   {
--- a/StandIns/platform_stand_in/platform_faults.cpp
+++ b/StandIns/platform_stand_in/platform_faults.cpp
@@ -49,7 +49,7 @@
           {"writes_per_second", Faults.Rates.WritesPerSecond}};
 }
 
-platform_faults fromSwitches(const json &Switches) {
+platform_faults readPlatformFaults(const json &Switches) {
   platform_faults Faults;
   Switches.at("down").get_to(Faults.Down);
   Switches.at("hang").get_to(Faults.Hang);
--- a/StandIns/platform_stand_in/platform_faults.h
+++ b/StandIns/platform_stand_in/platform_faults.h
@@ -40,7 +40,7 @@
 nlohmann::json toSwitches(const platform_faults &Faults);
 /// Reads what toSwitches() writes. Thread-safe.
 /// \throws nlohmann::json::exception if a switch is missing.
-platform_faults fromSwitches(const nlohmann::json &Switches);
+platform_faults readPlatformFaults(const nlohmann::json &Switches);
 
 } // namespace spindle
 
--- a/StandIns/platform_stand_in/platform_server.cpp
+++ b/StandIns/platform_stand_in/platform_server.cpp
@@ -186,7 +186,7 @@
 }
 
 void platform_server::state::applySwitches(const json &Switches) {
-  platform_faults New = fromSwitches(Switches);
+  platform_faults New = readPlatformFaults(Switches);
   const lock Lock(Mutex);
   if (New.DropHistory > Faults.DropHistory)
     Store.dropHistory();
