--- a/Libraries/LibHTTP/beast_exchange.cpp
+++ b/Libraries/LibHTTP/beast_exchange.cpp
@@ -16,9 +16,10 @@
 beast_exchange::beast_exchange(tcp_stream &Stream, beast::flat_buffer &Buffer,
                                request_parser &Parser,
                                const http_server_limits &Limits,
-                               const std::atomic<bool> &Draining)
+                               const std::atomic<bool> &Draining,
+                               std::uint64_t Connection)
     : Stream(Stream), Buffer(Buffer), Parser(Parser), Limits(Limits),
-      Draining(Draining) {
+      Draining(Draining), Connection(Connection) {
   const http::request<http::buffer_body> &Message = Parser.get();
   Head.Method = std::string(Message.method_string());
   Head.Target = std::string(Message.target());
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -32,6 +32,9 @@
   /// of the answer, the call is sent once more on a new connection. Only for
   /// idempotent calls.
   PooledIdempotent,
+  /// A pooled connection if there is one, never sent twice: a connection that
+  /// closes may mean that the request has crashed its server.
+  PooledOnce,
   /// Only a connection just opened, never sent twice.
   FreshOnce,
 };
@@ -65,7 +68,8 @@
 /// Destroy a client before the runtime, when no fiber uses it.
 class http_client {
 public:
-  http_client();
+  /// \p MostIdlePerPeer bounds the idle connections a thread and peer.
+  explicit http_client(std::size_t MostIdlePerPeer = 64);
   ~http_client();
   http_client(const http_client &) = delete;
   http_client &operator=(const http_client &) = delete;
--- a/Tests/LibHTTP/test_http.cpp
+++ b/Tests/LibHTTP/test_http.cpp
@@ -1,4 +1,4 @@
-#include "LibCore/result_code.h"
+#include "LibCore/retry_after_error.h"
 #include "LibHTTP/http_client.h"
 #include "LibHTTP/http_server.h"
 
@@ -78,9 +78,8 @@
 
 TEST_CASE("a refusal carries its code, state and when to come again") {
   loopback Loopback([](http_exchange &) {
-    spindle_error Error(result_code::RateExceeded, "too much");
-    Error.setRetryAfter(std::chrono::seconds(7));
-    throw spindle_error(Error);
+    throw retry_after_error(result_code::RateExceeded, "too much",
+                            milliseconds(6'100));
   });
   const http_response Response = Loopback.call({"GET", "/", {}}, "");
   REQUIRE(Response.Head.Status == 429);
@@ -185,6 +184,26 @@
           }) == result_code::UpstreamUnreachable);
 }
 
+TEST_CASE("connections beyond the limit are closed and the others served") {
+  http_server_limits Limits;
+  Limits.Connections = 1;
+  loopback Loopback(
+      [](http_exchange &Exchange) {
+        Exchange.respond({200, {}}, "ok");
+      },
+      Limits);
+  Loopback.Runtime.runBlocking([&] {
+    const std::unique_ptr<http_call> First =
+        Loopback.Client.start(Loopback.Server.address(), {"GET", "/", {}}, "",
+                              {}, connection_use::FreshOnce);
+    CHECK(codeOf([&] {
+            Loopback.Client.start(Loopback.Server.address(), {"GET", "/", {}},
+                                  "", {}, connection_use::FreshOnce);
+          }) == result_code::UpstreamLost);
+    CHECK(First->readAll(100) == "ok");
+  });
+}
+
 TEST_CASE("query parameters are decoded") {
   REQUIRE(pathOf("/a/b?c=d") == "/a/b");
   REQUIRE(queryParameter("/a?x=1&watch=tr%75e+", "watch") == "true ");
