LibHost: Read the clock under the share's lock

Cause: a thread that is preempted between reading the clock and taking the lock would judge a share by a time older than its state. Change: each decision reads the clock under the lock. The histories rest now and then so that shares are full, and messages can arrive at once; a test of its own shows that a loan isn't renewed out of a base share that has shrunk. Conclusion: a time is never older than the state that it is applied to.

--- a/Libraries/LibHost/rate_limiter.cpp
+++ b/Libraries/LibHost/rate_limiter.cpp
@@ -92,8 +92,8 @@
 void rate_limiter::state::defineBucket(const bucket_id &Id,
                                        std::string_view Name, micro_rate Rate,
                                        micro_tokens Burst) {
-  const time_point Now = Clock.now();
   Table.withNew(Id, [&](share_entry &Entry) {
+    const time_point Now = Clock.now();
     if (Entry.Epoch == 0) {
       Entry.Epoch = NextEpoch++;
       Entry.Share.LastRefill = Now;
@@ -117,7 +117,6 @@
     State->defineBucket(tenantBucket(Id), Tenant.Name, toMicro(Tenant.Rate),
                         toMicro(Tenant.Burst));
   }
-  const time_point Now = State->Clock.now();
   // A share whose loans are out stays, so that they are still counted if the
   // tenant comes back.
   const auto IsDropped = [&](const bucket_id &Id) {
@@ -129,7 +128,7 @@
       return;
     Entry.FleetRate = {};
     Entry.FleetBurst = {};
-    applyParts(Entry, 0, State->Gate.ValidUntil, Now);
+    applyParts(Entry, 0, State->Gate.ValidUntil, State->Clock.now());
   });
   State->Table.removeIf([&](const bucket_id &Id, const share_entry &Entry) {
     return IsDropped(Id) && Entry.Share.Lent.empty();
@@ -162,7 +161,7 @@
     logEvent(log_event::ShareUsable, {{"parts", std::to_string(Parts)}});
   UsableParts = Parts;
   Table.forEach([&](const bucket_id &, share_entry &Entry) {
-    applyParts(Entry, Parts, Gate.ValidUntil, Now);
+    applyParts(Entry, Parts, Gate.ValidUntil, Clock.now());
   });
 }
 
@@ -192,7 +191,7 @@
                               " tokens, more than the tenant's burst of " +
                               std::to_string(toTokens(Entry.FleetBurst).Count));
     noteDemand(Entry.Share.Demand, Amount);
-    Admitted = tryReserve(Entry, Amount, Now, Reservation);
+    Admitted = tryReserve(Entry, Amount, State->Clock.now(), Reservation);
   });
   if (!Known)
     throw spindle_error(result_code::ShareUnavailable,
@@ -260,7 +259,6 @@
 }
 
 void rate_limiter::settle(rate_reservation &&Reservation, tokens Used) {
-  const time_point Now = State->Clock.now();
   const micro_tokens Charged = toMicro(Reservation.Reserved);
   const micro_tokens UsedMicros = toMicro(Used);
   if (Used > Reservation.Reserved)
@@ -268,7 +266,8 @@
   State->Table.with(tenantBucket(Reservation.Tenant), [&](share_entry &Entry) {
     if (Entry.Epoch != Reservation.ShareEpoch)
       return;
-    settleCharge(Entry.Share, Reservation.Mark, Charged, UsedMicros, Now);
+    settleCharge(Entry.Share, Reservation.Mark, Charged, UsedMicros,
+                 State->Clock.now());
     noteUnused(Entry.Share.Demand, Charged - UsedMicros);
   });
 }
--- a/Libraries/LibHost/share_lender.cpp
+++ b/Libraries/LibHost/share_lender.cpp
@@ -111,10 +111,10 @@
   try {
     const host_link::BorrowReply Reply =
         Link.Borrow(Peer.Link, makeRequest(Self, Id, Nonce, Wish, Term), Limit);
-    const time_point Now = Clock.now();
     const loan_amount Amount =
         Reply.granted() ? amountOf(Reply) : loan_amount{};
     Table.with(Id, [&](share_entry &Entry) {
+      const time_point Now = Clock.now();
       noteGranted(Entry.Hints[Peer.Id], grantedPart(Wish, Amount), Now);
       if (!Reply.granted())
         return;
@@ -228,9 +228,9 @@
 
 share_lender::chores share_lender::findChores() {
   chores Chores;
-  const time_point Now = Clock.now();
   const bool Drains = Draining;
   Table.forEach([&](const bucket_id &Id, share_entry &Entry) {
+    const time_point Now = Clock.now();
     tenant_share &Share = Entry.Share;
     advanceShare(Share, Now);
     updateDemand(Share.Demand, Now);
--- a/Tests/LibLimits/test_slack_history.cpp
+++ b/Tests/LibLimits/test_slack_history.cpp
@@ -34,3 +34,16 @@
     CHECK(Share.Level == micro_tokens{});
   }
 }
+
+TEST_CASE("A loan is not renewed out of a base share that has shrunk") {
+  tenant_share Share = fullShare(100, 1'000);
+  const time_point Then = Start + seconds(10);
+  const loan_key Key{host_id{2}, 1, 1};
+  const loan_amount Whole{Share.BaseRate, Share.BaseCapacity, Share.Level};
+  REQUIRE(lend(Share, Key, Whole, milliseconds(3'000), Then));
+  REQUIRE(renewLent(Share, Key, Then));
+  setBase(Share, {Share.BaseRate.PerSecond / 2}, {Share.BaseCapacity.Count / 2},
+          time_point::max(), Then);
+  CHECK_FALSE(renewLent(Share, Key, Then));
+  CHECK(rateOf(Share) == micro_rate{});
+}
