LibLimits: Transfer tokens without lending capacity

Cause: a giver with a full bucket lost its refill while the capacity that it had lent with the tokens was away, and rate moved at every fluctuation of demand. Change: a loan of at most 100 ms carries tokens alone; the giver keeps their room free until they have certainly arrived or been lost, the borrower keeps them. The margin is a tenth of the term.

--- a/Libraries/LibHost/share_lender.cpp
+++ b/Libraries/LibHost/share_lender.cpp
@@ -205,7 +205,8 @@
     if (IsOut && affordsRenewal(Share))
       Loan = renewLent(Share, Key, Now);
     const std::optional<loan_amount> Offer =
-        offerFor(Share, Wish, Settings.Lending, Draining);
+        offerFor(Share, Wish, milliseconds(Request.term_ms()), Settings.Lending,
+                 Draining);
     if (!IsOut && Offer)
       Loan = lend(Share, Key, inWholeTokens(*Offer),
                   milliseconds(Request.term_ms()), Now);
@@ -238,7 +239,7 @@
       if (Drains)
         Chores.Repayments.push_back({Id, Loan});
       else if (Loan.End - Now < LongestLoanTerm / RenewalDivisor &&
-               wantsRenewal(Share, Loan, Settings.Lending))
+               wantsRenewal(Share, Loan))
         Chores.Renewals.push_back({Id, Loan});
     }
     if (!Drains && wishAhead(Share, Settings.Lending))
@@ -279,7 +280,7 @@
     const host_link::BorrowReply Reply =
         Link.Borrow(Peer->Link,
                     makeRequest(Self, Held.Bucket, Held.Loan.Nonce, Wish,
-                                Settings.Lending.RateLoanTerm),
+                                Settings.Lending.LoanTerm),
                     Settings.BorrowTimeout);
     if (!Reply.granted())
       return;
--- a/Libraries/LibLimits/lending_policy.cpp
+++ b/Libraries/LibLimits/lending_policy.cpp
@@ -32,12 +32,11 @@
                              const lending_settings &Settings) {
   if (Share.Kind == refill_kind::BySettlement)
     return {};
-  const micro_rate Wanted =
-      rateOfMicros(demandOf(Share) * Settings.WantedDemand);
-  const micro_rate Missing = Wanted - rateOf(Share);
-  if (Missing.PerSecond <= Wanted.PerSecond / LeastRateLoanDivisor)
+  const double Demand = demandOf(Share);
+  const double Rate = static_cast<double>(rateOf(Share).PerSecond);
+  if (Demand <= Rate * Settings.ToleratedDemand)
     return {};
-  return Missing;
+  return rateOfMicros(Demand - Rate);
 }
 
 static micro_tokens wantedLevel(const tenant_share &Share,
@@ -71,11 +70,17 @@
   return {wantedRate(Share, Settings), Wanted - Share.Level};
 }
 
+/// Tells whether a large request needs more capacity than \p Capacity.
+static bool lacksCapacity(const tenant_share &Share, micro_tokens Capacity) {
+  return Share.Demand.LargeMicros > static_cast<double>(Capacity.Count);
+}
+
 milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
                      const lending_settings &Settings) {
-  const bool SoonSpent =
-      Share.Kind == refill_kind::ByRate && Wish.Rate.PerSecond == 0;
-  return SoonSpent ? Settings.TokenLoanTerm : Settings.RateLoanTerm;
+  const bool TokensSuffice = Share.Kind == refill_kind::ByRate &&
+                             Wish.Rate.PerSecond == 0 &&
+                             !lacksCapacity(Share, capacityOf(Share));
+  return TokensSuffice ? Settings.TransferTerm : Settings.LoanTerm;
 }
 
 static micro_rate spareRate(const tenant_share &Share,
@@ -110,38 +115,45 @@
   return tokensOfMicros(static_cast<double>(Share.BaseCapacity.Count) * Part);
 }
 
-std::optional<loan_amount> offerFor(const tenant_share &Share,
-                                    const loan_wish &Wish,
-                                    const lending_settings &Settings,
-                                    bool Draining) {
-  loan_amount Offer;
+/// Adds capacity to an offer that runs for longer than a transfer.
+static void addCapacity(loan_amount &Offer, const tenant_share &Share) {
   const micro_tokens Lendable = lendableCapacity(Share);
-  Offer.Rate = std::min(Wish.Rate, spareRate(Share, Settings, Draining));
-  if (Offer.Rate.PerSecond < Share.BaseRate.PerSecond / LeastRateLoanDivisor)
-    Offer.Rate = {};
-  Offer.Level =
-      std::min({Wish.Level, spareLevel(Share, Settings, Draining), Lendable});
-  Offer.Capacity =
-      std::min(std::max(Offer.Level, capacityFor(Share, Offer.Rate)), Lendable);
+  const micro_tokens Wanted =
+      std::max(Offer.Level, capacityFor(Share, Offer.Rate));
+  Offer.Capacity = std::min(Wanted, Lendable);
   // Tokens that the capacity left over could not hold go with the loan.
   const micro_tokens Left = capacityOf(Share) - Offer.Capacity;
   const micro_tokens Surplus = Share.Level - Left;
   Offer.Level = std::clamp(Surplus, Offer.Level, Offer.Capacity);
   if (Share.Kind == refill_kind::BySettlement)
     Offer.Capacity = Offer.Level;
+}
+
+std::optional<loan_amount> offerFor(const tenant_share &Share,
+                                    const loan_wish &Wish, milliseconds Term,
+                                    const lending_settings &Settings,
+                                    bool Draining) {
+  loan_amount Offer;
+  Offer.Level = std::min({Wish.Level, spareLevel(Share, Settings, Draining),
+                          lendableCapacity(Share)});
+  if (Term > LongestTransferTerm) {
+    Offer.Rate = std::min(Wish.Rate, spareRate(Share, Settings, Draining));
+    if (Offer.Rate.PerSecond < Share.BaseRate.PerSecond / LeastRateLoanDivisor)
+      Offer.Rate = {};
+    addCapacity(Offer, Share);
+  }
   if (Offer.Rate.PerSecond == 0 && Offer.Level.Count == 0)
     return std::nullopt;
   return Offer;
 }
 
-bool wantsRenewal(const tenant_share &Share, const borrowed_loan &Loan,
-                  const lending_settings &Settings) {
+bool wantsRenewal(const tenant_share &Share, const borrowed_loan &Loan) {
+  const micro_tokens Capacity = capacityOf(Share) - Loan.Amount.Capacity;
   if (Share.Kind == refill_kind::BySettlement)
-    return Share.Outstanding > capacityOf(Share) - Loan.Amount.Capacity;
-  if (Loan.Amount.Rate.PerSecond == 0)
-    return false;
+    return Share.Outstanding > Capacity;
   const micro_rate Without = rateOf(Share) - Loan.Amount.Rate;
-  return Without < rateOfMicros(demandOf(Share) * Settings.WantedDemand);
+  return Without < rateOfMicros(demandOf(Share)) ||
+         lacksCapacity(Share, Capacity);
 }
 
 bool affordsRenewal(const tenant_share &Share) {
--- a/Libraries/LibLimits/lending_policy.h
+++ b/Libraries/LibLimits/lending_policy.h
@@ -9,18 +9,19 @@
 
 /// How hosts lend to each other. No bound depends on these.
 struct lending_settings {
-  /// Term of a loan that carries rate; at most LongestLoanTerm.
-  milliseconds RateLoanTerm = LongestLoanTerm;
-  /// Term of a loan that carries only tokens, which are soon spent.
-  milliseconds TokenLoanTerm{1'000};
+  /// Term of a loan that carries rate or capacity; at most LongestLoanTerm.
+  milliseconds LoanTerm = LongestLoanTerm;
+  /// Term of a transfer of tokens alone; at most LongestTransferTerm.
+  milliseconds TransferTerm = LongestTransferTerm;
   /// A giver keeps its own demand times this.
   double KeptDemand = 1.25;
   /// A giver keeps this part of its base share in any case.
   double KeptFloor = 0.1;
   /// A giver keeps the tokens that its demand takes in this time.
   milliseconds KeptTime{200};
-  /// A borrower wants rate up to its demand times this.
-  double WantedDemand = 1.1;
+  /// A borrower wants rate if its demand is more than its rate times this;
+  /// small differences are left to transfers.
+  double ToleratedDemand = 1.2;
   /// A borrower wants tokens for its demand in this time.
   milliseconds WantedTime{1'000};
   /// A borrower asks ahead if it will be low within this time.
@@ -40,18 +41,17 @@
 /// What a share should borrow for a waiting request of \p Amount.
 loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount,
                          const lending_settings &Settings);
-/// The term to ask for: short for tokens alone, which are soon spent.
+/// The term to ask for: a transfer unless rate or capacity is needed.
 milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
                      const lending_settings &Settings);
-/// What a share can spare of \p Wish, or nothing. A host that is \p Draining
-/// spares all it has.
+/// What a share can spare of \p Wish for \p Term, or nothing. A host that is
+/// \p Draining spares all it has.
 std::optional<loan_amount> offerFor(const tenant_share &Share,
-                                    const loan_wish &Wish,
+                                    const loan_wish &Wish, milliseconds Term,
                                     const lending_settings &Settings,
                                     bool Draining);
 /// Tells whether a borrower still needs a loan that will end soon.
-bool wantsRenewal(const tenant_share &Share, const borrowed_loan &Loan,
-                  const lending_settings &Settings);
+bool wantsRenewal(const tenant_share &Share, const borrowed_loan &Loan);
 /// Tells whether a giver can do without what it has lent.
 bool affordsRenewal(const tenant_share &Share);
 
--- a/Libraries/LibLimits/loan.h
+++ b/Libraries/LibLimits/loan.h
@@ -12,18 +12,28 @@
 
 /// No loan runs longer than this on any host.
 inline constexpr milliseconds LongestLoanTerm{3'000};
-/// How much longer than the borrower a giver counts a loan as out, for clocks
-/// that run at slightly different speeds.
-inline constexpr milliseconds LoanMargin{300};
+/// A loan of at most this term is a transfer: it carries tokens alone, which
+/// the borrower must take within the term and then keeps.
+inline constexpr milliseconds LongestTransferTerm{100};
+
+/// How much longer than the borrower a giver counts a loan of \p Term as out,
+/// for clocks that run at slightly different speeds.
+constexpr milliseconds marginOf(milliseconds Term) {
+  constexpr int TermsPerMargin = 10;
+  return Term / TermsPerMargin;
+}
+
 /// How long the growth of a base share is held back: until every loan that the
 /// part's former holder can have given is over.
-inline constexpr milliseconds ShareGrowthDelay = LongestLoanTerm + LoanMargin;
+inline constexpr milliseconds ShareGrowthDelay =
+    LongestLoanTerm + marginOf(LongestLoanTerm);
 
-/// What moves from one host's share of a tenant to another's.
+/// What moves from one host's share of a tenant to another's. The giver counts
+/// the larger of Capacity and Level out of its capacity until the loan's end,
+/// so that tokens on their way still have room that nobody else fills.
 struct loan_amount {
   micro_rate Rate;
   micro_tokens Capacity;
-  /// At most Capacity.
   micro_tokens Level;
 };
 
--- a/Libraries/LibLimits/tenant_share.cpp
+++ b/Libraries/LibLimits/tenant_share.cpp
@@ -11,10 +11,15 @@
   return Sum;
 }
 
+/// What a giver counts out of its capacity.
+static micro_tokens heldCapacity(const loan_amount &Amount) {
+  return std::max(Amount.Capacity, Amount.Level);
+}
+
 static micro_tokens lentCapacity(const tenant_share &Share) {
   micro_tokens Sum;
   for (const lent_loan &Loan : Share.Lent)
-    Sum += Loan.Amount.Capacity;
+    Sum += heldCapacity(Loan.Amount);
   return Sum;
 }
 
@@ -161,13 +166,13 @@
   const bool Nothing = Amount.Rate.PerSecond <= 0 && Amount.Level.Count <= 0;
   const bool Affordable = !Nothing && Amount.Level.Count >= 0 &&
                           Amount.Rate <= lendableRate(Share) &&
-                          Amount.Capacity <= lendableCapacity(Share) &&
-                          Amount.Level <= Amount.Capacity &&
+                          heldCapacity(Amount) <= lendableCapacity(Share) &&
                           Amount.Level <= Share.Level;
   if (!Affordable || Term <= milliseconds(0))
     return std::nullopt;
   const milliseconds Granted = std::min(Term, LongestLoanTerm);
-  Share.Lent.push_back({Key, Amount, Now + Granted + LoanMargin, Granted});
+  Share.Lent.push_back(
+      {Key, Amount, Now + Granted + marginOf(Granted), Granted});
   Share.Level = std::min(Share.Level - Amount.Level, ceilingOf(Share));
   updateNextEnd(Share);
   return Share.Lent.back();
@@ -183,7 +188,7 @@
                       lentCapacity(Share) > Share.BaseCapacity;
   if (InDebt)
     return std::nullopt;
-  Found->End = Now + Found->Term + LoanMargin;
+  Found->End = Now + Found->Term + marginOf(Found->Term);
   updateNextEnd(Share);
   return *Found;
 }
@@ -200,7 +205,7 @@
   if (Found == Share.Lent.end())
     return false;
   const micro_tokens Returned =
-      std::clamp(Level, micro_tokens{}, Found->Amount.Capacity);
+      std::clamp(Level, micro_tokens{}, heldCapacity(Found->Amount));
   noteSlack(Share.History, slackOf(Share));
   Share.Repaid.push_back(*Found);
   Share.Lent.erase(Found);
@@ -215,8 +220,11 @@
   if (Now >= SentAt + Term)
     return false;
   noteSlack(Share.History, slackOf(Share));
-  Share.Borrowed.push_back(Loan);
-  Share.Borrowed.back().End = SentAt + Term;
+  const loan_amount &Amount = Loan.Amount;
+  if (Amount.Rate.PerSecond > 0 || Amount.Capacity.Count > 0) {
+    Share.Borrowed.push_back(Loan);
+    Share.Borrowed.back().End = SentAt + Term;
+  }
   Share.Level += Loan.Amount.Level;
   refill(Share, Now);
   updateNextEnd(Share);
--- a/Libraries/LibLimits/tenant_share.h
+++ b/Libraries/LibLimits/tenant_share.h
@@ -90,8 +90,8 @@
 bool takeRepayment(tenant_share &Share, const loan_key &Key, micro_tokens Level,
                    time_point Now);
 
-/// Adds a loan granted to a request sent at \p SentAt. Returns false, without
-/// effect, if the term is over already.
+/// Adds a loan granted to a request sent at \p SentAt. Tokens that the capacity
+/// can't hold vanish. Returns false, without effect, if the term is over.
 /// Precondition: called at most once for each nonce.
 bool acceptLoan(tenant_share &Share, const borrowed_loan &Loan,
                 milliseconds Term, time_point SentAt, time_point Now);
--- a/Tests/LibLimits/share_history.h
+++ b/Tests/LibLimits/share_history.h
@@ -206,7 +206,7 @@
                    nowAt(Host),
                    false,
                    {},
-                   milliseconds(500 + next(4'000))});
+                   milliseconds(next(2) == 0 ? 100 : next(4'000))});
   }
 
   void renew(std::size_t From) {
@@ -277,8 +277,13 @@
     if (!Loan && !Request.IsRenewal && !wasRepaid(Host.Share, Key)) {
       loan_amount Amount;
       Amount.Rate = {lendableRate(Host.Share).PerSecond / 8 * next(9)};
-      Amount.Capacity = nextPart(lendableCapacity(Host.Share));
-      Amount.Level = std::min(Amount.Capacity, nextPart(Host.Share.Level));
+      const micro_tokens Lendable = lendableCapacity(Host.Share);
+      Amount.Capacity = nextPart(Lendable);
+      Amount.Level = std::min(Lendable, nextPart(Host.Share.Level));
+      if (Request.Term <= LongestTransferTerm) {
+        Amount.Rate = {};
+        Amount.Capacity = {};
+      }
       Loan = lend(Host.Share, Key, Amount, Request.Term, Then);
     }
     if (!Loan)
