LibLimits: Move tokens only for requests that wait, and rate only if doubled

Change: a waiting request borrows exactly what it lacks, and a peer gives all it has; rate is lent when demand is twice the rate; the pause after an empty answer is 10 to 200 ms. Loads, which can't wait, still ask ahead.

--- a/Libraries/LibHost/share_lender.cpp
+++ b/Libraries/LibHost/share_lender.cpp
@@ -46,10 +46,11 @@
   Lenders.reserve(List->size());
   Table.with(Id, [&](share_entry &Entry) {
     for (const peer_host &Peer : *List) {
-      const auto Hint = Entry.Hints.find(Peer.Id);
-      const bool SameZone = Peer.Zone.Value == Self.zone();
-      Lenders.push_back(
-          {SameZone, Hint == Entry.Hints.end() ? lender_hint{} : Hint->second});
+      lender_hint Hint;
+      if (const auto Found = Entry.Hints.find(Peer.Id);
+          Found != Entry.Hints.end())
+        Hint = Found->second;
+      Lenders.push_back({Peer.Zone.Value == Self.zone(), Hint});
     }
   });
   std::vector<std::size_t> Chosen;
@@ -79,16 +80,16 @@
   return Request;
 }
 
-/// The part of a wish that was granted, in 0..1.
+/// The part of a wish that was granted, in 0..1: of its tokens or of its rate,
+/// whichever is more.
 static double grantedPart(const loan_wish &Wish, const loan_amount &Amount) {
-  double Part = 1;
-  if (Wish.Level.Count > 0)
-    Part = std::min(Part, static_cast<double>(Amount.Level.Count) /
-                              static_cast<double>(Wish.Level.Count));
-  if (Wish.Rate.PerSecond > 0)
-    Part = std::min(Part, static_cast<double>(Amount.Rate.PerSecond) /
-                              static_cast<double>(Wish.Rate.PerSecond));
-  return Part;
+  const double Level = static_cast<double>(Amount.Level.Count);
+  const double Rate = static_cast<double>(Amount.Rate.PerSecond);
+  const double WantedLevel = static_cast<double>(Wish.Level.Count);
+  const double WantedRate = static_cast<double>(Wish.Rate.PerSecond);
+  const double Part = std::max(Level / std::max(WantedLevel, 1.0),
+                               Rate / std::max(WantedRate, 1.0));
+  return std::min(Part, 1.0);
 }
 
 static loan_amount amountOf(const host_link::BorrowReply &Reply) {
@@ -227,6 +228,11 @@
   return {};
 }
 
+/// Tells whether requests wait for loans, which loads don't.
+static bool requestsWait(const bucket_id &Id) {
+  return Id.Kind == bucket_kind::TenantTokens;
+}
+
 share_lender::chores share_lender::findChores() {
   chores Chores;
   const bool Drains = Draining;
@@ -242,7 +248,7 @@
                wantsRenewal(Share, Loan))
         Chores.Renewals.push_back({Id, Loan});
     }
-    if (!Drains && wishAhead(Share, Settings.Lending))
+    if (!Drains && wishAhead(Share, Settings.Lending, requestsWait(Id)))
       Chores.Hungry.push_back(Id);
   });
   return Chores;
@@ -256,11 +262,12 @@
   });
   if (Busy)
     return;
+  std::optional<loan_wish> Wish;
+  const auto UpdateWish = [&](share_entry &Entry) {
+    Wish = wishAhead(Entry.Share, Settings.Lending, requestsWait(Id));
+  };
   for (const peer_host &Peer : choosePeers(Id)) {
-    std::optional<loan_wish> Wish;
-    Table.with(Id, [&](share_entry &Entry) {
-      Wish = wishAhead(Entry.Share, Settings.Lending);
-    });
+    Table.with(Id, UpdateWish);
     if (!Wish || Clock.now() > End)
       break;
     askPeer(Peer, Id, *Wish, Settings.BorrowTimeout,
--- a/Libraries/LibLimits/demand_meter.cpp
+++ b/Libraries/LibLimits/demand_meter.cpp
@@ -5,7 +5,7 @@
 
 namespace spindle {
 
-static constexpr double AveragingSeconds = 5.0;
+static constexpr double AveragingSeconds = 10.0;
 static constexpr double LeastUpdateSeconds = 0.05;
 
 void noteDemand(demand_meter &Meter, micro_tokens Amount) {
--- a/Libraries/LibLimits/lending_policy.cpp
+++ b/Libraries/LibLimits/lending_policy.cpp
@@ -8,8 +8,6 @@
 
 /// Rates below this part of the base share are not worth a loan.
 static constexpr std::int64_t LeastRateLoanDivisor = 50;
-/// A borrower asks ahead when fewer than this many large requests fit.
-static constexpr double LargeRequestsKept = 1.0;
 static constexpr double LargeRequestsWanted = 2.0;
 
 static double demandOf(const tenant_share &Share) {
@@ -46,19 +44,31 @@
   return tokensOfMicros(std::max(ForLarge, ForTime));
 }
 
+/// Tells whether a large request needs more capacity than \p Capacity.
+static bool lacksCapacity(const tenant_share &Share, micro_tokens Capacity) {
+  return Share.Demand.LargeMicros > static_cast<double>(Capacity.Count);
+}
+
+/// What is missing up to \p Wanted, as far as there is room for it.
+static micro_tokens missingLevel(const tenant_share &Share,
+                                 micro_tokens Wanted) {
+  const micro_tokens Capacity = capacityOf(Share);
+  const micro_tokens Ceiling =
+      lacksCapacity(Share, Capacity) ? Wanted : std::min(Wanted, Capacity);
+  return std::max(Ceiling - Share.Level, micro_tokens{});
+}
+
 std::optional<loan_wish> wishAhead(const tenant_share &Share,
-                                   const lending_settings &Settings) {
-  const double Demand = demandOf(Share);
-  const double Ahead = inSeconds(Settings.AskAheadTime);
-  const double Rate = static_cast<double>(rateOf(Share).PerSecond);
-  const double Predicted =
-      static_cast<double>(Share.Level.Count) + (Rate - Demand) * Ahead;
-  const double Low = LargeRequestsKept * Share.Demand.LargeMicros;
-  if (Low < 1 || Predicted >= std::max(Low, Demand * Ahead))
-    return std::nullopt;
-  loan_wish Wish{wantedRate(Share, Settings), {}};
-  Wish.Level =
-      std::max(wantedLevel(Share, Settings) - Share.Level, micro_tokens{});
+                                   const lending_settings &Settings,
+                                   bool RequestsWait) {
+  const bool IsLow =
+      static_cast<double>(Share.Level.Count) < Share.Demand.LargeMicros;
+  const bool NeedsTokens =
+      !RequestsWait || lacksCapacity(Share, capacityOf(Share));
+  loan_wish Wish;
+  Wish.Rate = wantedRate(Share, Settings);
+  if (Wish.Rate.PerSecond > 0 || (IsLow && NeedsTokens))
+    Wish.Level = missingLevel(Share, wantedLevel(Share, Settings));
   if (Wish.Rate.PerSecond == 0 && Wish.Level.Count == 0)
     return std::nullopt;
   return Wish;
@@ -66,13 +76,7 @@
 
 loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount,
                          const lending_settings &Settings) {
-  const micro_tokens Wanted = std::max(Amount, wantedLevel(Share, Settings));
-  return {wantedRate(Share, Settings), Wanted - Share.Level};
-}
-
-/// Tells whether a large request needs more capacity than \p Capacity.
-static bool lacksCapacity(const tenant_share &Share, micro_tokens Capacity) {
-  return Share.Demand.LargeMicros > static_cast<double>(Capacity.Count);
+  return {wantedRate(Share, Settings), missingLevel(Share, Amount)};
 }
 
 milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
@@ -95,17 +99,6 @@
   return std::clamp(rateOf(Share) - Kept, micro_rate{}, Lendable);
 }
 
-static micro_tokens spareLevel(const tenant_share &Share,
-                               const lending_settings &Settings,
-                               bool Draining) {
-  if (Draining)
-    return std::max(Share.Level, micro_tokens{});
-  const double ForTime = demandOf(Share) * inSeconds(Settings.KeptTime);
-  const micro_tokens Kept =
-      tokensOfMicros(std::max(ForTime, Share.Demand.LargeMicros));
-  return std::max(Share.Level - Kept, micro_tokens{});
-}
-
 /// The part of the base capacity that goes with \p Rate.
 static micro_tokens capacityFor(const tenant_share &Share, micro_rate Rate) {
   if (Share.BaseRate.PerSecond == 0)
@@ -134,7 +127,7 @@
                                     const lending_settings &Settings,
                                     bool Draining) {
   loan_amount Offer;
-  Offer.Level = std::min({Wish.Level, spareLevel(Share, Settings, Draining),
+  Offer.Level = std::min({Wish.Level, std::max(Share.Level, micro_tokens{}),
                           lendableCapacity(Share)});
   if (Term > LongestTransferTerm) {
     Offer.Rate = std::min(Wish.Rate, spareRate(Share, Settings, Draining));
--- a/Libraries/LibLimits/lending_policy.h
+++ b/Libraries/LibLimits/lending_policy.h
@@ -17,15 +17,11 @@
   double KeptDemand = 1.25;
   /// A giver keeps this part of its base share in any case.
   double KeptFloor = 0.1;
-  /// A giver keeps the tokens that its demand takes in this time.
-  milliseconds KeptTime{200};
   /// A borrower wants rate if its demand is more than its rate times this;
   /// small differences are left to transfers.
-  double ToleratedDemand = 1.2;
+  double ToleratedDemand = 2.0;
   /// A borrower wants tokens for its demand in this time.
   milliseconds WantedTime{1'000};
-  /// A borrower asks ahead if it will be low within this time.
-  milliseconds AskAheadTime{500};
 };
 
 /// What a borrower would like to get.
@@ -34,10 +30,13 @@
   micro_tokens Level;
 };
 
-/// What a share should borrow now so that later requests need not wait, or
-/// nothing. Precondition: the share's demand is up to date.
+/// What a share should borrow now, before a request needs it, or nothing:
+/// rate, and tokens only if a request can't wait for them, because tokens moved
+/// ahead of need leave less room for what reservations give back.
+/// Precondition: the share's demand is up to date.
 std::optional<loan_wish> wishAhead(const tenant_share &Share,
-                                   const lending_settings &Settings);
+                                   const lending_settings &Settings,
+                                   bool RequestsWait);
 /// What a share should borrow for a waiting request of \p Amount.
 loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount,
                          const lending_settings &Settings);
--- a/Libraries/LibLimits/peer_choice.cpp
+++ b/Libraries/LibLimits/peer_choice.cpp
@@ -7,10 +7,8 @@
 namespace spindle {
 
 static constexpr double LeastWeight = 0.05;
-/// A peer that granted less than this part has nothing left.
-static constexpr double LittleGranted = 0.5;
-static constexpr milliseconds ShortestBackoff{50};
-static constexpr milliseconds LongestBackoff{800};
+static constexpr milliseconds ShortestBackoff{10};
+static constexpr milliseconds LongestBackoff{200};
 static constexpr milliseconds SilentBackoff{1'000};
 
 std::vector<std::size_t> chooseLenders(std::span<const lender> Lenders,
@@ -41,7 +39,7 @@
 
 void noteGranted(lender_hint &Hint, double Granted, time_point Now) {
   Hint.Granted = Granted;
-  if (Granted >= LittleGranted) {
+  if (Granted > 0) {
     Hint.Backoff = milliseconds(0);
     return;
   }
--- a/Libraries/LibLimits/peer_choice.h
+++ b/Libraries/LibLimits/peer_choice.h
@@ -32,7 +32,7 @@
                                        std::size_t Limit, time_point Now,
                                        std::mt19937_64 &Random);
 /// Notes that a peer granted the part \p Granted, in 0..1, of a wish. One that
-/// had little is asked again only after a pause that doubles each time.
+/// had nothing is asked again only after a pause that doubles each time.
 void noteGranted(lender_hint &Hint, double Granted, time_point Now);
 /// Notes that a peer did not answer.
 void noteSilent(lender_hint &Hint, time_point Now);
