LibLimits: Let transfers carry room for a request larger than the share

Cause: a request larger than the host's capacity needed a loan of capacity for 3 s, which left other hosts too small for their own. Change: a transfer carries the room for its tokens for 100 ms, in which the request takes them; small remainders are not sent.

--- a/Libraries/LibLimits/lending_policy.cpp
+++ b/Libraries/LibLimits/lending_policy.cpp
@@ -8,6 +8,9 @@
 
 /// Rates below this part of the base share are not worth a loan.
 static constexpr std::int64_t LeastRateLoanDivisor = 50;
+/// Tokens below this part of the giver's capacity are given only if they are
+/// all that is asked for.
+static constexpr std::int64_t LeastTokensDivisor = 16;
 static constexpr double LargeRequestsWanted = 2.0;
 
 static double demandOf(const tenant_share &Share) {
@@ -44,18 +47,10 @@
   return tokensOfMicros(std::max(ForLarge, ForTime));
 }
 
-/// Tells whether a large request needs more capacity than \p Capacity.
-static bool lacksCapacity(const tenant_share &Share, micro_tokens Capacity) {
-  return Share.Demand.LargeMicros > static_cast<double>(Capacity.Count);
-}
-
-/// What is missing up to \p Wanted, as far as there is room for it.
+/// What is missing up to \p Wanted.
 static micro_tokens missingLevel(const tenant_share &Share,
                                  micro_tokens Wanted) {
-  const micro_tokens Capacity = capacityOf(Share);
-  const micro_tokens Ceiling =
-      lacksCapacity(Share, Capacity) ? Wanted : std::min(Wanted, Capacity);
-  return std::max(Ceiling - Share.Level, micro_tokens{});
+  return std::max(Wanted - Share.Level, micro_tokens{});
 }
 
 std::optional<loan_wish> wishAhead(const tenant_share &Share,
@@ -63,11 +58,9 @@
                                    bool RequestsWait) {
   const bool IsLow =
       static_cast<double>(Share.Level.Count) < Share.Demand.LargeMicros;
-  const bool NeedsTokens =
-      !RequestsWait || lacksCapacity(Share, capacityOf(Share));
   loan_wish Wish;
   Wish.Rate = wantedRate(Share, Settings);
-  if (Wish.Rate.PerSecond > 0 || (IsLow && NeedsTokens))
+  if (Wish.Rate.PerSecond > 0 || (IsLow && !RequestsWait))
     Wish.Level = missingLevel(Share, wantedLevel(Share, Settings));
   if (Wish.Rate.PerSecond == 0 && Wish.Level.Count == 0)
     return std::nullopt;
@@ -81,10 +74,9 @@
 
 milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
                      const lending_settings &Settings) {
-  const bool TokensSuffice = Share.Kind == refill_kind::ByRate &&
-                             Wish.Rate.PerSecond == 0 &&
-                             !lacksCapacity(Share, capacityOf(Share));
-  return TokensSuffice ? Settings.TransferTerm : Settings.LoanTerm;
+  const bool SpentAtOnce =
+      Share.Kind == refill_kind::ByRate && Wish.Rate.PerSecond == 0;
+  return SpentAtOnce ? Settings.TransferTerm : Settings.LoanTerm;
 }
 
 static micro_rate spareRate(const tenant_share &Share,
@@ -129,6 +121,11 @@
   loan_amount Offer;
   Offer.Level = std::min({Wish.Level, std::max(Share.Level, micro_tokens{}),
                           lendableCapacity(Share)});
+  // Crumbs cost a message and don't admit a request.
+  const micro_tokens Least{capacityOf(Share).Count / LeastTokensDivisor};
+  if (!Draining && Offer.Level < std::min(Wish.Level, Least))
+    Offer.Level = {};
+  Offer.Capacity = Offer.Level;
   if (Term > LongestTransferTerm) {
     Offer.Rate = std::min(Wish.Rate, spareRate(Share, Settings, Draining));
     if (Offer.Rate.PerSecond < Share.BaseRate.PerSecond / LeastRateLoanDivisor)
@@ -145,8 +142,7 @@
   if (Share.Kind == refill_kind::BySettlement)
     return Share.Outstanding > Capacity;
   const micro_rate Without = rateOf(Share) - Loan.Amount.Rate;
-  return Without < rateOfMicros(demandOf(Share)) ||
-         lacksCapacity(Share, Capacity);
+  return Without < rateOfMicros(demandOf(Share));
 }
 
 bool affordsRenewal(const tenant_share &Share) {
