LibHost: Pause asking when the peers together have too little

Cause: in overload each refused request asked every peer. Change: after a round that did not suffice nobody is asked for 10 to 500 ms; a wish ahead of need that could not be met is repeated after 500 ms.

--- a/Libraries/LibHost/share_lender.cpp
+++ b/Libraries/LibHost/share_lender.cpp
@@ -12,6 +12,10 @@
 
 /// A loan is renewed when less than this part of its term is left.
 static constexpr int RenewalDivisor = 3;
+static constexpr milliseconds ShortestRoundPause{10};
+/// The pause after peers could not satisfy a wish ahead of need.
+static constexpr milliseconds AheadPause{500};
+static constexpr milliseconds LongestRoundPause{500};
 
 share_lender::share_lender(const runtime_clock &Clock, host_link_port Link,
                            host_link::Sender Self, share_table &Table,
@@ -131,17 +135,34 @@
   return IsEnough;
 }
 
+/// Notes whether a round of asking got enough for its request.
+static void noteRound(share_entry &Entry, bool GotEnough, time_point Now) {
+  Entry.Borrowing = false;
+  if (GotEnough) {
+    Entry.RoundPause = milliseconds(0);
+    return;
+  }
+  Entry.RoundPause =
+      std::clamp(2 * Entry.RoundPause, ShortestRoundPause, LongestRoundPause);
+  Entry.NextRoundAt = Now + Entry.RoundPause;
+}
+
 borrow_outcome share_lender::borrowForRequest(
     const bucket_id &Id, micro_tokens Amount, time_point End,
     const std::function<bool(share_entry &)> &Enough) {
-  bool Busy = false;
+  borrow_outcome Outcome = borrow_outcome::NobodyToAsk;
   Table.with(Id, [&](share_entry &Entry) {
-    Busy = std::exchange(Entry.Borrowing, true);
+    if (Entry.Borrowing)
+      Outcome = borrow_outcome::OtherFiberAsks;
+    else if (Clock.now() >= Entry.NextRoundAt)
+      Outcome = borrow_outcome::Asked;
+    if (Outcome == borrow_outcome::Asked)
+      Entry.Borrowing = true;
   });
-  if (Busy)
-    return borrow_outcome::OtherFiberAsks;
-  const std::vector<peer_host> Chosen = choosePeers(Id);
-  for (const peer_host &Peer : Chosen) {
+  if (Outcome != borrow_outcome::Asked)
+    return Outcome;
+  bool GotEnough = false;
+  for (const peer_host &Peer : choosePeers(Id)) {
     loan_wish Wish;
     Table.with(Id, [&](share_entry &Entry) {
       Wish = wishForRequest(Entry.Share, Amount, Settings.Lending);
@@ -149,11 +170,16 @@
     const milliseconds Left =
         std::chrono::ceil<milliseconds>(End - Clock.now());
     const milliseconds Limit = std::min(Settings.BorrowTimeout, Left);
-    if (Limit < milliseconds(0) || askPeer(Peer, Id, Wish, Limit, Enough))
+    if (Limit < milliseconds(0))
+      break;
+    GotEnough = askPeer(Peer, Id, Wish, Limit, Enough);
+    if (GotEnough)
       break;
   }
-  Table.with(Id, [](share_entry &Entry) { Entry.Borrowing = false; });
-  return Chosen.empty() ? borrow_outcome::NobodyToAsk : borrow_outcome::Asked;
+  Table.with(Id, [&](share_entry &Entry) {
+    noteRound(Entry, GotEnough, Clock.now());
+  });
+  return borrow_outcome::Asked;
 }
 
 static bucket_id bucketOf(std::uint64_t Tenant, std::uint32_t Bucket) {
@@ -256,24 +282,31 @@
 
 void share_lender::askAhead(const bucket_id &Id) {
   const time_point End = Clock.now() + Settings.AdmissionWait;
-  bool Busy = false;
+  bool MayAsk = false;
   Table.with(Id, [&](share_entry &Entry) {
-    Busy = std::exchange(Entry.Borrowing, true);
+    MayAsk = !Entry.Borrowing && Clock.now() >= Entry.NextAheadAt;
+    Entry.Borrowing = Entry.Borrowing || MayAsk;
   });
-  if (Busy)
+  if (!MayAsk)
     return;
-  std::optional<loan_wish> Wish;
-  const auto UpdateWish = [&](share_entry &Entry) {
-    Wish = wishAhead(Entry.Share, Settings.Lending, requestsWait(Id));
-  };
+  bool Satisfied = false;
   for (const peer_host &Peer : choosePeers(Id)) {
-    Table.with(Id, UpdateWish);
-    if (!Wish || Clock.now() > End)
+    std::optional<loan_wish> Wish;
+    Table.with(Id, [&](share_entry &Entry) {
+      Wish = wishAhead(Entry.Share, Settings.Lending, requestsWait(Id));
+    });
+    Satisfied = !Wish;
+    if (Satisfied || Clock.now() > End)
       break;
     askPeer(Peer, Id, *Wish, Settings.BorrowTimeout,
             [](share_entry &) { return false; });
   }
-  Table.with(Id, [](share_entry &Entry) { Entry.Borrowing = false; });
+  Table.with(Id, [&](share_entry &Entry) {
+    Entry.Borrowing = false;
+    Entry.NextAheadAt = Clock.now();
+    if (!Satisfied)
+      Entry.NextAheadAt += AheadPause;
+  });
 }
 
 void share_lender::renew(const held_loan &Held) {
--- a/Libraries/LibHost/share_table.h
+++ b/Libraries/LibHost/share_table.h
@@ -44,6 +44,12 @@
   /// Tells reservations of an earlier entry of the same tenant apart.
   std::uint64_t Epoch = 0;
   std::unordered_map<host_id, lender_hint> Hints;
+  /// After a round in which the peers together had too little, nobody is asked
+  /// before this; the pause doubles while that goes on.
+  time_point NextRoundAt;
+  milliseconds RoundPause{0};
+  /// Peers are not asked ahead of need before this.
+  time_point NextAheadAt;
   /// A fiber is asking peers for this share.
   bool Borrowing = false;
 };
--- a/Libraries/LibLimits/lending_policy.cpp
+++ b/Libraries/LibLimits/lending_policy.cpp
@@ -60,7 +60,7 @@
       static_cast<double>(Share.Level.Count) < Share.Demand.LargeMicros;
   loan_wish Wish;
   Wish.Rate = wantedRate(Share, Settings);
-  if (Wish.Rate.PerSecond > 0 || (IsLow && !RequestsWait))
+  if (IsLow && !RequestsWait)
     Wish.Level = missingLevel(Share, wantedLevel(Share, Settings));
   if (Wish.Rate.PerSecond == 0 && Wish.Level.Count == 0)
     return std::nullopt;
