LibLimits: Ask for rate ahead of need only

Cause: a waiting request that also asked for rate took its tokens as a loan of 3 s, which moved capacity back and forth in overload. Change: a waiting request asks for tokens alone.

--- a/Libraries/LibHost/share_lender.cpp
+++ b/Libraries/LibHost/share_lender.cpp
@@ -165,7 +165,7 @@
   for (const peer_host &Peer : choosePeers(Id)) {
     loan_wish Wish;
     Table.with(Id, [&](share_entry &Entry) {
-      Wish = wishForRequest(Entry.Share, Amount, Settings.Lending);
+      Wish = wishForRequest(Entry.Share, Amount);
     });
     const milliseconds Left =
         std::chrono::ceil<milliseconds>(End - Clock.now());
--- a/Libraries/LibLimits/lending_policy.cpp
+++ b/Libraries/LibLimits/lending_policy.cpp
@@ -67,9 +67,8 @@
   return Wish;
 }
 
-loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount,
-                         const lending_settings &Settings) {
-  return {wantedRate(Share, Settings), missingLevel(Share, Amount)};
+loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount) {
+  return {{}, missingLevel(Share, Amount)};
 }
 
 milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
--- a/Libraries/LibLimits/lending_policy.h
+++ b/Libraries/LibLimits/lending_policy.h
@@ -38,8 +38,7 @@
                                    const lending_settings &Settings,
                                    bool RequestsWait);
 /// What a share should borrow for a waiting request of \p Amount.
-loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount,
-                         const lending_settings &Settings);
+loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount);
 /// The term to ask for: a transfer unless rate or capacity is needed.
 milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
                      const lending_settings &Settings);
