--- a/Benchmarks/experiment_limits.cpp
+++ b/Benchmarks/experiment_limits.cpp
@@ -212,8 +212,7 @@
       ++Messages;
       Bytes += Request.ByteSizeLong();
       checkReachable(From, Peer.Port);
-      const host_link::BorrowReply Reply =
-          Limiters[Peer.Port]->handleBorrow(Request);
+      host_link::BorrowReply Reply = Limiters[Peer.Port]->handleBorrow(Request);
       Bytes += Reply.ByteSizeLong();
       return Reply;
     };
--- a/Libraries/LibHost/rate_limiter.h
+++ b/Libraries/LibHost/rate_limiter.h
@@ -22,6 +22,16 @@
 /// Tokens charged to a tenant at admission, to be settled at the end of the
 /// request. One that is never settled counts as used whole.
 struct rate_reservation {
+  rate_reservation() = default;
+  rate_reservation(tenant_id Tenant, tokens Reserved)
+      : Tenant(Tenant), Reserved(Reserved) {}
+  ~rate_reservation() = default;
+  // A copy could be settled a second time.
+  rate_reservation(const rate_reservation &) = delete;
+  rate_reservation &operator=(const rate_reservation &) = delete;
+  rate_reservation(rate_reservation &&) = default;
+  rate_reservation &operator=(rate_reservation &&) = default;
+
   tenant_id Tenant;
   tokens Reserved;
   /// Places the charge in the history of the tenant's share.
--- a/Libraries/LibHost/share_lender.cpp
+++ b/Libraries/LibHost/share_lender.cpp
@@ -63,6 +63,7 @@
     Chosen = chooseLenders(Lenders, Settings.PeersAsked, Clock.now(), Random);
   }
   std::vector<peer_host> Result;
+  Result.reserve(Chosen.size());
   for (const std::size_t Index : Chosen)
     Result.push_back((*List)[Index]);
   return Result;
--- a/Tests/LibLimits/limiter_fleet.h
+++ b/Tests/LibLimits/limiter_fleet.h
@@ -42,7 +42,7 @@
     Link.Borrow = [this](const endpoint &Peer,
                          const host_link::BorrowRequest &Request,
                          milliseconds) {
-      const host_link::BorrowReply Reply =
+      host_link::BorrowReply Reply =
           Limiters.at(Peer.Port)->handleBorrow(Request);
       ++Borrows;
       if (Silent[Peer.Port])
--- a/Tests/LibOrders/order_history.h
+++ b/Tests/LibOrders/order_history.h
@@ -123,7 +123,7 @@
 
   /// Where an attempt's fiber stops until it is its turn.
   void waitForTurn() {
-    attempt &Attempt = *Attempts[*Current.get()];
+    attempt &Attempt = *Attempts[*Current];
     Attempt.Waiting = true;
     while (!Attempt.Go)
       boost::this_fiber::yield();
