--- a/Libraries/LibConfiguration/configuration_plan.cpp
+++ b/Libraries/LibConfiguration/configuration_plan.cpp
@@ -20,7 +20,7 @@
 
 static std::string digestOf(const json &Value) {
   return sha256Hex(Value.at("baseVersion").dump() + Value.at("nonce").dump() +
-                   Value.at("intent").dump());
+                   Value.at("changes").dump() + Value.at("intent").dump());
 }
 
 std::string writePlan(const configuration_plan &Plan) {
