--- a/Libraries/LibHost/host.cpp
+++ b/Libraries/LibHost/host.cpp
@@ -74,6 +74,8 @@
 http_server_limits serverLimits(const host_settings &Settings) {
   http_server_limits Result;
   Result.HeaderBytes = Settings.Limits.HeaderBytes;
+  Result.Connections = Settings.Limits.Connections;
+  Result.HeaderTimeout = Settings.Timeouts.Header;
   Result.IdleTimeout = Settings.Timeouts.IdleConnection;
   Result.ProgressTimeout = Settings.Timeouts.CallerStall;
   return Result;
@@ -109,7 +111,7 @@
   void startTasks();
   void startConfigurationTasks();
   void startServing();
-  bool ready() const;
+  bool ready();
   void runDrain();
   void waitForQuiet(time_point Until);
 
@@ -137,6 +139,7 @@
   std::optional<http_server> MetricsServer;
   std::optional<http_server> CallerServer;
   std::atomic<bool> Serving{false};
+  std::atomic<bool> HadShare{false};
   std::atomic<bool> Draining{false};
   std::atomic<bool> Drained{false};
   periodic_tasks Tasks;
@@ -146,6 +149,7 @@
                    const host_settings &HostSettings, std::uint64_t Incarnation)
     : Clock(Clock), Runtime(Runtime), Settings(HostSettings),
       Incarnation(Incarnation), Self(makeSender(Settings, Incarnation)),
+      Client(Settings.Limits.IdleConnectionsPerUpstream),
       Platform(makeHttpPlatform(Client, platformSettings(Settings))),
       Link(makeGrpcHostLink()),
       Configuration(Clock, Platform, Link, Self, followerSettings(Settings)),
@@ -156,8 +160,19 @@
       Health(Clock, &Metrics),
       Suspects(Clock, &Metrics, {Link, Platform, Self}),
       Orders(Clock, Platform, Incarnation, Settings.Name, orderSettings()),
-      Services{Clock,     Metrics,   Client, Configuration, Limiter, Queue,
-               Residency, Upstreams, Health, Suspects,      Orders,  InFlight},
+      Services{Clock,
+               Metrics,
+               Client,
+               Configuration,
+               Limiter,
+               Queue,
+               Residency,
+               Upstreams,
+               Health,
+               Suspects,
+               Orders,
+               InFlight,
+               Settings.Timeouts.Connect},
       Tasks(Runtime) {
   LinkServer.emplace(Runtime, Settings.Listen.HostLink, linkHandlers());
   Membership.emplace(
@@ -320,9 +335,14 @@
   Serving.store(true);
 }
 
-bool host::state::ready() const {
-  return Serving.load() && !Draining.load() &&
-         Configuration.current() != nullptr;
+bool host::state::ready() {
+  if (!Serving.load() || Draining.load() || !Configuration.current())
+    return false;
+  // A host that has just started waits for its share; one that can't get any
+  // still serves what other hosts lend it.
+  if (Limiter.holdsShare() || !Membership->view()->PlatformReachable)
+    HadShare.store(true);
+  return HadShare.load();
 }
 
 void host::state::waitForQuiet(time_point Until) {
