--- a/Libraries/LibHost/configuration_follower.cpp
+++ b/Libraries/LibHost/configuration_follower.cpp
@@ -3,17 +3,16 @@
 #include "LibConfiguration/configuration_codec.h"
 #include "LibConfiguration/configuration_head.h"
 #include "LibCore/result_code.h"
+#include "LibHost/part_fetcher.h"
+#include "LibHost/snapshot_builder.h"
 #include "LibLog/log.h"
 #include "LibMembership/rendezvous.h"
-#include "LibRuntime/completion.h"
 
 #include <algorithm>
 #include <deque>
-#include <exception>
 #include <map>
 #include <mutex>
 #include <optional>
-#include <thread>
 
 namespace spindle {
 
@@ -50,7 +49,10 @@
         configuration_follower_settings Settings)
       : Clock(Clock), Platform(std::move(Platform)),
         HostLink(std::move(HostLink)), Self(std::move(Self)),
-        Settings(std::move(Settings)) {}
+        Settings(std::move(Settings)), Fetcher{this->Platform, this->HostLink,
+                                               this->Self,
+                                               this->Settings.PeerCallTimeout} {
+  }
 
   std::uint64_t version() const {
     const lock Lock(Mutex);
@@ -61,9 +63,6 @@
   std::map<std::string, std::string> fetchParts(const found_head &Found);
   std::string fetchPart(const std::string &Digest,
                         const std::optional<endpoint> &From);
-  std::optional<std::string> fetchFromPeer(const std::string &Digest,
-                                           const endpoint &Peer);
-  std::optional<std::string> fetchFromPlatform(const std::string &Digest);
   std::string findCached(const std::string &Digest) const;
   void putInForce(const found_head &Found, snapshot_pointer Snapshot,
                   std::map<std::string, std::string> Fetched);
@@ -80,6 +79,7 @@
   const host_link_port HostLink;
   const host_link::Sender Self;
   const configuration_follower_settings Settings;
+  const part_fetcher Fetcher;
   /// Set before the first poll and only read after it.
   std::vector<listener> Listeners;
 
@@ -130,46 +130,6 @@
   return State->LastConfirmed;
 }
 
-namespace {
-
-struct build_result {
-  snapshot_pointer Snapshot;
-  std::exception_ptr Error;
-};
-
-} // namespace
-
-static build_result build(std::uint64_t Version, const std::string &Index,
-                          const std::map<std::string, std::string> &Parts) {
-  try {
-    const part_source Source = [&Parts](const std::string &Digest) {
-      return Parts.at(Digest);
-    };
-    return {std::make_shared<const configuration_snapshot>(
-                Version, decodeIntent(Index, Source)),
-            nullptr};
-  } catch (...) {
-    return {nullptr, std::current_exception()};
-  }
-}
-
-/// Reads, checks and indexes a configuration on a thread of its own, since
-/// that takes a third of a second at 62,000 adapters and would hold up the
-/// requests on this one.
-static snapshot_pointer
-buildAside(std::uint64_t Version, const std::string &Index,
-           const std::map<std::string, std::string> &Parts) {
-  completion<build_result> Completion;
-  std::thread Builder([&, Deliver = Completion.deliverer()] {
-    Deliver(build(Version, Index, Parts));
-  });
-  build_result Result = Completion.wait();
-  Builder.join();
-  if (Result.Error)
-    std::rethrow_exception(Result.Error);
-  return Result.Snapshot;
-}
-
 std::map<std::string, std::string>
 configuration_follower::state::fetchParts(const found_head &Found) {
   std::map<std::string, std::string> Fetched;
@@ -251,48 +211,6 @@
   return Found == Parts.end() ? std::string() : Found->second;
 }
 
-/// Returns nothing unless the part is whole.
-static std::optional<std::string> ifWhole(const std::string &Digest,
-                                          std::string Text) {
-  try {
-    checkPart(Digest, Text);
-    return Text;
-  } catch (const spindle_error &Error) {
-    logEvent(log_event::ConfigurationRefused, {{"reason", Error.what()}});
-    return std::nullopt;
-  }
-}
-
-std::optional<std::string>
-configuration_follower::state::fetchFromPeer(const std::string &Digest,
-                                             const endpoint &Peer) {
-  try {
-    host_link::FetchPartRequest Request;
-    *Request.mutable_sender() = Self;
-    Request.set_digest(Digest);
-    const host_link::FetchPartReply Reply =
-        HostLink.FetchPart(Peer, Request, Settings.PeerCallTimeout);
-    if (!Reply.found())
-      return std::nullopt;
-    return ifWhole(Digest, Reply.content());
-  } catch (const spindle_error &) {
-    return std::nullopt;
-  }
-}
-
-std::optional<std::string>
-configuration_follower::state::fetchFromPlatform(const std::string &Digest) {
-  try {
-    const std::optional<platform_object> Object =
-        Platform.Get(platform_kind::ConfigurationParts, Digest);
-    if (!Object)
-      return std::nullopt;
-    return ifWhole(Digest, readPartBody(Object->Body));
-  } catch (const spindle_error &) {
-    return std::nullopt;
-  }
-}
-
 /// Takes a part from who announced it, else from the platform, else from
 /// other peers.
 std::string
@@ -303,13 +221,13 @@
     return Cached;
   std::optional<std::string> Text;
   if (From)
-    Text = fetchFromPeer(Digest, *From);
+    Text = Fetcher.fromPeer(Digest, *From);
   if (!Text)
-    Text = fetchFromPlatform(Digest);
+    Text = Fetcher.fromPlatform(Digest);
   const std::vector<endpoint> Others = linksOfZone(true);
   for (std::size_t Index = 0;
        !Text && Index < std::min(Others.size(), PeersAskedForPart); ++Index)
-    Text = fetchFromPeer(Digest, Others[Index]);
+    Text = Fetcher.fromPeer(Digest, Others[Index]);
   if (!Text)
     throw spindle_error(result_code::PlatformUnavailable,
                         "part " + Digest + " could not be fetched");
--- a/Libraries/LibHost/membership_agent.cpp
+++ b/Libraries/LibHost/membership_agent.cpp
@@ -1,6 +1,7 @@
 #include "LibHost/membership_agent.h"
 
 #include "LibCore/result_code.h"
+#include "LibHost/call_schedule.h"
 #include "LibHost/lease_keeper.h"
 #include "LibHost/zone_keeper.h"
 #include "LibLog/log.h"
@@ -24,21 +25,9 @@
 /// leases and tables less often, so that a host's traffic stays flat.
 static constexpr std::size_t HostsAtFullRate = 8;
 static constexpr std::size_t MachinesAtFullRate = 64;
-static constexpr milliseconds FirstRetry{500};
 /// Hosts that start together make their first calls within these times.
 static constexpr milliseconds FirstRenewalSpread{1'500};
 static constexpr milliseconds FirstLookSpread{3'000};
-static constexpr milliseconds LongestRetry{4'000};
-
-namespace {
-
-/// When a kind of call to the platform is due.
-struct call_schedule {
-  time_point Due{};
-  int Failures = 0;
-};
-
-} // namespace
 
 struct membership_agent::state {
   state(const runtime_clock &Clock, platform_port Port,
@@ -48,15 +37,13 @@
         Zone(Clock, Platform, Settings), Random(Settings.Seed),
         View(std::make_shared<const host_view>()) {
     const time_point Now = Clock.now();
-    Renewal.Due = Now + within(FirstRenewalSpread);
+    Renewal.startWithin(FirstRenewalSpread, Now, Random);
     for (call_schedule *Schedule : {&Machines, &OwnZone, &Elsewhere})
-      Schedule->Due = Now + within(FirstLookSpread);
+      Schedule->startWithin(FirstLookSpread, Now, Random);
   }
 
-  template <typename work>
-  void runIfDue(call_schedule &Schedule, nanoseconds Interval, work Work);
-  nanoseconds spread(nanoseconds Interval);
-  nanoseconds within(nanoseconds Limit);
+  void runIfDue(call_schedule &Schedule, nanoseconds Interval,
+                const std::function<void()> &Work);
   std::size_t slowdown();
   void renew();
   void readMachines();
@@ -157,40 +144,18 @@
 
 bool membership_agent::replaced() const { return State->Replaced; }
 
-/// Returns the interval, give or take a tenth, so that hosts that started
-/// together don't call together.
-nanoseconds membership_agent::state::spread(nanoseconds Interval) {
-  std::uniform_real_distribution<double> Factor(0.9, 1.1);
-  return nanoseconds(static_cast<std::int64_t>(
-      static_cast<double>(Interval.count()) * Factor(Random)));
-}
-
-nanoseconds membership_agent::state::within(nanoseconds Limit) {
-  std::uniform_int_distribution<std::int64_t> Any(0, Limit.count());
-  return nanoseconds(Any(Random));
-}
-
-/// Runs \p Work if it is due. After a failure it is due again soon, then at
-/// growing intervals that differ between hosts.
-template <typename work>
+/// Runs \p Work if it is due.
 void membership_agent::state::runIfDue(call_schedule &Schedule,
-                                       nanoseconds Interval, work Work) {
-  if (Clock.now() < Schedule.Due)
+                                       nanoseconds Interval,
+                                       const std::function<void()> &Work) {
+  if (!Schedule.isDue(Clock.now()))
     return;
   try {
     Work();
-    Schedule.Failures = 0;
-    Schedule.Due = Clock.now() + spread(Interval);
+    Schedule.noteSuccess(Clock.now(), Interval, Random);
     Reachable = true;
   } catch (const spindle_error &Error) {
-    const int Doublings = std::min(Schedule.Failures, 8);
-    const nanoseconds Retry =
-        std::min<nanoseconds>(FirstRetry * (1 << Doublings), LongestRetry);
-    std::uniform_real_distribution<double> Part(0.3, 1.0);
-    ++Schedule.Failures;
-    Schedule.Due =
-        Clock.now() + nanoseconds(static_cast<std::int64_t>(
-                          static_cast<double>(Retry.count()) * Part(Random)));
+    Schedule.noteFailure(Clock.now(), Random);
     const bool IsConflict = Error.code() == result_code::PlatformConflict;
     Reachable = IsConflict;
     if (!IsConflict)
@@ -364,7 +329,7 @@
   const bool MayStop = Finishing && EnginesReleased && !Zone.holdsShare();
   if (MayStop && !Stopped) {
     Stopped = true;
-    Renewal.Due = Clock.now();
+    Renewal.hasten(Clock.now());
   }
 }
 
@@ -448,8 +413,8 @@
     const lock Lock(S.Mutex);
     const bool HasNews =
         S.AppliedVersion != S.RenewedVersion || S.RenewedDraining != S.Draining;
-    if (HasNews && S.Renewal.Failures == 0)
-      S.Renewal.Due = S.Clock.now();
+    if (HasNews)
+      S.Renewal.hasten(S.Clock.now());
   }
   S.runIfDue(S.Renewal, S.Settings.Lease.RenewInterval, [&S] { S.renew(); });
   std::size_t MachineCount = 0;
@@ -464,8 +429,8 @@
              [&S] { S.readMachines(); });
   if (S.Lease.started() && !S.Replaced) {
     const nanoseconds Interval = S.Settings.Lease.RenewInterval * S.slowdown();
-    if (S.Zone.hasWork(S.Clock.now()) && S.OwnZone.Failures == 0)
-      S.OwnZone.Due = S.Clock.now();
+    if (S.Zone.hasWork(S.Clock.now()))
+      S.OwnZone.hasten(S.Clock.now());
     S.runIfDue(S.OwnZone, Interval, [&S] { S.workOnZone(); });
     S.runIfDue(S.Elsewhere, Interval, [&S] { S.lookElsewhere(); });
   }
--- /dev/null
+++ b/Libraries/LibHost/part_fetcher.cpp
@@ -0,0 +1,50 @@
+#include "LibHost/part_fetcher.h"
+
+#include "LibConfiguration/configuration_codec.h"
+#include "LibCore/result_code.h"
+#include "LibLog/log.h"
+
+namespace spindle {
+
+/// Returns nothing unless the part is whole.
+static std::optional<std::string> ifWhole(const std::string &Digest,
+                                          std::string Text) {
+  try {
+    checkPart(Digest, Text);
+    return Text;
+  } catch (const spindle_error &Error) {
+    logEvent(log_event::ConfigurationRefused, {{"reason", Error.what()}});
+    return std::nullopt;
+  }
+}
+
+std::optional<std::string> part_fetcher::fromPeer(const std::string &Digest,
+                                                  const endpoint &Peer) const {
+  try {
+    host_link::FetchPartRequest Request;
+    *Request.mutable_sender() = Self;
+    Request.set_digest(Digest);
+    const host_link::FetchPartReply Reply =
+        HostLink.FetchPart(Peer, Request, PeerCallTimeout);
+    if (!Reply.found())
+      return std::nullopt;
+    return ifWhole(Digest, Reply.content());
+  } catch (const spindle_error &) {
+    return std::nullopt;
+  }
+}
+
+std::optional<std::string>
+part_fetcher::fromPlatform(const std::string &Digest) const {
+  try {
+    const std::optional<platform_object> Object =
+        Platform.Get(platform_kind::ConfigurationParts, Digest);
+    if (!Object)
+      return std::nullopt;
+    return ifWhole(Digest, readPartBody(Object->Body));
+  } catch (const spindle_error &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace spindle
