LibHost: Drain when the platform's list calls the own machine leaving

The list of machines tells which hosts leave; a host that is still taking work when its machine goes would cut requests.

drainRequested() now also tells of the own machine. TestLibMembership shows that leaving upstreams and hosts are known within 3 s without a watch, and that a planned stop hands over engines first, then the share.

--- a/Libraries/LibConfiguration/configuration_plan.cpp
+++ b/Libraries/LibConfiguration/configuration_plan.cpp
@@ -225,8 +225,7 @@
       if (Found && isInForce(Found->first, Plan))
         return Found->first;
       requireCurrent(Found, Plan);
-      const configuration_head Head =
-          buildHead(Platform, Found, Plan, Confirmation);
+      configuration_head Head = buildHead(Platform, Found, Plan, Confirmation);
       writeHeadObject(Platform, Found, Head);
       return Head;
     } catch (const spindle_error &Error) {
--- a/Libraries/LibHost/membership_agent.cpp
+++ b/Libraries/LibHost/membership_agent.cpp
@@ -47,6 +47,7 @@
   std::size_t slowdown();
   void renew();
   void readMachines();
+  bool isLeaving() const;
   void workOnZone();
   void lookElsewhere();
   void observeZone(const std::string &Name);
@@ -140,7 +141,9 @@
 
 bool membership_agent::drained() const { return State->Drained; }
 
-bool membership_agent::drainRequested() const { return State->DrainRequested; }
+bool membership_agent::drainRequested() const {
+  return State->DrainRequested || State->isLeaving();
+}
 
 bool membership_agent::replaced() const { return State->Replaced; }
 
@@ -197,6 +200,11 @@
   KnownMachines = List;
 }
 
+bool membership_agent::state::isLeaving() const {
+  const lock Lock(Mutex);
+  return KnownMachines.LeavingHosts.count(Settings.Name) != 0;
+}
+
 bool membership_agent::watchMachines(milliseconds Limit) {
   try {
     const platform_list List = State->Platform.List(platform_kind::Machines);
--- a/Libraries/LibHost/membership_agent.h
+++ b/Libraries/LibHost/membership_agent.h
@@ -83,7 +83,8 @@
   bool enginesReleased() const;
   /// Whether finishDrain() is done: the process may end.
   bool drained() const;
-  /// Whether an operator has asked this host to drain.
+  /// Whether an operator has asked this host to drain, or the platform's list
+  /// calls its machine leaving.
   bool drainRequested() const;
   /// Whether another process has taken this host's place: this one must end.
   bool replaced() const;
--- a/Libraries/LibSettings/host_settings.cpp
+++ b/Libraries/LibSettings/host_settings.cpp
@@ -33,6 +33,7 @@
   };
   const auto Write = [](const std::vector<endpoint> &Endpoints) {
     std::vector<std::string> Texts;
+    Texts.reserve(Endpoints.size());
     for (const endpoint &Endpoint : Endpoints)
       Texts.push_back(toText(Endpoint));
     return Texts;
--- a/Libraries/LibSettings/json_text.cpp
+++ b/Libraries/LibSettings/json_text.cpp
@@ -34,7 +34,10 @@
     ++Position;
     for (skipBlanks(); current() != '}' && !atEnd(); skipBlanks()) {
       const std::string Name = scanText();
-      const std::string Field = Path.empty() ? Name : Path + "." + Name;
+      std::string Field = Path;
+      if (!Field.empty())
+        Field += ".";
+      Field += Name;
       if (Places.Offsets.count(Field) != 0)
         Places.Duplicates.push_back({Field, "the field stands twice"});
       skipBlanks();
--- a/Tests/LibMembership/test_membership.cpp
+++ b/Tests/LibMembership/test_membership.cpp
@@ -294,6 +294,45 @@
   CHECK(First.share() == 500'000);
 }
 
+TEST_CASE("leaving upstreams and hosts are known within 3 s without a watch") {
+  startLogging({log_severity::Error, false});
+  simulated_fleet Fleet({std::pair<std::string, std::string>("a1", "a")});
+  simulated_process &Host = begin(Fleet, 0, makeSnapshot(1, {1}));
+  pass(Fleet, 5);
+  const platform_port Port = Fleet.Platform.port();
+  Port.Create("machines", "a-engine-1",
+              R"({"role":"upstream","state":"leaving"})");
+  Port.Update("machines", "a1", Port.Get("machines", "a1")->Version,
+              R"({"role":"host","state":"leaving"})");
+  CHECK_FALSE(Host.Agent->drainRequested());
+  pass(Fleet, 3);
+  CHECK(Host.Agent->view()->LeavingUpstreams ==
+        std::vector<upstream_id>{upstream_id::ofName("a-engine-1")});
+  CHECK(Host.Agent->drainRequested());
+}
+
+TEST_CASE("a planned stop hands over engines first, then the share, and the "
+          "rest of the zone has both at once") {
+  startLogging({log_severity::Error, false});
+  simulated_fleet Fleet({{"a1", "a"}, {"a2", "a"}});
+  const snapshot_pointer Snapshot = makeSnapshot(1, {1});
+  simulated_process &First = begin(Fleet, 0, Snapshot);
+  simulated_process &Second = begin(Fleet, 1, Snapshot);
+  pass(Fleet, 40);
+  REQUIRE(First.share() == 500'000);
+  First.Agent->startDrain();
+  pass(Fleet, 10);
+  CHECK(First.Agent->enginesReleased());
+  CHECK(First.share() > 0);
+  for (const char *Engine : {"a-engine-1", "a-engine-2"})
+    CHECK(Second.actsOn(upstream_id::ofName(Engine)));
+  First.Agent->finishDrain();
+  pass(Fleet, 10);
+  CHECK(First.Agent->drained());
+  CHECK(First.share() == 0);
+  CHECK(Second.share() == 1'000'000);
+}
+
 TEST_CASE("a share is not used any more when the platform learns that it was "
           "given up, even if the answer is slow") {
   startLogging({log_severity::Error, false});
