LibHost: Work on the zone's table as soon as there is a configuration

A host restarted after a kill had its share back after 5.1 s: its first look at the table came before its first configuration, did nothing and was next due three seconds later. Looks now wait for the configuration. tick() is split into steps, spindlectl's command line likewise, and spindlectl prints the reference of an intent's fields.

--- a/Benchmarks/benchmark_membership.cpp
+++ b/Benchmarks/benchmark_membership.cpp
@@ -42,12 +42,12 @@
 platform_port countBytes(platform_port Port, std::size_t &Bytes) {
   platform_port Counting = Port;
   Counting.Get = [Port, &Bytes](std::string_view Kind, std::string_view Name) {
-    const std::optional<platform_object> Object = Port.Get(Kind, Name);
+    std::optional<platform_object> Object = Port.Get(Kind, Name);
     Bytes += Object ? Object->Body.size() : 0;
     return Object;
   };
   Counting.List = [Port, &Bytes](std::string_view Kind) {
-    const platform_list List = Port.List(Kind);
+    platform_list List = Port.List(Kind);
     for (const platform_object &Object : List.Objects)
       Bytes += Object.Body.size();
     return List;
--- a/Libraries/LibHost/membership_agent.cpp
+++ b/Libraries/LibHost/membership_agent.cpp
@@ -54,6 +54,9 @@
   void removeStaleLeases(const platform_list &List);
   std::vector<std::string> liveHosts();
   bool isSteward(const std::vector<std::string> &LiveHosts) const;
+  bool mayDecide() const;
+  void hastenNews();
+  nanoseconds machinesInterval() const;
   void noteLapse();
   zone_facts facts();
   host_view buildView();
@@ -327,8 +330,6 @@
   {
     const lock Lock(Mutex);
     Observer.observeMachines(KnownMachines.Hosts);
-    if (Snapshot == nullptr)
-      return;
   }
   observeZone(Settings.Zone);
   Zone.readTable();
@@ -346,8 +347,6 @@
   std::vector<std::string> Others;
   {
     const lock Lock(Mutex);
-    if (Snapshot == nullptr)
-      return;
     for (const zone_declaration &Declared : Snapshot->zones())
       if (Declared.Name != Settings.Zone)
         Others.push_back(Declared.Name);
@@ -413,29 +412,36 @@
     Listener(NewView);
 }
 
+/// Whether leases and tables may be worked on: this host has a lease, and
+/// knows the zones and engines.
+bool membership_agent::state::mayDecide() const {
+  const lock Lock(Mutex);
+  return Lease.started() && !Replaced && Snapshot != nullptr;
+}
+
+void membership_agent::state::hastenNews() {
+  const lock Lock(Mutex);
+  if (AppliedVersion != RenewedVersion || RenewedDraining != Draining)
+    Renewal.hasten(Clock.now());
+}
+
+nanoseconds membership_agent::state::machinesInterval() const {
+  const lock Lock(Mutex);
+  const std::size_t Upstreams =
+      Snapshot == nullptr ? 0 : Snapshot->upstreams().size();
+  const std::size_t Count = KnownMachines.Hosts.size() + Upstreams;
+  return Settings.MachinesInterval *
+         std::max<std::size_t>(1, Count / MachinesAtFullRate);
+}
+
 void membership_agent::tick() {
   state &S = *State;
   if (S.Drained || S.Replaced)
     return;
-  {
-    const lock Lock(S.Mutex);
-    const bool HasNews =
-        S.AppliedVersion != S.RenewedVersion || S.RenewedDraining != S.Draining;
-    if (HasNews)
-      S.Renewal.hasten(S.Clock.now());
-  }
+  S.hastenNews();
   S.runIfDue(S.Renewal, S.Settings.Lease.RenewInterval, [&S] { S.renew(); });
-  std::size_t MachineCount = 0;
-  {
-    const lock Lock(S.Mutex);
-    MachineCount = S.KnownMachines.Hosts.size() +
-                   (S.Snapshot == nullptr ? 0 : S.Snapshot->upstreams().size());
-  }
-  S.runIfDue(S.Machines,
-             S.Settings.MachinesInterval *
-                 std::max<std::size_t>(1, MachineCount / MachinesAtFullRate),
-             [&S] { S.readMachines(); });
-  if (S.Lease.started() && !S.Replaced) {
+  S.runIfDue(S.Machines, S.machinesInterval(), [&S] { S.readMachines(); });
+  if (S.mayDecide()) {
     const nanoseconds Interval = S.Settings.Lease.RenewInterval * S.slowdown();
     if (S.Zone.hasWork(S.Clock.now()))
       S.OwnZone.hasten(S.Clock.now());
--- a/Libraries/LibHost/zone_keeper.cpp
+++ b/Libraries/LibHost/zone_keeper.cpp
@@ -43,10 +43,10 @@
     adopt(readZoneTable(Object->Body), Object->Version);
     return;
   }
-  const zone_table Empty;
+  zone_table Empty;
   const std::uint64_t Created = Platform.Create(
       platform_kind::ZoneTables, Settings.Zone, writeZoneTable(Empty));
-  adopt(Empty, Created);
+  adopt(std::move(Empty), Created);
 }
 
 fleet_table zone_keeper::readFleet() {
@@ -56,7 +56,7 @@
     FleetVersion = Object->Version;
     return readFleetTable(Object->Body);
   }
-  const fleet_table Empty;
+  fleet_table Empty;
   FleetVersion = Platform.Create(platform_kind::ZoneTables, FleetTableName,
                                  writeFleetTable(Empty));
   return Empty;
--- a/Tests/LibConfiguration/test_intent.cpp
+++ b/Tests/LibConfiguration/test_intent.cpp
@@ -116,8 +116,9 @@
 TEST_CASE("a damaged part is refused") {
   const encoded_intent Encoded = encodeIntent(sampleIntent());
   rc::prop("any changed byte of any part", [&Encoded] {
-    const auto Target = std::next(
-        Encoded.Parts.begin(), *rc::gen::inRange<int>(0, Encoded.Parts.size()));
+    const int PartCount = static_cast<int>(Encoded.Parts.size());
+    const auto Target =
+        std::next(Encoded.Parts.begin(), *rc::gen::inRange(0, PartCount));
     const std::size_t Position =
         *rc::gen::inRange<std::size_t>(0, Target->second.size());
     const part_source Damaged = [&](const std::string &Digest) {
--- a/Utilities/spindlectl/main.cpp
+++ b/Utilities/spindlectl/main.cpp
@@ -1,3 +1,4 @@
+#include "LibConfiguration/intent_text.h"
 #include "LibCore/result_code.h"
 #include "LibHTTP/http_client.h"
 #include "LibLog/log.h"
@@ -83,7 +84,8 @@
   return Servers;
 }
 
-command_line parseCommandLine(int Count, const char **Arguments) {
+/// What popt fills in.
+struct popt_values {
   char *Platform = nullptr;
   char *Namespace = nullptr;
   char *Output = nullptr;
@@ -91,25 +93,36 @@
   char *Operator = nullptr;
   int Json = 0;
   int Yes = 0;
+  int Reference = 0;
   int Version = 0;
   int Wait = 30;
-  const poptOption Options[] = {
-      {"platform", 'p', POPT_ARG_STRING, &Platform, 0,
+};
+
+using popt_context = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>;
+
+popt_context readOptions(int Count, const char **Arguments,
+                         popt_values &Values) {
+  static poptOption Options[] = {
+      {"platform", 'p', POPT_ARG_STRING, &Values.Platform, 0,
        "the platform's API servers", "ADDRESS:PORT[,...]"},
-      {"namespace", 0, POPT_ARG_STRING, &Namespace, 0,
+      {"namespace", 0, POPT_ARG_STRING, &Values.Namespace, 0,
        "the namespace of the system's objects", "NAME"},
-      {"output", 'o', POPT_ARG_STRING, &Output, 0, "where plan writes", "PLAN"},
-      {"key-file", 0, POPT_ARG_STRING, &KeyFile, 0,
+      {"output", 'o', POPT_ARG_STRING, &Values.Output, 0, "where plan writes",
+       "PLAN"},
+      {"key-file", 0, POPT_ARG_STRING, &Values.KeyFile, 0,
        "the key that keys grant takes", "FILE"},
-      {"operator", 0, POPT_ARG_STRING, &Operator, 0,
+      {"operator", 0, POPT_ARG_STRING, &Values.Operator, 0,
        "the name in the audit trail", "NAME"},
-      {"wait", 'w', POPT_ARG_INT, &Wait, 0,
+      {"wait", 'w', POPT_ARG_INT, &Values.Wait, 0,
        "how long to wait for the hosts, 30 by default", "SECONDS"},
-      {"json", 'j', POPT_ARG_NONE, &Json, 0, "write JSON", nullptr},
-      {"yes", 'y', POPT_ARG_NONE, &Yes, 0, "don't ask", nullptr},
-      {"version", 0, POPT_ARG_NONE, &Version, 0, "show the version", nullptr},
+      {"json", 'j', POPT_ARG_NONE, &Values.Json, 0, "write JSON", nullptr},
+      {"yes", 'y', POPT_ARG_NONE, &Values.Yes, 0, "don't ask", nullptr},
+      {"intent-reference", 0, POPT_ARG_NONE, &Values.Reference, 0,
+       "print the table of an intent's fields and exit", nullptr},
+      {"version", 0, POPT_ARG_NONE, &Values.Version, 0, "show the version",
+       nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
-  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> Context(
+  popt_context Context(
       poptGetContext("spindlectl", Count, Arguments, Options, 0),
       &poptFreeContext);
   poptSetOtherOptionHelp(Context.get(), "COMMAND [ARGUMENT...]");
@@ -118,28 +131,40 @@
     throw spindle_error(result_code::BadRequest,
                         std::string(poptBadOption(Context.get(), 0)) + ": " +
                             poptStrerror(Result));
-  if (Version != 0) {
+  return Context;
+}
+
+std::string defaultOperator() {
+  const char *User = std::getenv("USER");
+  return User == nullptr ? "unknown" : User;
+}
+
+/// Prints what needs no platform; returns whether that was asked for.
+bool printOnly(const popt_values &Values) {
+  if (Values.Version != 0)
     std::cout << "spindlectl " << SPINDLE_VERSION << "\n";
-    std::exit(0);
-  }
+  else if (Values.Reference != 0)
+    std::cout << printIntentReference();
+  return Values.Version != 0 || Values.Reference != 0;
+}
+
+command_line parseCommandLine(const popt_context &Context,
+                              const popt_values &Values) {
   command_line Line;
   while (const char *Word = poptGetArg(Context.get()))
     Line.Words.emplace_back(Word);
-  const std::string Servers = takeText(Platform);
-  Line.Platform = parseServers(Servers);
-  if (Namespace != nullptr)
-    Line.Namespace = takeText(Namespace);
-  const std::string PlanFile = takeText(Output);
-  Line.File = takeText(KeyFile);
+  Line.Platform = parseServers(takeText(Values.Platform));
+  if (Values.Namespace != nullptr)
+    Line.Namespace = takeText(Values.Namespace);
+  const std::string PlanFile = takeText(Values.Output);
+  Line.File = takeText(Values.KeyFile);
   Line.File = Line.File.empty() ? PlanFile : Line.File;
-  Line.Operator = takeText(Operator);
-  if (Line.Operator.empty()) {
-    const char *User = std::getenv("USER");
-    Line.Operator = User == nullptr ? "unknown" : User;
-  }
-  Line.Json = Json != 0;
-  Line.Yes = Yes != 0;
-  Line.WaitLimit = seconds(Wait);
+  Line.Operator = takeText(Values.Operator);
+  if (Line.Operator.empty())
+    Line.Operator = defaultOperator();
+  Line.Json = Values.Json != 0;
+  Line.Yes = Values.Yes != 0;
+  Line.WaitLimit = seconds(Values.Wait);
   return Line;
 }
 
@@ -172,9 +197,12 @@
 int main(int Count, char **Arguments) {
   try {
     startLogging({log_severity::Error, false});
-    const command_line Line =
-        parseCommandLine(Count, const_cast<const char **>(Arguments));
-    return static_cast<int>(run(Line));
+    popt_values Values;
+    const popt_context Context =
+        readOptions(Count, const_cast<const char **>(Arguments), Values);
+    if (printOnly(Values))
+      return static_cast<int>(exit_code::Done);
+    return static_cast<int>(run(parseCommandLine(Context, Values)));
   } catch (const std::exception &Error) {
     std::cerr << "spindlectl: " << Error.what() << "\n";
     return static_cast<int>(exit_code::BadInput);
