LibHost: Log claims, shares and lost hosts

Four events of the catalogue were declared and never written. A claim, a release and a change of the share are now logged once the platform has confirmed the write, and a host whose lease has lapsed once by each host that had seen it live. The delay before an engine is handed over for balance now starts anew when the engine is owned anew.

--- a/Libraries/LibHost/membership_agent.cpp
+++ b/Libraries/LibHost/membership_agent.cpp
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <mutex>
 #include <random>
+#include <set>
 
 namespace spindle {
 
@@ -58,6 +59,7 @@
   void hastenNews();
   nanoseconds machinesInterval() const;
   void noteLapse();
+  void noteLostHosts();
   zone_facts facts();
   host_view buildView();
   void addPeers(host_view &NewView);
@@ -78,6 +80,7 @@
   call_schedule Machines;
   call_schedule OwnZone;
   call_schedule Elsewhere;
+  std::set<std::string> SeenLive;
   std::size_t NextZone = 0;
   std::uint64_t Sequence = 0;
   std::uint64_t RenewedVersion = 0;
@@ -361,6 +364,18 @@
     OtherTables[Name] = readZoneTable(Object->Body);
 }
 
+/// Logs hosts that were seen to hold their lease and don't any more.
+void membership_agent::state::noteLostHosts() {
+  for (const auto &[Host, Record] : Observer.records()) {
+    if (Observer.isLive(Host)) {
+      SeenLive.insert(Host);
+      continue;
+    }
+    if (SeenLive.erase(Host) != 0 && !Record.Stopped)
+      logEvent(log_event::HostLost, {{"host", Host}, {"zone", Record.Zone}});
+  }
+}
+
 void membership_agent::state::noteLapse() {
   const bool Holds = Lease.leaseTerm().holds(Clock.now());
   if (HeldLease && !Holds)
@@ -449,6 +464,7 @@
     S.runIfDue(S.Elsewhere, Interval, [&S] { S.lookElsewhere(); });
   }
   S.noteLapse();
+  S.noteLostHosts();
   S.publish();
 }
 
--- a/Libraries/LibHost/zone_keeper.cpp
+++ b/Libraries/LibHost/zone_keeper.cpp
@@ -88,8 +88,10 @@
 void zone_keeper::chooseReleases(const zone_facts &Facts, bool Draining) {
   const time_point Now = Clock.now();
   for (const auto &[Name, Claim] : Table.Engines) {
-    if (!isOwn(Claim) || Stopped.count(Name) != 0)
+    if (!isOwn(Claim) || Stopped.count(Name) != 0) {
+      NotPreferredSince.erase(Name);
       continue;
+    }
     const std::string Preferred = preferredOwner(Name, Facts.LiveHosts);
     if (Preferred == Settings.Name) {
       NotPreferredSince.erase(Name);
@@ -126,9 +128,33 @@
   const std::uint64_t NewVersion =
       Platform.Update(platform_kind::ZoneTables, Settings.Zone, *Version,
                       writeZoneTable(Decision.Next));
+  logChanges(Decision.Next);
   adopt(std::move(Decision.Next), NewVersion);
 }
 
+/// Tells what this host has claimed or given up by a write that was made.
+void zone_keeper::logChanges(const zone_table &Written) const {
+  for (const auto &[Name, Claim] : Written.Engines) {
+    const auto Found = Table.Engines.find(Name);
+    const engine_claim Before =
+        Found == Table.Engines.end() ? engine_claim{} : Found->second;
+    if (isOwn(Claim) && Claim.Fence != Before.Fence)
+      logEvent(log_event::EngineClaimed,
+               {{"engine", Name}, {"fence", std::to_string(Claim.Fence)}});
+    if (isOwn(Before) && !isOwn(Claim))
+      logEvent(log_event::EngineReleased, {{"engine", Name}});
+  }
+  const auto Share = Written.Hosts.find(Settings.Name);
+  const auto Held = Table.Hosts.find(Settings.Name);
+  const std::uint32_t After =
+      Share == Written.Hosts.end() ? 0 : Share->second.PartsPerMillion;
+  const std::uint32_t Earlier =
+      Held == Table.Hosts.end() ? 0 : Held->second.PartsPerMillion;
+  if (After != Earlier)
+    logEvent(log_event::ShareChanged,
+             {{"partsPerMillion", std::to_string(After)}});
+}
+
 void zone_keeper::addOwnZone(host_view &View, const lease_keeper &Lease,
                              time_point Now) const {
   const bool HoldsLease = Lease.leaseTerm().holds(Now);
--- a/Libraries/LibHost/zone_keeper.h
+++ b/Libraries/LibHost/zone_keeper.h
@@ -57,6 +57,7 @@
   void chooseReleases(const zone_facts &Facts, bool Draining);
   void workOnFleet(zone_facts &Facts);
   fleet_table readFleet();
+  void logChanges(const zone_table &Written) const;
 
   const runtime_clock &Clock;
   const platform_port Platform;
