LibSettings: Allow names in settings that the platform's paths allow

A host's name and zone become names of objects, so that "a/b" would have started and then failed at every call; a zone called "_fleet" would have met the table of all zones. Both are refused now, with field and place, in settings as in intents.

--- a/Libraries/LibConfiguration/intent_fields.cpp
+++ b/Libraries/LibConfiguration/intent_fields.cpp
@@ -2,30 +2,6 @@
 
 namespace spindle {
 
-static constexpr std::size_t NameLimit = 128;
-
-static std::string readName(const nlohmann::json &Value) {
-  std::string Name = readText(Value, NameLimit);
-  for (const char Letter : Name) {
-    const bool Allowed = (Letter >= 'a' && Letter <= 'z') ||
-                         (Letter >= 'A' && Letter <= 'Z') ||
-                         (Letter >= '0' && Letter <= '9') || Letter == '-' ||
-                         Letter == '_' || Letter == '.';
-    if (!Allowed)
-      throw field_error("may have letters, digits, '-', '_' and '.' only");
-  }
-  return Name;
-}
-
-template <typename record>
-static field<record> nameField(std::string Name, std::string record::*Member,
-                               std::string Meaning, bool Required = true) {
-  return makeField<record>(
-      {std::move(Name), "name", "", "1..128 of A-Z a-z 0-9 - _ .",
-       std::move(Meaning), Required},
-      Member, readName, [](const std::string &Text) { return Text; });
-}
-
 template <typename record>
 static field<record> tokensField(std::string Name, tokens record::*Member,
                                  std::int64_t Least, std::string Meaning,
--- a/Libraries/LibSettings/field_table.cpp
+++ b/Libraries/LibSettings/field_table.cpp
@@ -17,6 +17,23 @@
   return Text;
 }
 
+static bool isLetterOrDigit(char Letter) {
+  return (Letter >= 'a' && Letter <= 'z') || (Letter >= 'A' && Letter <= 'Z') ||
+         (Letter >= '0' && Letter <= '9');
+}
+
+std::string readName(const nlohmann::json &Value) {
+  static constexpr std::size_t NameLimit = 128;
+  std::string Name = readText(Value, NameLimit);
+  for (const char Letter : Name)
+    if (!isLetterOrDigit(Letter) && Letter != '-' && Letter != '_' &&
+        Letter != '.')
+      throw field_error("may have letters, digits, '-', '_' and '.' only");
+  if (!isLetterOrDigit(Name.front()))
+    throw field_error("must start with a letter or digit");
+  return Name;
+}
+
 std::int64_t readInteger(const nlohmann::json &Value, std::int64_t Least,
                          std::int64_t Most) {
   if (!Value.is_number_integer())
--- a/Libraries/LibSettings/field_table.h
+++ b/Libraries/LibSettings/field_table.h
@@ -129,6 +129,9 @@
 
 /// Reads text of at least one and at most \p Limit characters.
 std::string readText(const nlohmann::json &Value, std::size_t Limit = 256);
+/// Reads a name that may stand in the platform's paths: letters, digits, '-',
+/// '_' and '.', of which the first is a letter or digit.
+std::string readName(const nlohmann::json &Value);
 /// Reads a whole number within a range.
 std::int64_t readInteger(const nlohmann::json &Value, std::int64_t Least,
                          std::int64_t Most);
@@ -166,6 +169,15 @@
       [](const std::vector<std::string> &Texts) { return Texts; });
 }
 
+template <typename record>
+field<record> nameField(std::string Name, std::string record::*Member,
+                        std::string Meaning, bool Required = true) {
+  return makeField<record>(
+      {std::move(Name), "name", "", "1..128 of A-Z a-z 0-9 - _ .",
+       std::move(Meaning), Required},
+      Member, readName, [](const std::string &Text) { return Text; });
+}
+
 template <typename record, typename integer>
 field<record> integerField(std::string Name, integer record::*Member,
                            std::string Unit, std::int64_t Least,
--- a/Libraries/LibSettings/host_settings.cpp
+++ b/Libraries/LibSettings/host_settings.cpp
@@ -48,8 +48,9 @@
       endpointListField<platform_settings>(
           "servers", &platform_settings::Servers,
           "The platform's API servers, tried in turn.", true),
-      textField<platform_settings>("namespace", &platform_settings::Namespace,
-                                   "The namespace of the system's objects."),
+      nameField<platform_settings>("namespace", &platform_settings::Namespace,
+                                   "The namespace of the system's objects.",
+                                   false),
       durationField<platform_settings>(
           "callTimeoutMs", &platform_settings::CallTimeout, 50, 60'000,
           "How long a call to the platform may take."),
@@ -142,11 +143,10 @@
 static const field_table<host_settings> &hostFields() {
   using record = host_settings;
   static const field_table<record> Table = {
-      textField<record>("name", &record::Name,
-                        "The host's name in the platform's list of machines.",
-                        true),
-      textField<record>("zone", &record::Zone,
-                        "The availability zone, as named in the intent.", true),
+      nameField<record>("name", &record::Name,
+                        "The host's name in the platform's list of machines."),
+      nameField<record>("zone", &record::Zone,
+                        "The availability zone, as named in the intent."),
       integerField<record>("threads", &record::Threads, "", 1, 256,
                            "Threads that serve requests."),
       endpointListField<record>(
--- a/Tests/LibSettings/test_host_settings.cpp
+++ b/Tests/LibSettings/test_host_settings.cpp
@@ -57,6 +57,8 @@
        "8:17: listen.hostLink: address \"localhost:8081\" is not an IP"},
       {"127.0.0.1:8082", "127.0.0.1:99999", "9:16: listen.metrics: address"},
       {"[\"127.0.0.1:9000\"]", "[]", "11:27: platform.servers: must be a list"},
+      {"gent-a", "_fleet", "4:11: zone: must start with a letter"},
+      {"entry-1", "a/b", "3:11: name: may have letters, digits"},
       {"{\"servers\"", "[\"servers\"", "host.json:11:"},
       {"\"renewMs\": 3000", "\"renewMs\": 9000",
        "12:45: lease.renewMs: must be"},
