LibRuntime: Keep wake-ups that arrive during a poll

Cause: TestLibPlatform hung in 3 of 15 runs. The scheduler takes fibers that other threads have woken, then pick_next() polls the event loop, then suspend_until() blocks in it. A wake-up between the first two steps was announced by a handler that the poll consumed, so that the thread slept on with a ready fiber.

Change: notify() also sets a flag that suspend_until() looks at before it blocks.

Conclusion: any fiber woken from another thread was affected, gRPC's completions included.

--- a/Libraries/LibRuntime/event_loop_scheduler.cpp
+++ b/Libraries/LibRuntime/event_loop_scheduler.cpp
@@ -27,6 +27,12 @@
 
 void event_loop_scheduler::suspend_until(
     const std::chrono::steady_clock::time_point &Until) noexcept {
+  // What notify() posted may have been consumed by the poll in pick_next(),
+  // after the scheduler had looked for fibers woken by other threads.
+  if (Notified.exchange(false)) {
+    Loop.poll();
+    return;
+  }
   // Handlers that run here only mark fibers as ready.
   if (Until == std::chrono::steady_clock::time_point::max())
     Loop.run_one();
@@ -36,6 +42,7 @@
 }
 
 void event_loop_scheduler::notify() noexcept {
+  Notified.store(true);
   boost::asio::post(Loop, [] {});
 }
 
--- a/Libraries/LibRuntime/event_loop_scheduler.h
+++ b/Libraries/LibRuntime/event_loop_scheduler.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYSPINDLE_LIBRUNTIME_EVENT_LOOP_SCHEDULER_H
 #define PARSLEYSPINDLE_LIBRUNTIME_EVENT_LOOP_SCHEDULER_H
 
+#include <atomic>
 #include <chrono>
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,8 @@
 
 private:
   boost::asio::io_context &Loop;
+  /// Set when another thread has woken a fiber since suspend_until() looked.
+  std::atomic<bool> Notified{false};
   boost::fibers::scheduler::ready_queue_type Ready;
 };
 
--- a/Tests/LibRuntime/test_fiber_runtime.cpp
+++ b/Tests/LibRuntime/test_fiber_runtime.cpp
@@ -4,6 +4,8 @@
 #include <atomic>
 #include <thread>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
 using namespace spindle;
@@ -52,3 +54,18 @@
   Runtime.runBlocking([&Steps] { Steps = 7; });
   REQUIRE(Slept.wait() == 7);
 }
+
+TEST_CASE("a wake-up from another thread during a poll is not lost") {
+  fiber_runtime Runtime(1);
+  completion<int> Value;
+  completion<int> Result;
+  Runtime.spawn([&Value, Deliver = Result.deliverer()] {
+    // Runs in the poll that follows the fiber's suspension.
+    boost::asio::post(currentIoContext(), [Wake = Value.deliverer()] {
+      std::thread([Wake] { Wake(42); }).join();
+    });
+    Deliver(Value.wait());
+  });
+  REQUIRE(Result.waitFor(seconds(10)));
+  REQUIRE(Result.wait() == 42);
+}
