--- a/Tests/StandIns/test_engine_server.cpp
+++ b/Tests/StandIns/test_engine_server.cpp
@@ -201,8 +201,10 @@
   loopback_engine E(Settings);
   REQUIRE(E.load("a@1", 1) == result_code{});
   std::atomic<int> Whole{0};
+  static constexpr int CallerCount = 8;
   std::vector<std::thread> Callers;
-  for (int Caller = 0; Caller < 8; ++Caller)
+  Callers.reserve(CallerCount);
+  for (int Caller = 0; Caller < CallerCount; ++Caller)
     Callers.emplace_back([&E, &Whole] {
       E.Runtime.runBlocking([&E, &Whole] {
         const json Body{{"model", "a@1"}, {"prompt", "p"}, {"max_tokens", 20}};
@@ -216,7 +218,7 @@
     });
   for (std::thread &Caller : Callers)
     Caller.join();
-  CHECK(Whole == 8);
+  CHECK(Whole == CallerCount);
   const json Record = E.control("GET", "/control/record");
   CHECK(Record.at("tokens") == 160);
   CHECK(Record.at("tokens_per_step").get<double>() > 2);
