LibEngine: Read answers and requests faster

Cause: a profile of the new benchmark showed that over half of an event's time went into library searches for single characters, and a sixth of a long request's into the check of its depth.

Change: spaces and scalars are skipped by plain loops; the depth check jumps over strings.

--- a/Libraries/LibEngine/answer_fields.cpp
+++ b/Libraries/LibEngine/answer_fields.cpp
@@ -21,10 +21,14 @@
   Cursor.Rest = {};
 }
 
+static bool isSpace(char Character) {
+  return Character == ' ' || Character == '\t' || Character == '\r' ||
+         Character == '\n';
+}
+
 static void skipSpace(json_cursor &Cursor) {
-  const std::size_t Next = Cursor.Rest.find_first_not_of(" \t\r\n");
-  Cursor.Rest.remove_prefix(Next == std::string_view::npos ? Cursor.Rest.size()
-                                                           : Next);
+  while (!Cursor.Rest.empty() && isSpace(Cursor.Rest.front()))
+    Cursor.Rest.remove_prefix(1);
 }
 
 /// Moves over \p Character if it comes next.
@@ -57,15 +61,20 @@
   return {};
 }
 
-static std::string_view readScalar(json_cursor &Cursor) {
-  const std::size_t End = Cursor.Rest.find_first_of(",}] \t\r\n");
-  if (End == 0 || End == std::string_view::npos) {
-    fail(Cursor);
-    return {};
-  }
-  const std::string_view Scalar = Cursor.Rest.substr(0, End);
+static bool endsScalar(char Character) {
+  return Character == ',' || Character == ':' || Character == '}' ||
+         Character == ']' || Character == '"' || Character == '[' ||
+         Character == '{' || isSpace(Character);
+}
+
+/// Moves over a number, true, false or null, which something has to follow.
+static void skipScalar(json_cursor &Cursor) {
+  std::size_t End = 0;
+  while (End < Cursor.Rest.size() && !endsScalar(Cursor.Rest[End]))
+    ++End;
+  if (End == 0 || End == Cursor.Rest.size())
+    return fail(Cursor);
   Cursor.Rest.remove_prefix(End);
-  return Scalar;
 }
 
 static bool nextIs(json_cursor &Cursor, char Character) {
@@ -92,13 +101,8 @@
       Cursor.Rest.remove_prefix(1);
     } else if (Depth > 0 && (Character == ',' || Character == ':')) {
       Cursor.Rest.remove_prefix(1);
-    } else if (Depth == 0) {
-      readScalar(Cursor);
     } else {
-      const std::size_t End = Cursor.Rest.find_first_of(",:}] \t\r\n\"[{");
-      if (End == std::string_view::npos)
-        return fail(Cursor);
-      Cursor.Rest.remove_prefix(End);
+      skipScalar(Cursor);
     }
   } while (Cursor.Good && Depth > 0);
 }
--- a/Tests/LibEngine/test_completion_request.cpp
+++ b/Tests/LibEngine/test_completion_request.cpp
@@ -95,4 +95,10 @@
              Contains("messages[1]"));
   CHECK_THAT(refusal(Text, "{\"a\":" + std::string(100'000, '[')),
              Contains("nested too deeply"));
+  const std::string Quoted = R"("\"[[[[\\")";
+  CHECK_THAT(refusal(Text, "{\"a\":" + Quoted + ",\"b\":" +
+                               std::string(MaxBodyDepth, '[') + "7"),
+             Contains("nested too deeply"));
+  CHECK_THAT(refusal(Text, R"({"prompt":"\")" + std::string(70, '[') + "\"}"),
+             Contains("\"model\""));
 }
