Tests: Let a write sent twice be noticed

Cause: with writes sent as calls that may be repeated, every test of the platform's adapter still passed, since no pooled connection was open.

Change: the test of the lost answer first opens pooled connections on every thread.

Conclusion: the mutated adapter now fails it.

--- a/Tests/LibPlatform/test_http_platform.cpp
+++ b/Tests/LibPlatform/test_http_platform.cpp
@@ -112,6 +112,10 @@
 TEST_CASE("a lost answer is unavailable although the write took effect") {
   loopback_platform P;
   P.fault({{"lose_answers", 1}});
+  // Every thread has a pooled connection now, on which a call that may be
+  // repeated would be sent a second time.
+  for (int Read = 0; Read < 4; ++Read)
+    REQUIRE(P.body("a") == "none");
   CHECK(P.run([&] { P.Platform.Create("orders", "a", R"({"n":7})"); }) ==
         result_code::PlatformUnavailable);
   CHECK(P.body("a") == R"({"n":7})");
