LibEngine: Withhold the end of an answer that isn't whole

Cause: a stream whose "[DONE]" came before any finish reason was found out only by finish(), when the host had passed "[DONE]" on already; and an answer that the engine aborted counted as finished.

Change: accept() refuses "[DONE]" before a finish reason, and the finish reasons "abort" and "error".

Conclusion: two new checks in TestLibEngine fail without the change.

--- a/Libraries/LibEngine/answer_verifier.cpp
+++ b/Libraries/LibEngine/answer_verifier.cpp
@@ -17,6 +17,8 @@
     cutShort("the upstream's answer is not JSON");
   if (Fields.HasError)
     cutShort("the upstream reported an error instead of the answer");
+  if (Fields.FinishReason == "abort" || Fields.FinishReason == "error")
+    cutShort("the upstream aborted the answer");
   if (!sameJsonText(Fields.Model, Adapter))
     throw spindle_error(result_code::WrongAdapterAnswered,
                         "\"" + std::string(Fields.Model) +
@@ -38,6 +40,7 @@
   if (Done)
     cutShort("the upstream sent data after the end of its answer");
   if (Event.Done) {
+    checkFinished();
     Done = true;
     return;
   }
@@ -55,11 +58,15 @@
   Done = true;
 }
 
+/// Callers take "[DONE]" for the end of a whole answer.
+void answer_verifier::checkFinished() const {
+  if (!Finished)
+    cutShort("the upstream's stream ended without a finish reason");
+}
+
 void answer_verifier::finish() const {
   if (!Done)
     cutShort("the upstream's stream ended without [DONE]");
-  if (!Finished)
-    cutShort("the upstream's stream ended without a finish reason");
 }
 
 std::uint64_t answer_verifier::completionTokens() const {
--- a/Libraries/LibEngine/answer_verifier.h
+++ b/Libraries/LibEngine/answer_verifier.h
@@ -23,13 +23,14 @@
 
   /// Checks one event of a stream before it is passed on.
   /// \throws spindle_error WrongAdapterAnswered, AnswerCutShort (an error
-  /// event, data that is not JSON, or data after the end).
+  /// event, data that is not JSON, "[DONE]" before a finish reason, or data
+  /// after the end).
   void accept(const stream_event &Event);
   /// Checks a whole answer that is not a stream.
   /// \throws spindle_error WrongAdapterAnswered, AnswerCutShort.
   void acceptWhole(std::string_view Body);
-  /// Checks that the stream has come to its end: every choice finished and
-  /// "[DONE]" seen. \throws spindle_error AnswerCutShort.
+  /// Checks that the stream has come to its end, that is, "[DONE]".
+  /// \throws spindle_error AnswerCutShort.
   void finish() const;
 
   /// Whether the event accepted last carries usage but no choice. Such events
@@ -45,6 +46,7 @@
 
 private:
   void check(const answer_fields &Fields);
+  void checkFinished() const;
 
   std::string Adapter;
   std::string RequestId;
--- a/Tests/LibEngine/test_event_stream.cpp
+++ b/Tests/LibEngine/test_event_stream.cpp
@@ -149,6 +149,8 @@
   CHECK(verdict(First + Last + Done + First) == result_code::AnswerCutShort);
   CHECK(verdict(First + "data: {\"error\":{}}\n\n" + Last + Done) ==
         result_code::AnswerCutShort);
+  CHECK(verdict("data: " + chunk("lid@3", "b", "\"abort\"") + "\n\n" + Done) ==
+        result_code::AnswerCutShort);
   CHECK(verdict(First + "data: {\"model\":\n\n") ==
         result_code::AnswerCutShort);
   CHECK(verdict(First + "data: " + chunk("lid@4", "b", "\"stop\"") + "\n\n" +
@@ -158,6 +160,14 @@
         result_code::WrongAdapterAnswered);
 }
 
+TEST_CASE("the end of an unfinished answer is not passed on") {
+  answer_verifier Verifier("lid@3");
+  const std::string Data = chunk("lid@3", "a");
+  Verifier.accept({Data, Data, false});
+  REQUIRE_THROWS_AS(Verifier.accept({"", "[DONE]", true}), spindle_error);
+  REQUIRE_FALSE(Verifier.done());
+}
+
 TEST_CASE("tokens are counted by events unless the engine reports usage") {
   const std::string First = "data: " + chunk("lid@3", "a") + "\n\n";
   const std::string Last = "data: " + chunk("lid@3", "b", "\"stop\"") + "\n\n";
