LibResilience: Retry lost requests the later the longer they had run

Cause: a request that crashes engines is retried once, and so are those that ran beside it. Change: noteEnd() returns a pause of twice the time that the request had run, at most 3 s. What crashes an engine soon after its start comes first and alone. LibScheduling: the window grows while more than 3% of slots idle, and shrinks while more than 20% wait.

--- a/Benchmarks/benchmark_scheduling.cpp
+++ b/Benchmarks/benchmark_scheduling.cpp
@@ -65,7 +65,7 @@
   for (std::int64_t Index = 0; Index < State.range(0); ++Index) {
     const request_fingerprint Print =
         request_fingerprint::ofName(std::to_string(Index));
-    noteRunStarted(Suspects, {1}, Print);
+    noteRunStarted(Suspects, {1}, Print, Now);
     noteRunEnded(Suspects, {1}, Print, run_end::Lost, Now);
   }
   std::uint64_t Index = 0;
@@ -74,7 +74,7 @@
     const upstream_id Upstream{2 + Index % 1'100};
     benchmark::DoNotOptimize(isQuarantined(Suspects, Print, Now));
     benchmark::DoNotOptimize(mayStartOn(Suspects, Upstream, Print, Now));
-    noteRunStarted(Suspects, Upstream, Print);
+    noteRunStarted(Suspects, Upstream, Print, Now);
     noteRunEnded(Suspects, Upstream, Print, run_end::Completed, Now);
   }
 }
--- a/Benchmarks/experiment_scheduling.cpp
+++ b/Benchmarks/experiment_scheduling.cpp
@@ -121,6 +121,7 @@
     Settings.Policy = Scenario.Policy;
     Settings.CreditTime = Scenario.CreditTime;
     std::vector<tenant_weight> Weights;
+    Weights.reserve(TenantCount);
     for (int Tenant = 0; Tenant < TenantCount; ++Tenant)
       Weights.push_back(
           {idOf(Tenant), static_cast<std::uint32_t>(Parts[Tenant])});
--- a/Libraries/LibHost/suspect_board.cpp
+++ b/Libraries/LibHost/suspect_board.cpp
@@ -241,24 +241,27 @@
 void suspect_board::noteStart(upstream_id Upstream,
                               request_fingerprint Fingerprint) {
   const lock Lock(State->Mutex);
-  noteRunStarted(State->Suspects, Upstream, Fingerprint);
+  noteRunStarted(State->Suspects, Upstream, Fingerprint, State->Clock.now());
 }
 
-void suspect_board::noteEnd(upstream_id Upstream,
-                            request_fingerprint Fingerprint, run_end End) {
+nanoseconds suspect_board::noteEnd(upstream_id Upstream,
+                                   request_fingerprint Fingerprint,
+                                   run_end End) {
   bool IsHeldBack = false;
+  nanoseconds Pause{0};
   {
     const lock Lock(State->Mutex);
     const time_point Now = State->Clock.now();
-    noteRunEnded(State->Suspects, Upstream, Fingerprint, End, Now);
+    Pause = noteRunEnded(State->Suspects, Upstream, Fingerprint, End, Now);
     if (End != run_end::Lost)
-      return;
+      return Pause;
     IsHeldBack = isQuarantined(State->Suspects, Fingerprint, Now);
   }
   const log_event Event = IsHeldBack ? log_event::RequestHeldBack
                                      : log_event::UpstreamLostUnderRequest;
   logEvent(Event, {{"upstream", toHex(Upstream.Value)},
                    {"fingerprint", toHex(Fingerprint.Value)}});
+  return Pause;
 }
 
 void suspect_board::noteUpstreamDied(upstream_id Upstream) {
--- a/Libraries/LibHost/suspect_board.h
+++ b/Libraries/LibHost/suspect_board.h
@@ -49,9 +49,11 @@
   bool mayStartOn(upstream_id Upstream, request_fingerprint Fingerprint) const;
   /// Notes that the request is being sent to the upstream.
   void noteStart(upstream_id Upstream, request_fingerprint Fingerprint);
-  /// Notes how its run ended. Precondition: noteStart() was called for it.
-  void noteEnd(upstream_id Upstream, request_fingerprint Fingerprint,
-               run_end End);
+  /// Notes how its run ended, and returns how long to wait before it is
+  /// retried, so that requests lost together don't run together again.
+  /// Precondition: noteStart() was called for it.
+  nanoseconds noteEnd(upstream_id Upstream, request_fingerprint Fingerprint,
+                      run_end End);
   /// Notes that the upstream has died or restarted: everything that runs on
   /// it was lost. A later noteEnd() of such a run has no effect.
   void noteUpstreamDied(upstream_id Upstream);
--- a/Libraries/LibResilience/crash_suspects.cpp
+++ b/Libraries/LibResilience/crash_suspects.cpp
@@ -54,12 +54,17 @@
   return countedLosses(Found->second) > 0 ? &Found->second : nullptr;
 }
 
+/// The longest pause before a retry.
+static constexpr seconds LongestPause{3};
+
 static std::uint32_t runsOf(const crash_suspects &Suspects,
                             request_fingerprint Fingerprint) {
   std::uint32_t Count = 0;
   for (const auto &[Upstream, Runs] : Suspects.Running)
     Count += static_cast<std::uint32_t>(
-        std::count(Runs.begin(), Runs.end(), Fingerprint));
+        std::count_if(Runs.begin(), Runs.end(), [&](const suspect_run &Run) {
+          return Run.Fingerprint == Fingerprint;
+        }));
   return Count;
 }
 
@@ -155,31 +160,41 @@
   if (Found == Suspects.Running.end())
     return true;
   return std::none_of(Found->second.begin(), Found->second.end(),
-                      [&](request_fingerprint Other) {
-                        return isSuspect(Suspects, Other, Now);
+                      [&](const suspect_run &Other) {
+                        return isSuspect(Suspects, Other.Fingerprint, Now);
                       });
 }
 
 void noteRunStarted(crash_suspects &Suspects, upstream_id Upstream,
-                    request_fingerprint Fingerprint) {
-  Suspects.Running[Upstream].push_back(Fingerprint);
+                    request_fingerprint Fingerprint, time_point Now) {
+  Suspects.Running[Upstream].push_back({Fingerprint, Now});
   countRun(Suspects, Fingerprint, true);
 }
 
-void noteRunEnded(crash_suspects &Suspects, upstream_id Upstream,
-                  request_fingerprint Fingerprint, run_end End,
-                  time_point Now) {
-  std::vector<request_fingerprint> &Runs = Suspects.Running[Upstream];
-  const auto Run = std::find(Runs.begin(), Runs.end(), Fingerprint);
+nanoseconds pauseBeforeRetry(nanoseconds Ran) {
+  return std::min<nanoseconds>(2 * Ran, LongestPause);
+}
+
+nanoseconds noteRunEnded(crash_suspects &Suspects, upstream_id Upstream,
+                         request_fingerprint Fingerprint, run_end End,
+                         time_point Now) {
+  std::vector<suspect_run> &Runs = Suspects.Running[Upstream];
+  const auto Run =
+      std::find_if(Runs.begin(), Runs.end(), [&](const suspect_run &Candidate) {
+        return Candidate.Fingerprint == Fingerprint;
+      });
   if (Run == Runs.end())
-    return;
+    return nanoseconds(0);
+  const nanoseconds Ran = Now - Run->StartedAt;
   *Run = Runs.back();
   Runs.pop_back();
   countRun(Suspects, Fingerprint, false);
-  if (End == run_end::Lost)
-    blame(Suspects, Fingerprint, Upstream, Now);
-  else if (End == run_end::Completed)
+  if (End == run_end::Completed)
     excuse(Suspects, Fingerprint);
+  if (End != run_end::Lost)
+    return nanoseconds(0);
+  blame(Suspects, Fingerprint, Upstream, Now);
+  return pauseBeforeRetry(Ran);
 }
 
 void noteUpstreamLost(crash_suspects &Suspects, upstream_id Upstream,
@@ -187,9 +202,9 @@
   const auto Found = Suspects.Running.find(Upstream);
   if (Found == Suspects.Running.end())
     return;
-  const std::vector<request_fingerprint> Runs = Found->second;
-  for (const request_fingerprint Fingerprint : Runs)
-    noteRunEnded(Suspects, Upstream, Fingerprint, run_end::Lost, Now);
+  const std::vector<suspect_run> Runs = Found->second;
+  for (const suspect_run &Run : Runs)
+    noteRunEnded(Suspects, Upstream, Run.Fingerprint, run_end::Lost, Now);
   Suspects.Running.erase(Upstream);
 }
 
--- a/Libraries/LibResilience/crash_suspects.h
+++ b/Libraries/LibResilience/crash_suspects.h
@@ -48,6 +48,12 @@
 /// Losses of different upstreams after which a request is held back.
 inline constexpr std::size_t LossesForQuarantine = 2;
 
+/// A request that runs on an upstream on behalf of this host.
+struct suspect_run {
+  request_fingerprint Fingerprint;
+  time_point StartedAt;
+};
+
 /// The requests that may have crashed upstreams. Changed through the functions
 /// below only; none of them is thread-safe.
 struct crash_suspects {
@@ -56,7 +62,7 @@
   /// (in quarantine, expiry, fingerprint): the first is dropped first.
   std::set<std::pair<std::pair<bool, time_point>, request_fingerprint>> Expiry;
   /// What runs where on behalf of this host.
-  std::unordered_map<upstream_id, std::vector<request_fingerprint>> Running;
+  std::unordered_map<upstream_id, std::vector<suspect_run>> Running;
 };
 
 /// How a run of a request on an upstream ended.
@@ -83,11 +89,18 @@
                 request_fingerprint Fingerprint, time_point Now);
 /// Notes that a run begins.
 void noteRunStarted(crash_suspects &Suspects, upstream_id Upstream,
-                    request_fingerprint Fingerprint);
-/// Notes the end of a run. Without effect on a run that noteUpstreamLost()
-/// has ended. Precondition: noteRunStarted() began the run.
-void noteRunEnded(crash_suspects &Suspects, upstream_id Upstream,
-                  request_fingerprint Fingerprint, run_end End, time_point Now);
+                    request_fingerprint Fingerprint, time_point Now);
+/// How long to wait before a request is retried that was lost after it had
+/// run for \p Ran. What crashes an upstream does so a certain time after its
+/// start, so that what had run longer waits until the culprit has shown
+/// itself again. Thread-safe.
+nanoseconds pauseBeforeRetry(nanoseconds Ran);
+/// Notes the end of a run and returns how long to wait before a retry; 0 for a
+/// run that noteUpstreamLost() has ended, on which it has no effect.
+/// Precondition: noteRunStarted() began the run.
+nanoseconds noteRunEnded(crash_suspects &Suspects, upstream_id Upstream,
+                         request_fingerprint Fingerprint, run_end End,
+                         time_point Now);
 /// Ends every run on the upstream as Lost: it has died or restarted.
 void noteUpstreamLost(crash_suspects &Suspects, upstream_id Upstream,
                       time_point Now);
--- a/Libraries/LibScheduling/concurrency_window.h
+++ b/Libraries/LibScheduling/concurrency_window.h
@@ -20,8 +20,8 @@
 struct window_settings {
   /// The part of the batch slots that may be idle before the window grows,
   /// and the part that may wait in engines before it shrinks.
-  double IdleShare = 0.05;
-  double WaitingShare = 0.1;
+  double IdleShare = 0.03;
+  double WaitingShare = 0.2;
   /// How much the window grows and shrinks at a step, relative to the host's
   /// equal share and to the window.
   double Increase = 0.1;
--- a/Tests/LibResilience/test_crash_suspects.cpp
+++ b/Tests/LibResilience/test_crash_suspects.cpp
@@ -38,7 +38,7 @@
     if (isQuarantined(Boards[Host], Print, Now) ||
         !mayStartOn(Boards[Host], engine(Engine), Print, Now))
       return false;
-    noteRunStarted(Boards[Host], engine(Engine), Print);
+    noteRunStarted(Boards[Host], engine(Engine), Print, Now);
     return true;
   }
 
@@ -124,7 +124,7 @@
   crash_suspects Board;
   const time_point Now{seconds(1)};
   for (int Index = 0; Index < 3; ++Index)
-    noteRunStarted(Board, engine(0), print(Index));
+    noteRunStarted(Board, engine(0), print(Index), Now);
   noteRunEnded(Board, engine(0), print(2), run_end::Failed, Now);
   noteUpstreamLost(Board, engine(0), Now);
   // The handlers of the lost runs notice it later.
@@ -135,7 +135,7 @@
   CHECK_FALSE(isQuarantined(Board, print(0), Now));
   CHECK_FALSE(mayStartOn(Board, engine(0), print(0), Now));
   REQUIRE(mayStartOn(Board, engine(1), print(0), Now));
-  noteRunStarted(Board, engine(1), print(0));
+  noteRunStarted(Board, engine(1), print(0), Now);
   SECTION("two suspects never share an upstream") {
     CHECK_FALSE(mayStartOn(Board, engine(1), print(1), Now));
     CHECK(mayStartOn(Board, engine(1), print(3), Now));
@@ -155,17 +155,35 @@
   }
 }
 
+TEST_CASE("what had run longer is retried later") {
+  crash_suspects Board;
+  time_point Now{seconds(1)};
+  noteRunStarted(Board, engine(0), print(0), Now);
+  Now += seconds(1);
+  noteRunStarted(Board, engine(0), print(1), Now);
+  Now += milliseconds(300);
+  const nanoseconds Longer =
+      noteRunEnded(Board, engine(0), print(0), run_end::Lost, Now);
+  const nanoseconds Shorter =
+      noteRunEnded(Board, engine(0), print(1), run_end::Lost, Now);
+  CHECK(Shorter == milliseconds(600));
+  CHECK(Longer == milliseconds(2'600));
+  CHECK(noteRunEnded(Board, engine(0), print(1), run_end::Lost, Now) ==
+        nanoseconds(0));
+  CHECK(pauseBeforeRetry(seconds(60)) == seconds(3));
+}
+
 TEST_CASE("memory stays bounded and quarantines are dropped last") {
   crash_suspects Board;
   Board.Settings.MostSuspects = 10;
   time_point Now{seconds(1)};
   for (const int Engine : {0, 1}) {
-    noteRunStarted(Board, engine(Engine), print(0));
+    noteRunStarted(Board, engine(Engine), print(0), Now);
     noteUpstreamLost(Board, engine(Engine), Now);
   }
   for (int Index = 1; Index < 50; ++Index) {
     Now += seconds(1);
-    noteRunStarted(Board, engine(2), print(Index));
+    noteRunStarted(Board, engine(2), print(Index), Now);
     noteUpstreamLost(Board, engine(2), Now);
   }
   CHECK(Board.Suspects.size() == 10);
--- a/Utilities/spindleload/main.cpp
+++ b/Utilities/spindleload/main.cpp
@@ -66,6 +66,14 @@
       {"First byte, 99th percentile", "seconds since the start", "ms"}, Lines);
 }
 
+/// Tells whether \p Name is in a list separated by commas; null: any name is.
+static bool isWanted(const char *Only, const std::string &Name) {
+  if (Only == nullptr)
+    return true;
+  const std::string List = "," + std::string(Only) + ",";
+  return List.find("," + Name + ",") != std::string::npos;
+}
+
 static int runScenarios(fiber_runtime &Runtime, const command_line &Line) {
   const load_scenarios Common =
       parseScenarios(readFile(Line.Scenarios), Line.Scenarios);
@@ -74,7 +82,7 @@
   std::vector<load_summary> Summaries;
   std::size_t Foreign = 0;
   for (const load_scenario &Scenario : Common.Scenarios) {
-    if (Line.Only != nullptr && Scenario.Name != Line.Only)
+    if (!isWanted(Line.Only, Scenario.Name))
       continue;
     Summaries.push_back(runOpenLoop(Runtime, Common, Scenario, Targets));
     for (const auto &[Kind, Group] : Summaries.back().Kinds)
