--- a/Libraries/LibHost/share_lender.cpp
+++ b/Libraries/LibHost/share_lender.cpp
@@ -12,6 +12,10 @@
 
 /// A loan is renewed when less than this part of its term is left.
 static constexpr int RenewalDivisor = 3;
+static constexpr milliseconds ShortestRoundPause{10};
+/// The pause after peers could not satisfy a wish ahead of need.
+static constexpr milliseconds AheadPause{500};
+static constexpr milliseconds LongestRoundPause{500};
 
 share_lender::share_lender(const runtime_clock &Clock, host_link_port Link,
                            host_link::Sender Self, share_table &Table,
@@ -46,10 +50,11 @@
   Lenders.reserve(List->size());
   Table.with(Id, [&](share_entry &Entry) {
     for (const peer_host &Peer : *List) {
-      const auto Hint = Entry.Hints.find(Peer.Id);
-      const bool SameZone = Peer.Zone.Value == Self.zone();
-      Lenders.push_back(
-          {SameZone, Hint == Entry.Hints.end() ? lender_hint{} : Hint->second});
+      lender_hint Hint;
+      if (const auto Found = Entry.Hints.find(Peer.Id);
+          Found != Entry.Hints.end())
+        Hint = Found->second;
+      Lenders.push_back({Peer.Zone.Value == Self.zone(), Hint});
     }
   });
   std::vector<std::size_t> Chosen;
@@ -79,16 +84,16 @@
   return Request;
 }
 
-/// The part of a wish that was granted, in 0..1.
+/// The part of a wish that was granted, in 0..1: of its tokens or of its rate,
+/// whichever is more.
 static double grantedPart(const loan_wish &Wish, const loan_amount &Amount) {
-  double Part = 1;
-  if (Wish.Level.Count > 0)
-    Part = std::min(Part, static_cast<double>(Amount.Level.Count) /
-                              static_cast<double>(Wish.Level.Count));
-  if (Wish.Rate.PerSecond > 0)
-    Part = std::min(Part, static_cast<double>(Amount.Rate.PerSecond) /
-                              static_cast<double>(Wish.Rate.PerSecond));
-  return Part;
+  const double Level = static_cast<double>(Amount.Level.Count);
+  const double Rate = static_cast<double>(Amount.Rate.PerSecond);
+  const double WantedLevel = static_cast<double>(Wish.Level.Count);
+  const double WantedRate = static_cast<double>(Wish.Rate.PerSecond);
+  const double Part = std::max(Level / std::max(WantedLevel, 1.0),
+                               Rate / std::max(WantedRate, 1.0));
+  return std::min(Part, 1.0);
 }
 
 static loan_amount amountOf(const host_link::BorrowReply &Reply) {
@@ -130,29 +135,51 @@
   return IsEnough;
 }
 
+/// Notes whether a round of asking got enough for its request.
+static void noteRound(share_entry &Entry, bool GotEnough, time_point Now) {
+  Entry.Borrowing = false;
+  if (GotEnough) {
+    Entry.RoundPause = milliseconds(0);
+    return;
+  }
+  Entry.RoundPause =
+      std::clamp(2 * Entry.RoundPause, ShortestRoundPause, LongestRoundPause);
+  Entry.NextRoundAt = Now + Entry.RoundPause;
+}
+
 borrow_outcome share_lender::borrowForRequest(
     const bucket_id &Id, micro_tokens Amount, time_point End,
     const std::function<bool(share_entry &)> &Enough) {
-  bool Busy = false;
+  borrow_outcome Outcome = borrow_outcome::NobodyToAsk;
   Table.with(Id, [&](share_entry &Entry) {
-    Busy = std::exchange(Entry.Borrowing, true);
+    if (Entry.Borrowing)
+      Outcome = borrow_outcome::OtherFiberAsks;
+    else if (Clock.now() >= Entry.NextRoundAt)
+      Outcome = borrow_outcome::Asked;
+    if (Outcome == borrow_outcome::Asked)
+      Entry.Borrowing = true;
   });
-  if (Busy)
-    return borrow_outcome::OtherFiberAsks;
-  const std::vector<peer_host> Chosen = choosePeers(Id);
-  for (const peer_host &Peer : Chosen) {
+  if (Outcome != borrow_outcome::Asked)
+    return Outcome;
+  bool GotEnough = false;
+  for (const peer_host &Peer : choosePeers(Id)) {
     loan_wish Wish;
     Table.with(Id, [&](share_entry &Entry) {
-      Wish = wishForRequest(Entry.Share, Amount, Settings.Lending);
+      Wish = wishForRequest(Entry.Share, Amount);
     });
     const milliseconds Left =
         std::chrono::ceil<milliseconds>(End - Clock.now());
     const milliseconds Limit = std::min(Settings.BorrowTimeout, Left);
-    if (Limit < milliseconds(0) || askPeer(Peer, Id, Wish, Limit, Enough))
+    if (Limit < milliseconds(0))
+      break;
+    GotEnough = askPeer(Peer, Id, Wish, Limit, Enough);
+    if (GotEnough)
       break;
   }
-  Table.with(Id, [](share_entry &Entry) { Entry.Borrowing = false; });
-  return Chosen.empty() ? borrow_outcome::NobodyToAsk : borrow_outcome::Asked;
+  Table.with(Id, [&](share_entry &Entry) {
+    noteRound(Entry, GotEnough, Clock.now());
+  });
+  return borrow_outcome::Asked;
 }
 
 static bucket_id bucketOf(std::uint64_t Tenant, std::uint32_t Bucket) {
@@ -227,6 +254,11 @@
   return {};
 }
 
+/// Tells whether requests wait for loans, which loads don't.
+static bool requestsWait(const bucket_id &Id) {
+  return Id.Kind == bucket_kind::TenantTokens;
+}
+
 share_lender::chores share_lender::findChores() {
   chores Chores;
   const bool Drains = Draining;
@@ -242,7 +274,7 @@
                wantsRenewal(Share, Loan))
         Chores.Renewals.push_back({Id, Loan});
     }
-    if (!Drains && wishAhead(Share, Settings.Lending))
+    if (!Drains && wishAhead(Share, Settings.Lending, requestsWait(Id)))
       Chores.Hungry.push_back(Id);
   });
   return Chores;
@@ -250,23 +282,31 @@
 
 void share_lender::askAhead(const bucket_id &Id) {
   const time_point End = Clock.now() + Settings.AdmissionWait;
-  bool Busy = false;
+  bool MayAsk = false;
   Table.with(Id, [&](share_entry &Entry) {
-    Busy = std::exchange(Entry.Borrowing, true);
+    MayAsk = !Entry.Borrowing && Clock.now() >= Entry.NextAheadAt;
+    Entry.Borrowing = Entry.Borrowing || MayAsk;
   });
-  if (Busy)
+  if (!MayAsk)
     return;
+  bool Satisfied = false;
   for (const peer_host &Peer : choosePeers(Id)) {
     std::optional<loan_wish> Wish;
     Table.with(Id, [&](share_entry &Entry) {
-      Wish = wishAhead(Entry.Share, Settings.Lending);
+      Wish = wishAhead(Entry.Share, Settings.Lending, requestsWait(Id));
     });
-    if (!Wish || Clock.now() > End)
+    Satisfied = !Wish;
+    if (Satisfied || Clock.now() > End)
       break;
     askPeer(Peer, Id, *Wish, Settings.BorrowTimeout,
             [](share_entry &) { return false; });
   }
-  Table.with(Id, [](share_entry &Entry) { Entry.Borrowing = false; });
+  Table.with(Id, [&](share_entry &Entry) {
+    Entry.Borrowing = false;
+    Entry.NextAheadAt = Clock.now();
+    if (!Satisfied)
+      Entry.NextAheadAt += AheadPause;
+  });
 }
 
 void share_lender::renew(const held_loan &Held) {
