LibHost: Go on watching the machines from the last version read

Each watch began with a list of all machines: at 1,470 of them, every 30 s, and the safety net's list every 33 s, more than the 10 KB/s that a host may spend.

A watch now goes on from the version last read or seen, and lists again only when that is too old; the safety net reads 8 entries a second.

--- a/Libraries/LibHost/membership_agent.cpp
+++ b/Libraries/LibHost/membership_agent.cpp
@@ -25,7 +25,9 @@
 /// With more hosts in a zone than this, those that are no stewards look at
 /// leases and tables less often, so that a host's traffic stays flat.
 static constexpr std::size_t HostsAtFullRate = 8;
-static constexpr std::size_t MachinesAtFullRate = 64;
+/// Entries of the list of machines that a host reads in a second, besides what
+/// the watch tells.
+static constexpr std::size_t MachinesReadPerSecond = 8;
 /// Hosts that start together make their first calls within these times.
 static constexpr milliseconds FirstRenewalSpread{1'500};
 static constexpr milliseconds FirstLookSpread{3'000};
@@ -48,6 +50,8 @@
   std::size_t slowdown();
   void renew();
   void readMachines();
+  void noteMachineEvent(const platform_event &Event);
+  std::uint64_t machinesVersion();
   bool isLeaving() const;
   void workOnZone();
   void lookElsewhere();
@@ -93,6 +97,8 @@
   view_pointer View;
   snapshot_pointer Snapshot;
   machine_list KnownMachines;
+  /// What the watch of machines goes on from; none: after the next list.
+  std::optional<std::uint64_t> MachinesVersion;
   std::uint64_t AppliedVersion = 0;
 
   std::atomic<bool> Draining{false};
@@ -200,10 +206,10 @@
 }
 
 void membership_agent::state::readMachines() {
-  const machine_list List =
-      spindle::readMachines(Platform.List(platform_kind::Machines));
+  const platform_list List = Platform.List(platform_kind::Machines);
   const lock Lock(Mutex);
-  KnownMachines = List;
+  KnownMachines = spindle::readMachines(List);
+  MachinesVersion = List.Version;
 }
 
 bool membership_agent::state::isLeaving() const {
@@ -211,25 +217,39 @@
   return KnownMachines.LeavingHosts.count(Settings.Name) != 0;
 }
 
+void membership_agent::state::noteMachineEvent(const platform_event &Event) {
+  const lock Lock(Mutex);
+  MachinesVersion = Event.Object.Version;
+  if (Event.Change == platform_change::Deleted)
+    forgetMachine(KnownMachines, Event.Object.Name);
+  else
+    noteMachine(KnownMachines, Event.Object);
+}
+
+/// The version that a watch may go on from; reads the list if there is none.
+std::uint64_t membership_agent::state::machinesVersion() {
+  {
+    const lock Lock(Mutex);
+    if (MachinesVersion)
+      return *MachinesVersion;
+  }
+  readMachines();
+  const lock Lock(Mutex);
+  return MachinesVersion.value_or(0);
+}
+
 bool membership_agent::watchMachines(milliseconds Limit) {
+  state &S = *State;
   try {
-    const platform_list List = State->Platform.List(platform_kind::Machines);
-    {
-      const lock Lock(State->Mutex);
-      State->KnownMachines = spindle::readMachines(List);
-    }
-    State->Platform.Watch(platform_kind::Machines, List.Version, Limit,
-                          [this](const platform_event &Event) {
-                            const lock Lock(State->Mutex);
-                            if (Event.Change == platform_change::Deleted)
-                              forgetMachine(State->KnownMachines,
-                                            Event.Object.Name);
-                            else
-                              noteMachine(State->KnownMachines, Event.Object);
-                            return true;
-                          });
+    S.Platform.Watch(platform_kind::Machines, S.machinesVersion(), Limit,
+                     [&S](const platform_event &Event) {
+                       S.noteMachineEvent(Event);
+                       return true;
+                     });
     return true;
   } catch (const spindle_error &Error) {
+    const lock Lock(S.Mutex);
+    S.MachinesVersion.reset();
     return Error.code() == result_code::PlatformTooOld;
   }
 }
@@ -445,8 +465,8 @@
   const std::size_t Upstreams =
       Snapshot == nullptr ? 0 : Snapshot->upstreams().size();
   const std::size_t Count = KnownMachines.Hosts.size() + Upstreams;
-  return Settings.MachinesInterval *
-         std::max<std::size_t>(1, Count / MachinesAtFullRate);
+  const milliseconds ForAll(Count * 1'000 / MachinesReadPerSecond);
+  return std::max(Settings.MachinesInterval, ForAll);
 }
 
 void membership_agent::tick() {
--- a/Tests/LibMembership/test_membership.cpp
+++ b/Tests/LibMembership/test_membership.cpp
@@ -309,6 +309,13 @@
   CHECK(Host.Agent->view()->LeavingUpstreams ==
         std::vector<upstream_id>{upstream_id::ofName("a-engine-1")});
   CHECK(Host.Agent->drainRequested());
+  // The watch goes on from what was read, without reading all again.
+  const std::size_t Reads = Fleet.Platform.reads();
+  Port.Update("machines", "a1", Port.Get("machines", "a1")->Version,
+              R"({"role":"host","state":"live"})");
+  CHECK(Host.Agent->watchMachines(seconds(1)));
+  CHECK_FALSE(Host.Agent->drainRequested());
+  CHECK(Fleet.Platform.reads() == Reads + 2);
 }
 
 TEST_CASE("a planned stop hands over engines first, then the share, and the "
