Tests: Let hosts read stale heads, and relays tell larger zones

Two mutations passed unnoticed. The property on versions that only go up named stale platforms but brought none about; it does now.

--- a/Tests/LibConfiguration/test_follower.cpp
+++ b/Tests/LibConfiguration/test_follower.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -25,6 +26,8 @@
   bool CutFromPeers = false;
   /// Passes on damaged parts.
   bool Damages = false;
+  /// Reads the first head that there was.
+  bool ReadsStale = false;
   std::unique_ptr<configuration_follower> Follower;
   std::vector<std::uint64_t> Applied;
   time_point NextPoll;
@@ -77,10 +80,12 @@
 
   platform_port platformOf(following_host &Host) {
     platform_port Port = Platform.port();
-    Port.Get = [&Host, Get = Port.Get](std::string_view Kind,
-                                       std::string_view Name) {
+    Port.Get = [this, &Host, Get = Port.Get](std::string_view Kind,
+                                             std::string_view Name) {
       if (Host.CutFromPlatform)
         throw spindle_error(result_code::PlatformUnavailable, "cut");
+      if (Host.ReadsStale && FirstHead && Kind == FirstHead->Kind)
+        return FirstHead;
       return Get(Kind, Name);
     };
     return Port;
@@ -133,6 +138,8 @@
     confirmPlan(Port,
                 makePlan(readConfiguration(Port), Intent, std::to_string(Rate)),
                 {"anna", {0}, [](milliseconds) {}});
+    if (!FirstHead)
+      FirstHead = Port.Get(platform_kind::ConfigurationHeads, "head");
   }
 
   static std::uint64_t version(const following_host &Host) {
@@ -142,6 +149,7 @@
 
   runtime_clock Clock;
   fake_platform Platform;
+  std::optional<platform_object> FirstHead;
   std::vector<std::unique_ptr<following_host>> Hosts;
 };
 
@@ -163,7 +171,7 @@
 }
 
 TEST_CASE("a relay that watches tells its zone at once") {
-  following_fleet Fleet(7);
+  following_fleet Fleet(16);
   Fleet.change(1);
   Fleet.pass(5);
   Fleet.change(2);
@@ -226,7 +234,7 @@
     following_fleet Fleet(5);
     for (int Step = 0; Step < 20; ++Step) {
       following_host &Host = *Fleet.Hosts[*rc::gen::inRange<std::size_t>(0, 5)];
-      switch (*rc::gen::inRange(0, 7)) {
+      switch (*rc::gen::inRange(0, 8)) {
       case 0:
         Host.CutFromPlatform = !Host.CutFromPlatform;
         break;
@@ -239,6 +247,9 @@
       case 3:
         Host.Damages = !Host.Damages;
         break;
+      case 4:
+        Host.ReadsStale = !Host.ReadsStale;
+        break;
       default:
         Fleet.Platform.setFaults({});
         Fleet.change(Step + 1);
@@ -250,7 +261,7 @@
     }
     Fleet.Platform.setFaults({});
     for (const auto &Each : Fleet.Hosts)
-      Each->CutFromPlatform = false;
+      Each->CutFromPlatform = Each->ReadsStale = false;
     Fleet.pass(5);
     const auto Head = readConfigurationHead(Fleet.Platform.port());
     for (const auto &Each : Fleet.Hosts)
