LibHost: Don't look for renewals that the platform's rate refused

Such a renewal surely took no effect, yet the host read its record back after each and before the next try: 84 reads in 40 s where 50 are usual, just when each call less helps. It now only waits longer (TestLibMembership, "a host that the platform's rate refuses calls less, not more").

--- a/Libraries/LibHost/lease_keeper.cpp
+++ b/Libraries/LibHost/lease_keeper.cpp
@@ -52,7 +52,12 @@
   ShareTerm.noteSent(Now);
   try {
     confirm(Record, write(Record));
-  } catch (const spindle_error &) {
+  } catch (const spindle_error &Error) {
+    // Refused by the rate: it surely took no effect, and each call less helps.
+    if (Error.code() == result_code::PlatformRateLimited) {
+      Attempts.erase(Record.Nonce);
+      throw;
+    }
     readBack();
     // The write was not made, or another one was: the caller tries again.
     if (!Replaced && Last != Record)
--- a/Tests/LibMembership/simulated_fleet.h
+++ b/Tests/LibMembership/simulated_fleet.h
@@ -25,6 +25,8 @@
   bool Paused = false;
   bool Cut = false;
   bool Ticking = false;
+  /// Its writes are refused by the platform's rate.
+  bool RateLimited = false;
   int LoseAnswers = 0;
   int DelayWrites = 0;
   /// Delay writes to this kind only; empty: to every kind.
@@ -63,6 +65,8 @@
   const auto Write = [&P, Check](std::string_view Kind,
                                  std::function<std::uint64_t()> Do) {
     Check();
+    if (P.RateLimited)
+      throw spindle_error(result_code::PlatformRateLimited, "too many");
     const bool IsDelayable = P.DelayedKind.empty() || Kind == P.DelayedKind;
     if (P.DelayWrites > 0 && IsDelayable) {
       --P.DelayWrites;
--- a/Tests/LibMembership/test_membership.cpp
+++ b/Tests/LibMembership/test_membership.cpp
@@ -318,6 +318,27 @@
   CHECK(Fleet.Platform.reads() == Reads + 2);
 }
 
+TEST_CASE("a host that the platform's rate refuses calls less, not more") {
+  startLogging({log_severity::Error, false});
+  simulated_fleet Fleet({std::pair<std::string, std::string>("a1", "a")});
+  simulated_process &Host = begin(Fleet, 0, makeSnapshot(1, {1}));
+  pass(Fleet, 30);
+  const auto ReadsIn = [&Fleet](int Seconds) {
+    const std::size_t Before = Fleet.Platform.reads();
+    pass(Fleet, Seconds);
+    return Fleet.Platform.reads() - Before;
+  };
+  const std::size_t Usual = ReadsIn(40);
+  Host.RateLimited = true;
+  // Intervals are spread by a tenth.
+  CHECK(ReadsIn(40) <= Usual + Usual / 10);
+  CHECK(Host.share() == 1'000'000);
+  CHECK_FALSE(Host.actsOn(upstream_id::ofName("a-engine-1")));
+  Host.RateLimited = false;
+  pass(Fleet, 10);
+  CHECK(Host.actsOn(upstream_id::ofName("a-engine-1")));
+}
+
 TEST_CASE("a planned stop hands over engines first, then the share, and the "
           "rest of the zone has both at once") {
   startLogging({log_severity::Error, false});
