LibEngine: Refuse streams that repeat a part

Cause: the engine stand-in can repeat an event, and nothing caught it.

Change: answer_verifier counts the parts that hold text; each holds at least one token, so that more parts than the engine's usage has tokens mean that one was repeated. "[DONE]" is withheld then.

Conclusion: TestStandIns brings the fault about and sees AnswerCutShort.

--- a/Libraries/LibEngine/answer_fields.cpp
+++ b/Libraries/LibEngine/answer_fields.cpp
@@ -159,6 +159,23 @@
   });
 }
 
+/// Notes whether a string is not empty.
+static void readPresence(json_cursor &Cursor, bool &Present) {
+  std::string_view Text;
+  readText(Cursor, Text);
+  Present = Present || !Text.empty();
+}
+
+static void readDelta(json_cursor &Cursor, answer_fields &Fields) {
+  if (!nextIs(Cursor, '{'))
+    return skipValue(Cursor);
+  readObject(Cursor, [&](std::string_view Name) {
+    if (Name == "content")
+      return readPresence(Cursor, Fields.HasText);
+    skipValue(Cursor);
+  });
+}
+
 static void readChoice(json_cursor &Cursor, answer_fields &Fields) {
   Fields.HasChoices = true;
   if (!nextIs(Cursor, '{'))
@@ -166,6 +183,10 @@
   readObject(Cursor, [&](std::string_view Name) {
     if (Name == "finish_reason")
       return readText(Cursor, Fields.FinishReason);
+    if (Name == "text")
+      return readPresence(Cursor, Fields.HasText);
+    if (Name == "delta")
+      return readDelta(Cursor, Fields);
     skipValue(Cursor);
   });
 }
--- a/Libraries/LibEngine/answer_fields.h
+++ b/Libraries/LibEngine/answer_fields.h
@@ -18,6 +18,8 @@
   std::string_view FinishReason;
   /// Whether "choices" holds at least one choice.
   bool HasChoices = false;
+  /// Whether a choice holds generated text ("text" or "delta.content").
+  bool HasText = false;
   /// Whether the engine reports an error instead of an answer.
   bool HasError = false;
   std::optional<std::uint64_t> PromptTokens;
--- a/Libraries/LibEngine/answer_verifier.cpp
+++ b/Libraries/LibEngine/answer_verifier.cpp
@@ -40,13 +40,14 @@
   if (Done)
     cutShort("the upstream sent data after the end of its answer");
   if (Event.Done) {
-    checkFinished();
+    checkEnd();
     Done = true;
     return;
   }
   const answer_fields Fields = readAnswerFields(Event.Data);
   check(Fields);
   ChoiceEvents += Fields.HasChoices ? 1 : 0;
+  TextEvents += Fields.HasText ? 1 : 0;
   LastUsageOnly = !Fields.HasChoices && Fields.CompletionTokens.has_value();
 }
 
@@ -59,9 +60,12 @@
 }
 
 /// Callers take "[DONE]" for the end of a whole answer.
-void answer_verifier::checkFinished() const {
+void answer_verifier::checkEnd() const {
   if (!Finished)
     cutShort("the upstream's stream ended without a finish reason");
+  // Each part with text holds at least one token.
+  if (ReportedTokens != 0 && TextEvents > ReportedTokens)
+    cutShort("the upstream repeated a part of its answer");
 }
 
 void answer_verifier::finish() const {
--- a/Libraries/LibEngine/answer_verifier.h
+++ b/Libraries/LibEngine/answer_verifier.h
@@ -23,8 +23,9 @@
 
   /// Checks one event of a stream before it is passed on.
   /// \throws spindle_error WrongAdapterAnswered, AnswerCutShort (an error
-  /// event, data that is not JSON, "[DONE]" before a finish reason, or data
-  /// after the end).
+  /// event, data that is not JSON, "[DONE]" before a finish reason or after
+  /// more parts than the engine says it has generated tokens, or data after
+  /// the end).
   void accept(const stream_event &Event);
   /// Checks a whole answer that is not a stream.
   /// \throws spindle_error WrongAdapterAnswered, AnswerCutShort.
@@ -46,7 +47,7 @@
 
 private:
   void check(const answer_fields &Fields);
-  void checkFinished() const;
+  void checkEnd() const;
 
   std::string Adapter;
   std::string RequestId;
@@ -56,6 +57,7 @@
   bool Finished = false;
   bool LastUsageOnly = false;
   std::uint64_t ChoiceEvents = 0;
+  std::uint64_t TextEvents = 0;
   std::uint64_t ReportedTokens = 0;
   std::uint64_t PromptTokens = 0;
 };
--- a/Tests/LibEngine/test_event_stream.cpp
+++ b/Tests/LibEngine/test_event_stream.cpp
@@ -181,6 +181,14 @@
                        "\n\ndata: [DONE]\n\n");
   CHECK(Reported.completionTokens() == 9);
   CHECK(Reported.promptTokens() == 4);
+  // One token can't come in two parts.
+  CHECK(verdict(First + Last +
+                R"(data: {"id":"cmpl-7","model":"lid@3","choices":[],)"
+                R"("usage":{"completion_tokens":1}})"
+                "\n\ndata: [DONE]\n\n") == result_code::AnswerCutShort);
+  CHECK(readAnswerFields(R"({"choices":[{"delta":{"content":"x"}}]})").HasText);
+  CHECK_FALSE(
+      readAnswerFields(R"({"choices":[{"delta":{"content":""}}]})").HasText);
 }
 
 TEST_CASE("a whole answer is checked like a stream") {
--- a/Tests/StandIns/test_engine_server.cpp
+++ b/Tests/StandIns/test_engine_server.cpp
@@ -161,6 +161,8 @@
   CHECK(E.stream("p", 9) == result_code::AnswerCutShort);
   E.fault({{"wrong_adapter", 1}});
   CHECK(E.stream("p", 9) == result_code::WrongAdapterAnswered);
+  E.fault({{"duplicate", 1}});
+  CHECK(E.stream("p", 9) == result_code::AnswerCutShort);
   E.fault({{"crossed", 1}});
   CHECK(E.stream("p", 9) == result_code::WrongAdapterAnswered);
   CHECK(E.stream("p", 9) == result_code{});
