--- a/Libraries/LibHost/residency_owner_part.cpp
+++ b/Libraries/LibHost/residency_owner_part.cpp
@@ -135,17 +135,16 @@
   const time_point Now = Clock.now();
   const std::lock_guard<std::mutex> Lock(OwnerMutex);
   for (const host_link::SyncedEngine &Named : Request.engines()) {
-    const upstream_id Id{Named.engine()};
-    const auto Engine = Owner.Engines.find(Id);
-    if (Engine == Owner.Engines.end() ||
-        Engine->second.Fence != Named.fence()) {
+    const fenced_engine Engine{{Named.engine()}, Named.fence()};
+    const std::optional<std::vector<adapter_id>> RefusedPins = takeSync(
+        Owner, Engine, Holder, Request.sequence(), Pinned[Engine.Engine], Now);
+    if (!RefusedPins) {
       Reply.add_not_owned(Named.engine());
       continue;
     }
-    for (const adapter_id Adapter : spindle::syncPins(
-             Engine->second, Holder, Request.sequence(), Pinned[Id], Now)) {
+    for (const adapter_id Adapter : *RefusedPins) {
       host_link::PinnedAdapter *Refused = Reply.add_refused();
-      Refused->set_engine(Id.Value);
+      Refused->set_engine(Named.engine());
       Refused->set_adapter(Adapter.Value);
     }
   }
--- a/Libraries/LibResidency/engine_slots.cpp
+++ b/Libraries/LibResidency/engine_slots.cpp
@@ -35,6 +35,8 @@
   Engine.Fence = Fence;
   Engine.OwnedSince = Now;
   Engine.Known = false;
+  Engine.Occupied.clear();
+  Engine.Ordered.clear();
   Engine.Synced.clear();
 }
 
@@ -49,10 +51,20 @@
   return Sequence <= Mark->second.Sequence;
 }
 
+static bool holdsPin(const engine_slots &Engine, adapter_id Adapter,
+                     const pin_holder &Holder) {
+  const auto Pins = Engine.Pins.find(Adapter);
+  return Pins != Engine.Pins.end() &&
+         std::ranges::find(Pins->second, Holder, &held_pin::Holder) !=
+             Pins->second.end();
+}
+
 pin_outcome pinAdapter(engine_slots &Engine, adapter_id Adapter,
                        const pin_holder &Holder, std::uint64_t Sequence,
                        time_point Now) {
-  if (isOutdated(Engine, Holder, Sequence))
+  // A sync names the pins that its sender is still asking for, too.
+  if (isOutdated(Engine, Holder, Sequence) &&
+      !holdsPin(Engine, Adapter, Holder))
     return pin_outcome::Stale;
   engine_slot *Slot = findSlot(Engine, Adapter);
   if (Slot == nullptr || !isServing(*Slot) || !isFenced(Engine))
@@ -134,6 +146,9 @@
 
 void applyReport(engine_slots &Engine, const slot_report &Report,
                  time_point Now) {
+  if (Report.Taken < Engine.LastReport)
+    return;
+  Engine.LastReport = Report.Taken;
   const bool Restarted = Report.Incarnation != Engine.Incarnation;
   if (Restarted || !Engine.Known)
     std::erase_if(Engine.Occupied,
--- a/Libraries/LibResidency/engine_slots.h
+++ b/Libraries/LibResidency/engine_slots.h
@@ -7,7 +7,7 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -61,9 +61,13 @@
   bool Known = false;
   /// The engine's own incarnation, as last reported.
   std::uint64_t Incarnation = 0;
+  /// When the last report was made.
+  time_point LastReport;
   /// When the last order ended; older reports say nothing of its effect.
   time_point LastOrderEnd;
   std::vector<engine_slot> Occupied;
+  /// Adapters whose load is on order, be it that a victim is unloaded first.
+  std::set<adapter_id> Ordered;
   std::unordered_map<adapter_id, std::vector<held_pin>> Pins;
   /// The newest sync of each host since the takeover.
   std::map<host_id, pin_sync_mark> Synced;
@@ -80,7 +84,9 @@
 /// The functions below are not thread-safe: the caller holds the lock of the
 /// struct.
 
-/// Starts a new ownership with a higher fence: nothing is known of pins.
+/// Starts a new ownership with a higher fence. What is known of slots and of
+/// syncs is outdated, and orders of the former ownership end unheeded. Known
+/// pins stay until their holders sync.
 void takeOver(engine_slots &Engine, std::uint64_t Fence, time_point Now);
 
 /// Tells whether no order of a former owner can take effect any more. Until
@@ -117,7 +123,8 @@
   time_point Taken;
 };
 
-/// Takes over what a report says, unless it is older than the last order. A
+/// Takes over what a report says, unless it is older than the last one. A
+/// report older than the last order doesn't change what the order did. A
 /// new incarnation empties the table; pins stay, since their holders may be
 /// using a reloaded adapter.
 void applyReport(engine_slots &Engine, const slot_report &Report,
--- a/Libraries/LibResidency/order_planning.cpp
+++ b/Libraries/LibResidency/order_planning.cpp
@@ -1,6 +1,7 @@
 #include "LibResidency/residency_owner.h"
 
 #include <algorithm>
+#include <set>
 
 namespace spindle {
 
@@ -31,7 +32,7 @@
   if (Engine == Owner.Engines.end() || !Engine->second.Known)
     return false;
   return findSlot(Engine->second, Placement.Adapter) == nullptr &&
-         !Owner.Ordered.contains(Placement);
+         !Engine->second.Ordered.contains(Placement.Adapter);
 }
 
 static std::vector<load_candidate> rankLoads(const residency_owner &Owner,
@@ -99,7 +100,7 @@
                                  adapter_id Adapter, time_point Now) {
   residency_order Order{Engine.Engine, Adapter, std::nullopt, Engine.Fence,
                         false};
-  Owner.Ordered.insert({Engine.Engine, Adapter});
+  Engine.Ordered.insert(Adapter);
   if (freeSlots(Engine) > 0) {
     beginLoad(Engine, Adapter, Now);
     return Order;
@@ -162,7 +163,7 @@
       continue;
     const auto Loaded = std::ranges::find_if(Engine.Occupied, isServing);
     if (Loaded == Engine.Occupied.end() ||
-        !Owner.Ordered.insert({Id, Loaded->Adapter}).second)
+        !Engine.Ordered.insert(Loaded->Adapter).second)
       continue;
     Orders.push_back({Id, Loaded->Adapter, std::nullopt, Engine.Fence, true});
   }
--- a/Libraries/LibResidency/residency_owner.cpp
+++ b/Libraries/LibResidency/residency_owner.cpp
@@ -38,6 +38,16 @@
   return pin_verdict::Waiting;
 }
 
+std::optional<std::vector<adapter_id>>
+takeSync(residency_owner &Owner, const fenced_engine &Engine,
+         const pin_holder &Holder, std::uint64_t Sequence,
+         std::span<const adapter_id> Pins, time_point Now) {
+  const auto Found = Owner.Engines.find(Engine.Engine);
+  if (Found == Owner.Engines.end() || Found->second.Fence != Engine.Fence)
+    return std::nullopt;
+  return syncPins(Found->second, Holder, Sequence, Pins, Now);
+}
+
 /// Forgets a demand that nobody waits for, unless it remembers failures.
 static void tidyDemand(residency_owner &Owner, placement Placement) {
   const auto Found = Owner.Demands.find(Placement);
@@ -87,32 +97,41 @@
   return Resolved;
 }
 
+/// Finds the engine of an order that was given under the present ownership.
+static engine_slots *findOrdered(residency_owner &Owner,
+                                 const residency_order &Order) {
+  const auto Engine = Owner.Engines.find(Order.Engine);
+  if (Engine == Owner.Engines.end() || Engine->second.Fence != Order.Fence)
+    return nullptr;
+  return &Engine->second;
+}
+
 static void noteFenceSeen(engine_slots &Engine, std::uint64_t Fence) {
   Engine.FenceSeen = std::max(Engine.FenceSeen, Fence);
 }
 
 void endFenceRaise(residency_owner &Owner, const residency_order &Order,
                    order_result Result) {
-  Owner.Ordered.erase({Order.Engine, Order.Adapter});
-  const auto Engine = Owner.Engines.find(Order.Engine);
-  if (Engine != Owner.Engines.end() && Result == order_result::Done)
-    noteFenceSeen(Engine->second, Order.Fence);
+  engine_slots *Engine = findOrdered(Owner, Order);
+  if (Engine == nullptr)
+    return;
+  Engine->Ordered.erase(Order.Adapter);
+  if (Result == order_result::Done)
+    noteFenceSeen(*Engine, Order.Fence);
 }
 
 bool endVictim(residency_owner &Owner, const residency_order &Order,
                order_result Result, time_point Now) {
-  const auto Engine = Owner.Engines.find(Order.Engine);
-  if (Engine == Owner.Engines.end())
+  engine_slots *Engine = findOrdered(Owner, Order);
+  if (Engine == nullptr)
     return false;
-  if (Order.Victim)
-    endUnload(Engine->second, *Order.Victim, Result, Now);
-  Owner.Ordered.erase({Order.Engine, Order.Adapter});
-  if (Result != order_result::Done || Engine->second.Fence != Order.Fence ||
-      Now >= Owner.ValidUntil || freeSlots(Engine->second) == 0 ||
-      findSlot(Engine->second, Order.Adapter) != nullptr)
+  Engine->Ordered.erase(Order.Adapter);
+  endUnload(*Engine, *Order.Victim, Result, Now);
+  if (Result != order_result::Done || Now >= Owner.ValidUntil ||
+      freeSlots(*Engine) == 0 || findSlot(*Engine, Order.Adapter) != nullptr)
     return false;
-  beginLoad(Engine->second, Order.Adapter, Now);
-  Owner.Ordered.insert({Order.Engine, Order.Adapter});
+  beginLoad(*Engine, Order.Adapter, Now);
+  Engine->Ordered.insert(Order.Adapter);
   return true;
 }
 
@@ -134,21 +153,21 @@
 std::vector<pin_resolution> endOrder(residency_owner &Owner,
                                      const residency_order &Order,
                                      order_result Result, time_point Now) {
-  Owner.Ordered.erase({Order.Engine, Order.Adapter});
-  const auto Engine = Owner.Engines.find(Order.Engine);
-  if (Engine == Owner.Engines.end())
+  engine_slots *Engine = findOrdered(Owner, Order);
+  if (Engine == nullptr)
     return {};
-  endLoad(Engine->second, Order.Adapter, Result, Now);
+  Engine->Ordered.erase(Order.Adapter);
+  endLoad(*Engine, Order.Adapter, Result, Now);
   if (Result != order_result::Done)
     return noteFailure(Owner, Order, Now);
-  noteFenceSeen(Engine->second, Order.Fence);
+  noteFenceSeen(*Engine, Order.Fence);
   const auto Demand = Owner.Demands.find({Order.Engine, Order.Adapter});
-  if (Demand == Owner.Demands.end() || Engine->second.Fence != Order.Fence)
+  if (Demand == Owner.Demands.end())
     return {};
   for (const waiting_pin &Waiting : Demand->second.Waiting)
     noteLoadWait(Owner.LoadWait, Now - Waiting.Since, Now);
   std::vector<pin_resolution> Resolved =
-      pinWaiting(Owner, Engine->second, Demand->second, Now);
+      pinWaiting(Owner, *Engine, Demand->second, Now);
   tidyDemand(Owner, Demand->first);
   return Resolved;
 }
--- a/Libraries/LibResidency/residency_owner.h
+++ b/Libraries/LibResidency/residency_owner.h
@@ -9,7 +9,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace spindle {
@@ -45,8 +44,6 @@
   time_point ValidUntil;
   std::map<upstream_id, engine_slots> Engines;
   std::map<placement, load_demand> Demands;
-  /// Adapters whose order is in progress.
-  std::set<placement> Ordered;
   demand_table Uses;
   load_wait LoadWait;
   std::uint64_t LastTicket = 0;
@@ -92,6 +89,13 @@
 /// \p Request gets its ticket.
 pin_verdict requestPin(residency_owner &Owner, waiting_pin &Request,
                        time_point Now);
+/// Takes in the whole set of pins that a holder has on one engine; returns
+/// those that are refused, or none if this host isn't the engine's owner under
+/// the fence that the holder named: then the sync has no effect.
+std::optional<std::vector<adapter_id>>
+takeSync(residency_owner &Owner, const fenced_engine &Engine,
+         const pin_holder &Holder, std::uint64_t Sequence,
+         std::span<const adapter_id> Pins, time_point Now);
 /// Ends a request's wait. Does nothing if it has ended already.
 void giveUpWaiting(residency_owner &Owner, const waiting_pin &Request);
 
@@ -114,6 +118,8 @@
 bool wantsLoad(const residency_owner &Owner, std::span<const pin_holder> Peers,
                time_point Now);
 
+/// The ends of orders are unheeded if the ownership has changed since.
+
 /// Records the end of an order's unload; the load may begin if it is Done.
 /// Returns whether the load was begun.
 bool endVictim(residency_owner &Owner, const residency_order &Order,
