--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -7,6 +7,7 @@
 #include "LibRuntime/fiber_runtime.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
@@ -18,6 +19,10 @@
 /// Bounds on what one caller may use.
 struct http_server_limits {
   std::size_t HeaderBytes = 16 * 1024;
+  /// Connections beyond this are closed at once.
+  std::size_t Connections = 20'000;
+  /// From a request's first byte to the end of its header.
+  milliseconds HeaderTimeout{10'000};
   /// How long an idle keep-alive connection is kept.
   milliseconds IdleTimeout{60'000};
   /// How long one read or write of a body may make no progress.
@@ -59,6 +64,9 @@
   virtual void watchCaller(std::shared_ptr<cancellation> Cancellation) = 0;
   /// The caller's address.
   virtual std::string remoteAddress() const = 0;
+  /// Numbers the server's connections in the order of their start, from 1;
+  /// 0 if unknown.
+  virtual std::uint64_t connectionNumber() const { return 0; }
 };
 
 /// Handles one exchange in a fiber of its own. A spindle_error that escapes is
