LibRouting: Charge a load what it costs others

Cause: 12% of the loads duplicated an adapter that was resident elsewhere and 25% evicted one of the 40 most popular, since a load was priced by its own wait alone.

--- a/Libraries/LibHost/engine_table.cpp
+++ b/Libraries/LibHost/engine_table.cpp
@@ -30,6 +30,7 @@
   }
   engine_index add(const upstream_declaration &Upstream, double Distance);
   void addModels(const configuration_snapshot &Configuration);
+  void noteBudget(const configuration_snapshot &Configuration);
   void replaceSites(engine_index Engine, const engine_news &News);
 };
 
@@ -92,12 +93,26 @@
   Table.Models = std::move(Models);
 }
 
+void engine_table::state::noteBudget(
+    const configuration_snapshot &Configuration) {
+  double Slots = 0;
+  for (const upstream_declaration &Upstream : Configuration.upstreams())
+    if (Upstream.Kind == upstream_kind::Engine)
+      Slots += Upstream.Slots;
+  const double Rate = Configuration.policy().WeightStoreLoadsPerSecond;
+  if (Rate <= 0)
+    return;
+  Table.LoadsPerSecond = Rate;
+  Table.TurnoverSeconds = Slots / Rate;
+}
+
 void engine_table::applyConfiguration(
     const configuration_snapshot &Configuration) {
   const std::lock_guard<std::mutex> Lock(State->Mutex);
   State->Policy = parseRoutingPolicy(Configuration.policy().Routing)
                       .value_or(routing_policy::Residency);
   State->addModels(Configuration);
+  State->noteBudget(Configuration);
 }
 
 void engine_table::applyView(const host_view &View) {
@@ -194,6 +209,7 @@
   noteReport(Engine.Load, News.Running, News.Waiting, News.Taken);
   Engine.EvictableSlots = News.EvictableSlots;
   Engine.LoadWaitMilliseconds = News.LoadWaitMilliseconds;
+  Engine.VictimUsesPerSecond = News.VictimUsesPerSecond;
   State->replaceSites(Found->second, News);
 }
 
--- a/Libraries/LibHost/engine_table.h
+++ b/Libraries/LibHost/engine_table.h
@@ -25,6 +25,7 @@
   time_point Taken;
   std::uint32_t EvictableSlots = 0;
   double LoadWaitMilliseconds = 0;
+  double VictimUsesPerSecond = 0;
 };
 
 /// What this host knows of upstreams, and the choice among them. Thread-safe
--- a/Libraries/LibHost/residency_owner_part.cpp
+++ b/Libraries/LibHost/residency_owner_part.cpp
@@ -182,7 +182,9 @@
     Told->set_waiting(Load.Waiting);
     Told->set_report_age_ms(
         std::chrono::duration_cast<milliseconds>(Now - Load.Taken).count());
-    Told->set_evictable(evictableSlots(Owner, Engine, Holders, Now));
+    const engine_room Room = roomOn(Owner, Engine, Holders, Now);
+    Told->set_evictable(Room.Evictable);
+    Told->set_victim_uses_per_second(Room.VictimUsesPerSecond);
     Told->set_load_wait_ms(
         static_cast<std::int64_t>(expectedLoadWait(Owner.LoadWait, Now)));
   }
--- a/Libraries/LibHost/residency_reports.cpp
+++ b/Libraries/LibHost/residency_reports.cpp
@@ -81,7 +81,9 @@
                    News.Loading, News.Taken},
                   Now);
       Loads[Engine] = {Report.Running, Report.Waiting, News.Taken};
-      News.EvictableSlots = evictableSlots(Owner, Slots, Holders, Now);
+      const engine_room Room = roomOn(Owner, Slots, Holders, Now);
+      News.EvictableSlots = Room.Evictable;
+      News.VictimUsesPerSecond = Room.VictimUsesPerSecond;
       // The owner knows of orders that the late report doesn't show.
       News.Loaded.clear();
       News.Loading.clear();
@@ -126,6 +128,7 @@
     News.Taken = Now - milliseconds(Told.report_age_ms());
     News.EvictableSlots = Told.evictable();
     News.LoadWaitMilliseconds = static_cast<double>(Told.load_wait_ms());
+    News.VictimUsesPerSecond = Told.victim_uses_per_second();
     Engines.noteNews(News);
   }
 }
--- a/Libraries/LibResidency/order_planning.cpp
+++ b/Libraries/LibResidency/order_planning.cpp
@@ -201,17 +201,20 @@
              });
 }
 
-std::uint32_t evictableSlots(const residency_owner &Owner,
-                             const engine_slots &Engine,
-                             std::span<const pin_holder> Peers,
-                             time_point Now) {
-  std::uint32_t Count = freeSlots(Engine);
+engine_room roomOn(const residency_owner &Owner, const engine_slots &Engine,
+                   std::span<const pin_holder> Peers, time_point Now) {
+  engine_room Room;
+  Room.Evictable = freeSlots(Engine);
   if (!pinsAreComplete(Engine, Peers, Owner.Settings.SettleTime, Now))
-    return Count;
+    return Room;
+  if (const engine_slot *Victim = chooseVictim(Owner, Engine, Now);
+      Victim != nullptr && Room.Evictable == 0)
+    Room.VictimUsesPerSecond =
+        demandPerSecond(Owner.Uses, Victim->Adapter, Now);
   for (const engine_slot &Slot : Engine.Occupied)
     if (isEvictable(Owner, Engine, Slot, Now))
-      ++Count;
-  return Count;
+      ++Room.Evictable;
+  return Room;
 }
 
 } // namespace spindle
--- a/Libraries/LibResidency/residency_owner.h
+++ b/Libraries/LibResidency/residency_owner.h
@@ -134,10 +134,17 @@
 /// Ends the wait of requests whose engine this host no longer owns.
 std::vector<pin_resolution> dropEngine(residency_owner &Owner,
                                        upstream_id Engine);
-/// How many of the engine's slots could take another adapter now.
-std::uint32_t evictableSlots(const residency_owner &Owner,
-                             const engine_slots &Engine,
-                             std::span<const pin_holder> Peers, time_point Now);
+/// What a further load on an engine would meet.
+struct engine_room {
+  /// Slots that could take another adapter now.
+  std::uint32_t Evictable = 0;
+  /// How often the adapter is asked for that would make room; 0 if a slot is
+  /// free.
+  double VictimUsesPerSecond = 0;
+};
+
+engine_room roomOn(const residency_owner &Owner, const engine_slots &Engine,
+                   std::span<const pin_holder> Peers, time_point Now);
 
 } // namespace spindle
 
--- a/Libraries/LibRouting/route_choice.cpp
+++ b/Libraries/LibRouting/route_choice.cpp
@@ -6,10 +6,13 @@
 
 /// Sites of one adapter that are weighed at most; more are sampled.
 static constexpr std::size_t SitesWeighed = 8;
-/// Engines drawn by chance beside the preferred ones.
-static constexpr std::size_t DrawnEngines = 2;
+/// Upstreams of a plain service that are drawn by chance and compared.
+static constexpr std::size_t DrawnServices = 2;
 /// Draws until an engine that may be chosen is found, before a full search.
 static constexpr int Draws = 8;
+/// Bounds the price of a load, so that an adapter whose engine is overloaded
+/// gets a replica also when loads are scarce.
+static constexpr double MostCrowded = 8;
 static constexpr double LeastHealth = 0.01;
 
 /// The best candidate so far.
@@ -24,6 +27,18 @@
          std::ranges::find(Query.Avoid, Engine.Id) == Query.Avoid.end();
 }
 
+/// What one more load costs the others that wait for loads. With loads served
+/// one after another at a rate m, a mean wait W = r / (2 m (1 - r)) shows how
+/// much of the rate is in use; the wait that one more load adds to all others
+/// is the derivative of the total wait, x (x + 2) / (2 m) with x = 2 m W.
+static double loadPriceMilliseconds(const routing_table &Table, double Load) {
+  const double WaitSeconds =
+      std::max(0.0, Load - Table.LoadMilliseconds) / 1'000;
+  const double Crowding =
+      std::min(MostCrowded, 2 * Table.LoadsPerSecond * WaitSeconds);
+  return 1'000 * Crowding * (Crowding + 2) / (2 * Table.LoadsPerSecond);
+}
+
 /// The expected wait until the adapter is loaded.
 static double loadMilliseconds(const routing_table &Table,
                                const routed_engine &Engine,
@@ -36,13 +51,14 @@
       std::max(Engine.LoadWaitMilliseconds, Table.LoadMilliseconds);
   if (Presence == adapter_presence::Asked)
     return Load;
-  // One more load makes the other waiting ones wait for as long as this one
-  // waits for them. An engine whose adapters are all in use must first finish
-  // requests.
-  const double Displaced = Load - Table.LoadMilliseconds;
+  // The evicted adapter is probably loaded again, too.
+  const double Price = loadPriceMilliseconds(Table, Load);
+  const double Reload =
+      (Load + Price) *
+      std::min(1.0, Engine.VictimUsesPerSecond * Table.TurnoverSeconds);
   const double Busy =
       Engine.EvictableSlots == 0 ? Engine.Load.ServiceMilliseconds : 0;
-  return Load + Displaced + Busy;
+  return Load + Price + Reload + Busy;
 }
 
 double expectedMilliseconds(const routing_table &Table, engine_index Engine,
@@ -158,11 +174,6 @@
   for (const engine_index Engine : preferredEngines(Model, Query.Adapter))
     consider(Table, Query, Engine, presenceAt(Table, Query.Adapter, Engine),
              Best);
-  for (std::size_t Draw = 0; Draw < DrawnEngines; ++Draw) {
-    const engine_index Engine = drawEngine(Model.Engines, Random);
-    consider(Table, Query, Engine, presenceAt(Table, Query.Adapter, Engine),
-             Best);
-  }
   if (Best.Engine == NoEngine)
     return searchAll(Table, Model.Engines, Query, Random);
   return Best.Engine;
@@ -211,7 +222,7 @@
   best_engine Best;
   if (Services.empty())
     return std::nullopt;
-  for (std::size_t Draw = 0; Draw < DrawnEngines; ++Draw)
+  for (std::size_t Draw = 0; Draw < DrawnServices; ++Draw)
     consider(Table, Query, drawEngine(Services, Random),
              adapter_presence::Resident, Best);
   if (Best.Engine == NoEngine)
--- a/Libraries/LibRouting/routing_table.h
+++ b/Libraries/LibRouting/routing_table.h
@@ -30,6 +30,8 @@
   double LoadWaitMilliseconds = 250;
   /// Slots that are free or could be freed now.
   std::uint32_t EvictableSlots = 1;
+  /// How often the adapter is asked for that a load would evict.
+  double VictimUsesPerSecond = 0;
   /// From 0, take nothing, to 1, healthy.
   double Health = 1;
   bool Leaving = false;
@@ -65,6 +67,10 @@
   prefix_table Prefixes;
   /// How long one load takes when no other waits.
   double LoadMilliseconds = 250;
+  /// How many loads the weight store allows to the fleet.
+  double LoadsPerSecond = 2;
+  /// In which time all slots would be filled anew if loads never paused.
+  double TurnoverSeconds = 60;
   /// Prefill time that a cached prompt token saves.
   double PrefillMillisecondsPerToken = 0.2;
 };
