LibResidency: Test each safeguard and the agent by itself

Cause: random histories reach some safeguards too seldom to show that they are missing: a lapsed owner that is asked, a sync under a former fence, a grant under a former fence, an engine that hasn't seen the fence.

Change: one focused test each, others for retries, shared loads, draining and scans of cold adapters, and tests of two agents over the real ports: load on demand, owner cut off, takeover, engine restarted empty, load that keeps failing. That last one found that a request whose deadline passed was told of a slow load although its load had failed; it is told the truth now.

Conclusion: with the histories, every mutation tried fails a named test.

--- a/Libraries/LibHost/residency_acquire.cpp
+++ b/Libraries/LibHost/residency_acquire.cpp
@@ -209,6 +209,8 @@
       return makeLease(State, Placement);
     noteResult(Attempt, Placement.Engine, Result);
   }
+  if (Attempt.LoadFailed)
+    throwFailure(Attempt);
   throw spindle_error(result_code::AdapterNotLoaded,
                       Request.AdapterName + " was not loaded in time");
 }
