LibHost: Take in the engines' cache events

Cause: a prefix that an engine has evicted still attracted requests until its entry expired, and prefixes stored for other hosts' requests were unknown.

Change: the owner polls cache events with each report and notes what was stored and evicted; a gap is covered by the expiry of entries. Tests now also cover a late request and a late sync after their sender gave up, and that one load has one order while its victim is being unloaded.

--- a/Libraries/LibHost/residency_agent_state.h
+++ b/Libraries/LibHost/residency_agent_state.h
@@ -51,6 +51,8 @@
   std::map<std::uint64_t, std::function<void(pin_resolution)>> Waiters;
   std::unordered_map<adapter_id, std::string> Names;
   std::map<upstream_id, reported_load> Loads;
+  /// The last cache event that was taken in from each engine.
+  std::map<upstream_id, std::uint64_t> CacheSequences;
 
   // View and configuration.
   std::shared_ptr<const host_view> view() const;
@@ -89,6 +91,7 @@
   // Reports.
   void pollEngine(upstream_id Engine);
   void pollOwner(const peer_host &Peer, const std::vector<upstream_id> &Owned);
+  void takeCacheEvents(upstream_id Engine, const endpoint &Address);
   void takeReport(upstream_id Engine, const engine_report &Report);
 
   // This host's own pins.
--- a/Libraries/LibHost/residency_reports.cpp
+++ b/Libraries/LibHost/residency_reports.cpp
@@ -39,13 +39,32 @@
 
 void residency_agent::state::pollEngine(upstream_id Engine) {
   try {
-    takeReport(Engine,
-               Ports.Engines.Report(addressOf(Engine), Settings.ReportLimit));
+    const endpoint Address = addressOf(Engine);
+    takeReport(Engine, Ports.Engines.Report(Address, Settings.ReportLimit));
+    takeCacheEvents(Engine, Address);
   } catch (const spindle_error &Error) {
     logEvent(log_event::EngineReportMissing, {{"reason", Error.what()}});
   }
 }
 
+void residency_agent::state::takeCacheEvents(upstream_id Engine,
+                                             const endpoint &Address) {
+  std::uint64_t Last = 0;
+  {
+    const std::lock_guard<std::mutex> Lock(OwnerMutex);
+    Last = CacheSequences[Engine];
+  }
+  const std::vector<engine_cache_event> Events =
+      Ports.Engines.CacheEvents(Address, Last, Settings.ReportLimit);
+  for (const engine_cache_event &Event : Events) {
+    // What a gap hides is corrected when the entries expire.
+    Engines.notePrefix(Engine, Event.PrefixHash, Event.Stored);
+    Last = std::max(Last, Event.Sequence);
+  }
+  const std::lock_guard<std::mutex> Lock(OwnerMutex);
+  CacheSequences[Engine] = Last;
+}
+
 static std::vector<adapter_id> idsOf(const std::vector<std::string> &Names) {
   std::vector<adapter_id> Ids;
   for (const std::string &Name : Names)
@@ -71,6 +90,8 @@
     const auto Owned = Owner.Engines.find(Engine);
     if (Owned != Owner.Engines.end()) {
       engine_slots &Slots = Owned->second;
+      if (Slots.Incarnation != Report.Incarnation)
+        CacheSequences[Engine] = 0;
       if (Slots.Known && Slots.Incarnation != Report.Incarnation)
         logEvent(log_event::EngineRestarted,
                  {{"engine", std::to_string(Engine.Value)}});
--- a/Libraries/LibRouting/engine_load.cpp
+++ b/Libraries/LibRouting/engine_load.cpp
@@ -41,6 +41,8 @@
 
 void noteFinish(engine_load &Load, nanoseconds Service, time_point Now) {
   assert(Load.OwnInFlight > 0 && "the dispatch was noted");
+  if (Load.OwnInFlight == 0)
+    return;
   sample(Load, Now);
   --Load.OwnInFlight;
   const std::chrono::duration<double, std::milli> Milliseconds = Service;
--- a/Tests/LibResidency/test_residency_agent.cpp
+++ b/Tests/LibResidency/test_residency_agent.cpp
@@ -80,6 +80,10 @@
     Report.Loaded.assign(Loaded.begin(), Loaded.end());
     return Report;
   };
+  Ports.Engines.CacheEvents = [](const endpoint &, std::uint64_t,
+                                 milliseconds) {
+    return std::vector<engine_cache_event>();
+  };
   const auto Reachable = [this] {
     if (OwnerCutOff)
       throw spindle_error(result_code::PeerUnreachable, "cut off");
--- a/Tests/LibResidency/test_residency_owner.cpp
+++ b/Tests/LibResidency/test_residency_owner.cpp
@@ -68,6 +68,11 @@
   REQUIRE(isPinned(World.slots(), adapter(1)));
   REQUIRE(takeSync(World.Owner, {Engine, 2}, Self, 21, {}, World.Now));
   REQUIRE_FALSE(isPinned(World.slots(), adapter(1)));
+  // Nor does anything that its sender has given up since pin again.
+  REQUIRE(takeSync(World.Owner, {Engine, 2}, Self, 18, Held, World.Now));
+  REQUIRE(pinAdapter(World.slots(), adapter(1), Self, 19, World.Now) ==
+          pin_outcome::Stale);
+  REQUIRE_FALSE(isPinned(World.slots(), adapter(1)));
 }
 
 TEST_CASE("a sync under a former fence does not complete the takeover") {
@@ -143,6 +148,13 @@
   REQUIRE(planOrders(World.Owner, Everyone, 8, World.Now).empty());
   REQUIRE(endOrder(World.Owner, Orders.front(), order_result::Done, World.Now)
               .size() == 2);
+  // Also while the victim of the load is still being unloaded.
+  owned_engine Full(1, false, {adapter(1)});
+  Full.Now += seconds(1);
+  REQUIRE(Full.ask(2) == pin_verdict::Waiting);
+  REQUIRE(planOrders(Full.Owner, Everyone, 8, Full.Now).size() == 1);
+  endUnload(Full.slots(), adapter(1), order_result::Done, Full.Now);
+  REQUIRE(planOrders(Full.Owner, Everyone, 8, Full.Now).empty());
 }
 
 TEST_CASE("a cold adapter is served though every slot stays pinned") {
