--- a/Libraries/LibConfiguration/configuration_plan.cpp
+++ b/Libraries/LibConfiguration/configuration_plan.cpp
@@ -20,7 +20,7 @@
 
 static std::string digestOf(const json &Value) {
   return sha256Hex(Value.at("baseVersion").dump() + Value.at("nonce").dump() +
-                   Value.at("intent").dump());
+                   Value.at("changes").dump() + Value.at("intent").dump());
 }
 
 std::string writePlan(const configuration_plan &Plan) {
@@ -225,8 +225,7 @@
       if (Found && isInForce(Found->first, Plan))
         return Found->first;
       requireCurrent(Found, Plan);
-      const configuration_head Head =
-          buildHead(Platform, Found, Plan, Confirmation);
+      configuration_head Head = buildHead(Platform, Found, Plan, Confirmation);
       writeHeadObject(Platform, Found, Head);
       return Head;
     } catch (const spindle_error &Error) {
--- a/Libraries/LibEngine/answer_verifier.cpp
+++ b/Libraries/LibEngine/answer_verifier.cpp
@@ -17,6 +17,8 @@
     cutShort("the upstream's answer is not JSON");
   if (Fields.HasError)
     cutShort("the upstream reported an error instead of the answer");
+  if (Fields.FinishReason == "abort" || Fields.FinishReason == "error")
+    cutShort("the upstream aborted the answer");
   if (!sameJsonText(Fields.Model, Adapter))
     throw spindle_error(result_code::WrongAdapterAnswered,
                         "\"" + std::string(Fields.Model) +
@@ -38,12 +40,14 @@
   if (Done)
     cutShort("the upstream sent data after the end of its answer");
   if (Event.Done) {
+    checkEnd();
     Done = true;
     return;
   }
   const answer_fields Fields = readAnswerFields(Event.Data);
   check(Fields);
   ChoiceEvents += Fields.HasChoices ? 1 : 0;
+  TextEvents += Fields.HasText ? 1 : 0;
   LastUsageOnly = !Fields.HasChoices && Fields.CompletionTokens.has_value();
 }
 
@@ -55,11 +59,18 @@
   Done = true;
 }
 
+/// Callers take "[DONE]" for the end of a whole answer.
+void answer_verifier::checkEnd() const {
+  if (!Finished)
+    cutShort("the upstream's stream ended without a finish reason");
+  // Each part with text holds at least one token.
+  if (ReportedTokens != 0 && TextEvents > ReportedTokens)
+    cutShort("the upstream repeated a part of its answer");
+}
+
 void answer_verifier::finish() const {
   if (!Done)
     cutShort("the upstream's stream ended without [DONE]");
-  if (!Finished)
-    cutShort("the upstream's stream ended without a finish reason");
 }
 
 std::uint64_t answer_verifier::completionTokens() const {
--- a/Libraries/LibHost/membership_agent.cpp
+++ b/Libraries/LibHost/membership_agent.cpp
@@ -1,6 +1,7 @@
 #include "LibHost/membership_agent.h"
 
 #include "LibCore/result_code.h"
+#include "LibHost/call_schedule.h"
 #include "LibHost/lease_keeper.h"
 #include "LibHost/zone_keeper.h"
 #include "LibLog/log.h"
@@ -13,6 +14,7 @@
 #include <fstream>
 #include <mutex>
 #include <random>
+#include <set>
 
 namespace spindle {
 
@@ -23,22 +25,12 @@
 /// With more hosts in a zone than this, those that are no stewards look at
 /// leases and tables less often, so that a host's traffic stays flat.
 static constexpr std::size_t HostsAtFullRate = 8;
-static constexpr std::size_t MachinesAtFullRate = 64;
-static constexpr milliseconds FirstRetry{500};
+/// Entries of the list of machines that a host reads in a second, besides what
+/// the watch tells.
+static constexpr std::size_t MachinesReadPerSecond = 8;
 /// Hosts that start together make their first calls within these times.
 static constexpr milliseconds FirstRenewalSpread{1'500};
 static constexpr milliseconds FirstLookSpread{3'000};
-static constexpr milliseconds LongestRetry{4'000};
-
-namespace {
-
-/// When a kind of call to the platform is due.
-struct call_schedule {
-  time_point Due{};
-  int Failures = 0;
-};
-
-} // namespace
 
 struct membership_agent::state {
   state(const runtime_clock &Clock, platform_port Port,
@@ -48,25 +40,30 @@
         Zone(Clock, Platform, Settings), Random(Settings.Seed),
         View(std::make_shared<const host_view>()) {
     const time_point Now = Clock.now();
-    Renewal.Due = Now + within(FirstRenewalSpread);
+    Renewal.startWithin(FirstRenewalSpread, Now, Random);
     for (call_schedule *Schedule : {&Machines, &OwnZone, &Elsewhere})
-      Schedule->Due = Now + within(FirstLookSpread);
+      Schedule->startWithin(FirstLookSpread, Now, Random);
   }
 
-  template <typename work>
-  void runIfDue(call_schedule &Schedule, nanoseconds Interval, work Work);
-  nanoseconds spread(nanoseconds Interval);
-  nanoseconds within(nanoseconds Limit);
+  void runIfDue(call_schedule &Schedule, nanoseconds Interval,
+                const std::function<void()> &Work);
   std::size_t slowdown();
   void renew();
   void readMachines();
+  void noteMachineEvent(const platform_event &Event);
+  std::uint64_t machinesVersion();
+  bool isLeaving() const;
   void workOnZone();
   void lookElsewhere();
   void observeZone(const std::string &Name);
   void removeStaleLeases(const platform_list &List);
   std::vector<std::string> liveHosts();
   bool isSteward(const std::vector<std::string> &LiveHosts) const;
+  bool mayDecide() const;
+  void hastenNews();
+  nanoseconds machinesInterval() const;
   void noteLapse();
+  void noteLostHosts();
   zone_facts facts();
   host_view buildView();
   void addPeers(host_view &NewView);
@@ -87,6 +84,7 @@
   call_schedule Machines;
   call_schedule OwnZone;
   call_schedule Elsewhere;
+  std::set<std::string> SeenLive;
   std::size_t NextZone = 0;
   std::uint64_t Sequence = 0;
   std::uint64_t RenewedVersion = 0;
@@ -99,6 +97,8 @@
   view_pointer View;
   snapshot_pointer Snapshot;
   machine_list KnownMachines;
+  /// What the watch of machines goes on from; none: after the next list.
+  std::optional<std::uint64_t> MachinesVersion;
   std::uint64_t AppliedVersion = 0;
 
   std::atomic<bool> Draining{false};
@@ -153,44 +153,24 @@
 
 bool membership_agent::drained() const { return State->Drained; }
 
-bool membership_agent::drainRequested() const { return State->DrainRequested; }
-
-bool membership_agent::replaced() const { return State->Replaced; }
-
-/// Returns the interval, give or take a tenth, so that hosts that started
-/// together don't call together.
-nanoseconds membership_agent::state::spread(nanoseconds Interval) {
-  std::uniform_real_distribution<double> Factor(0.9, 1.1);
-  return nanoseconds(static_cast<std::int64_t>(
-      static_cast<double>(Interval.count()) * Factor(Random)));
+bool membership_agent::drainRequested() const {
+  return State->DrainRequested || State->isLeaving();
 }
 
-nanoseconds membership_agent::state::within(nanoseconds Limit) {
-  std::uniform_int_distribution<std::int64_t> Any(0, Limit.count());
-  return nanoseconds(Any(Random));
-}
+bool membership_agent::replaced() const { return State->Replaced; }
 
-/// Runs \p Work if it is due. After a failure it is due again soon, then at
-/// growing intervals that differ between hosts.
-template <typename work>
+/// Runs \p Work if it is due.
 void membership_agent::state::runIfDue(call_schedule &Schedule,
-                                       nanoseconds Interval, work Work) {
-  if (Clock.now() < Schedule.Due)
+                                       nanoseconds Interval,
+                                       const std::function<void()> &Work) {
+  if (!Schedule.isDue(Clock.now()))
     return;
   try {
     Work();
-    Schedule.Failures = 0;
-    Schedule.Due = Clock.now() + spread(Interval);
+    Schedule.noteSuccess(Clock.now(), Interval, Random);
     Reachable = true;
   } catch (const spindle_error &Error) {
-    const int Doublings = std::min(Schedule.Failures, 8);
-    const nanoseconds Retry =
-        std::min<nanoseconds>(FirstRetry * (1 << Doublings), LongestRetry);
-    std::uniform_real_distribution<double> Part(0.3, 1.0);
-    ++Schedule.Failures;
-    Schedule.Due =
-        Clock.now() + nanoseconds(static_cast<std::int64_t>(
-                          static_cast<double>(Retry.count()) * Part(Random)));
+    Schedule.noteFailure(Clock.now(), Random);
     const bool IsConflict = Error.code() == result_code::PlatformConflict;
     Reachable = IsConflict;
     if (!IsConflict)
@@ -226,31 +206,50 @@
 }
 
 void membership_agent::state::readMachines() {
-  const machine_list List =
-      spindle::readMachines(Platform.List(platform_kind::Machines));
+  const platform_list List = Platform.List(platform_kind::Machines);
+  const lock Lock(Mutex);
+  KnownMachines = spindle::readMachines(List);
+  MachinesVersion = List.Version;
+}
+
+bool membership_agent::state::isLeaving() const {
   const lock Lock(Mutex);
-  KnownMachines = List;
+  return KnownMachines.LeavingHosts.count(Settings.Name) != 0;
+}
+
+void membership_agent::state::noteMachineEvent(const platform_event &Event) {
+  const lock Lock(Mutex);
+  MachinesVersion = Event.Object.Version;
+  if (Event.Change == platform_change::Deleted)
+    forgetMachine(KnownMachines, Event.Object.Name);
+  else
+    noteMachine(KnownMachines, Event.Object);
+}
+
+/// The version that a watch may go on from; reads the list if there is none.
+std::uint64_t membership_agent::state::machinesVersion() {
+  {
+    const lock Lock(Mutex);
+    if (MachinesVersion)
+      return *MachinesVersion;
+  }
+  readMachines();
+  const lock Lock(Mutex);
+  return MachinesVersion.value_or(0);
 }
 
 bool membership_agent::watchMachines(milliseconds Limit) {
+  state &S = *State;
   try {
-    const platform_list List = State->Platform.List(platform_kind::Machines);
-    {
-      const lock Lock(State->Mutex);
-      State->KnownMachines = spindle::readMachines(List);
-    }
-    State->Platform.Watch(platform_kind::Machines, List.Version, Limit,
-                          [this](const platform_event &Event) {
-                            const lock Lock(State->Mutex);
-                            if (Event.Change == platform_change::Deleted)
-                              forgetMachine(State->KnownMachines,
-                                            Event.Object.Name);
-                            else
-                              noteMachine(State->KnownMachines, Event.Object);
-                            return true;
-                          });
+    S.Platform.Watch(platform_kind::Machines, S.machinesVersion(), Limit,
+                     [&S](const platform_event &Event) {
+                       S.noteMachineEvent(Event);
+                       return true;
+                     });
     return true;
   } catch (const spindle_error &Error) {
+    const lock Lock(S.Mutex);
+    S.MachinesVersion.reset();
     return Error.code() == result_code::PlatformTooOld;
   }
 }
@@ -354,8 +353,6 @@
   {
     const lock Lock(Mutex);
     Observer.observeMachines(KnownMachines.Hosts);
-    if (Snapshot == nullptr)
-      return;
   }
   observeZone(Settings.Zone);
   Zone.readTable();
@@ -364,7 +361,7 @@
   const bool MayStop = Finishing && EnginesReleased && !Zone.holdsShare();
   if (MayStop && !Stopped) {
     Stopped = true;
-    Renewal.Due = Clock.now();
+    Renewal.hasten(Clock.now());
   }
 }
 
@@ -373,8 +370,6 @@
   std::vector<std::string> Others;
   {
     const lock Lock(Mutex);
-    if (Snapshot == nullptr)
-      return;
     for (const zone_declaration &Declared : Snapshot->zones())
       if (Declared.Name != Settings.Zone)
         Others.push_back(Declared.Name);
@@ -389,6 +384,18 @@
     OtherTables[Name] = readZoneTable(Object->Body);
 }
 
+/// Logs hosts that were seen to hold their lease and don't any more.
+void membership_agent::state::noteLostHosts() {
+  for (const auto &[Host, Record] : Observer.records()) {
+    if (Observer.isLive(Host)) {
+      SeenLive.insert(Host);
+      continue;
+    }
+    if (SeenLive.erase(Host) != 0 && !Record.Stopped)
+      logEvent(log_event::HostLost, {{"host", Host}, {"zone", Record.Zone}});
+  }
+}
+
 void membership_agent::state::noteLapse() {
   const bool Holds = Lease.leaseTerm().holds(Clock.now());
   if (HeldLease && !Holds)
@@ -440,36 +447,44 @@
     Listener(NewView);
 }
 
+/// Whether leases and tables may be worked on: this host has a lease, and
+/// knows the zones and engines.
+bool membership_agent::state::mayDecide() const {
+  const lock Lock(Mutex);
+  return Lease.started() && !Replaced && Snapshot != nullptr;
+}
+
+void membership_agent::state::hastenNews() {
+  const lock Lock(Mutex);
+  if (AppliedVersion != RenewedVersion || RenewedDraining != Draining)
+    Renewal.hasten(Clock.now());
+}
+
+nanoseconds membership_agent::state::machinesInterval() const {
+  const lock Lock(Mutex);
+  const std::size_t Upstreams =
+      Snapshot == nullptr ? 0 : Snapshot->upstreams().size();
+  const std::size_t Count = KnownMachines.Hosts.size() + Upstreams;
+  const milliseconds ForAll(Count * 1'000 / MachinesReadPerSecond);
+  return std::max(Settings.MachinesInterval, ForAll);
+}
+
 void membership_agent::tick() {
   state &S = *State;
   if (S.Drained || S.Replaced)
     return;
-  {
-    const lock Lock(S.Mutex);
-    const bool HasNews =
-        S.AppliedVersion != S.RenewedVersion || S.RenewedDraining != S.Draining;
-    if (HasNews && S.Renewal.Failures == 0)
-      S.Renewal.Due = S.Clock.now();
-  }
+  S.hastenNews();
   S.runIfDue(S.Renewal, S.Settings.Lease.RenewInterval, [&S] { S.renew(); });
-  std::size_t MachineCount = 0;
-  {
-    const lock Lock(S.Mutex);
-    MachineCount = S.KnownMachines.Hosts.size() +
-                   (S.Snapshot == nullptr ? 0 : S.Snapshot->upstreams().size());
-  }
-  S.runIfDue(S.Machines,
-             S.Settings.MachinesInterval *
-                 std::max<std::size_t>(1, MachineCount / MachinesAtFullRate),
-             [&S] { S.readMachines(); });
-  if (S.Lease.started() && !S.Replaced) {
+  S.runIfDue(S.Machines, S.machinesInterval(), [&S] { S.readMachines(); });
+  if (S.mayDecide()) {
     const nanoseconds Interval = S.Settings.Lease.RenewInterval * S.slowdown();
-    if (S.Zone.hasWork(S.Clock.now()) && S.OwnZone.Failures == 0)
-      S.OwnZone.Due = S.Clock.now();
+    if (S.Zone.hasWork(S.Clock.now()))
+      S.OwnZone.hasten(S.Clock.now());
     S.runIfDue(S.OwnZone, Interval, [&S] { S.workOnZone(); });
     S.runIfDue(S.Elsewhere, Interval, [&S] { S.lookElsewhere(); });
   }
   S.noteLapse();
+  S.noteLostHosts();
   S.publish();
 }
 
--- a/Tests/LibEngine/test_event_stream.cpp
+++ b/Tests/LibEngine/test_event_stream.cpp
@@ -149,6 +149,8 @@
   CHECK(verdict(First + Last + Done + First) == result_code::AnswerCutShort);
   CHECK(verdict(First + "data: {\"error\":{}}\n\n" + Last + Done) ==
         result_code::AnswerCutShort);
+  CHECK(verdict("data: " + chunk("lid@3", "b", "\"abort\"") + "\n\n" + Done) ==
+        result_code::AnswerCutShort);
   CHECK(verdict(First + "data: {\"model\":\n\n") ==
         result_code::AnswerCutShort);
   CHECK(verdict(First + "data: " + chunk("lid@4", "b", "\"stop\"") + "\n\n" +
@@ -158,6 +160,14 @@
         result_code::WrongAdapterAnswered);
 }
 
+TEST_CASE("the end of an unfinished answer is not passed on") {
+  answer_verifier Verifier("lid@3");
+  const std::string Data = chunk("lid@3", "a");
+  Verifier.accept({Data, Data, false});
+  REQUIRE_THROWS_AS(Verifier.accept({"", "[DONE]", true}), spindle_error);
+  REQUIRE_FALSE(Verifier.done());
+}
+
 TEST_CASE("tokens are counted by events unless the engine reports usage") {
   const std::string First = "data: " + chunk("lid@3", "a") + "\n\n";
   const std::string Last = "data: " + chunk("lid@3", "b", "\"stop\"") + "\n\n";
@@ -171,6 +181,14 @@
                        "\n\ndata: [DONE]\n\n");
   CHECK(Reported.completionTokens() == 9);
   CHECK(Reported.promptTokens() == 4);
+  // One token can't come in two parts.
+  CHECK(verdict(First + Last +
+                R"(data: {"id":"cmpl-7","model":"lid@3","choices":[],)"
+                R"("usage":{"completion_tokens":1}})"
+                "\n\ndata: [DONE]\n\n") == result_code::AnswerCutShort);
+  CHECK(readAnswerFields(R"({"choices":[{"delta":{"content":"x"}}]})").HasText);
+  CHECK_FALSE(
+      readAnswerFields(R"({"choices":[{"delta":{"content":""}}]})").HasText);
 }
 
 TEST_CASE("a whole answer is checked like a stream") {
--- a/Tests/LibMembership/simulated_fleet.h
+++ b/Tests/LibMembership/simulated_fleet.h
@@ -25,6 +25,8 @@
   bool Paused = false;
   bool Cut = false;
   bool Ticking = false;
+  /// Its writes are refused by the platform's rate.
+  bool RateLimited = false;
   int LoseAnswers = 0;
   int DelayWrites = 0;
   /// Delay writes to this kind only; empty: to every kind.
@@ -63,6 +65,8 @@
   const auto Write = [&P, Check](std::string_view Kind,
                                  std::function<std::uint64_t()> Do) {
     Check();
+    if (P.RateLimited)
+      throw spindle_error(result_code::PlatformRateLimited, "too many");
     const bool IsDelayable = P.DelayedKind.empty() || Kind == P.DelayedKind;
     if (P.DelayWrites > 0 && IsDelayable) {
       --P.DelayWrites;
@@ -75,7 +79,7 @@
       throw spindle_error(result_code::PlatformUnavailable, "delayed");
     }
     const std::uint64_t Version = Do();
-    if (P.SlowAnswers > 0) {
+    if (P.SlowAnswers > 0 && IsDelayable) {
       --P.SlowAnswers;
       P.WhileAnswering();
     }
@@ -182,8 +186,8 @@
       P.Ticks += P.Cut ? 0 : 1;
       P.Ticking = true;
       P.WhileAnswering = [this, &Check] {
-        step(milliseconds(500), Check);
-        step(milliseconds(2'500), Check);
+        for (int Step = 0; Step < 9; ++Step)
+          step(milliseconds(500), Check);
       };
       P.Agent->tick();
       P.Ticking = false;
--- a/Tests/StandIns/test_engine_server.cpp
+++ b/Tests/StandIns/test_engine_server.cpp
@@ -161,6 +161,8 @@
   CHECK(E.stream("p", 9) == result_code::AnswerCutShort);
   E.fault({{"wrong_adapter", 1}});
   CHECK(E.stream("p", 9) == result_code::WrongAdapterAnswered);
+  E.fault({{"duplicate", 1}});
+  CHECK(E.stream("p", 9) == result_code::AnswerCutShort);
   E.fault({{"crossed", 1}});
   CHECK(E.stream("p", 9) == result_code::WrongAdapterAnswered);
   CHECK(E.stream("p", 9) == result_code{});
@@ -201,8 +203,10 @@
   loopback_engine E(Settings);
   REQUIRE(E.load("a@1", 1) == result_code{});
   std::atomic<int> Whole{0};
+  static constexpr int CallerCount = 8;
   std::vector<std::thread> Callers;
-  for (int Caller = 0; Caller < 8; ++Caller)
+  Callers.reserve(CallerCount);
+  for (int Caller = 0; Caller < CallerCount; ++Caller)
     Callers.emplace_back([&E, &Whole] {
       E.Runtime.runBlocking([&E, &Whole] {
         const json Body{{"model", "a@1"}, {"prompt", "p"}, {"max_tokens", 20}};
@@ -216,7 +220,7 @@
     });
   for (std::thread &Caller : Callers)
     Caller.join();
-  CHECK(Whole == 8);
+  CHECK(Whole == CallerCount);
   const json Record = E.control("GET", "/control/record");
   CHECK(Record.at("tokens") == 160);
   CHECK(Record.at("tokens_per_step").get<double>() > 2);
