LibHost: Wait before a lost request is retried, and try other engines

Cause: the pause that noteEnd() returns was not waited for, and a suspect that the router sent to the engine it was lost with was refused although others could run it. Change: model requests sleep for the pause before the next attempt and try up to four engines.

--- a/Libraries/LibHost/model_handler.cpp
+++ b/Libraries/LibHost/model_handler.cpp
@@ -302,19 +302,32 @@
   }
   Attempt.fail(Failure);
   decideNext(Context, Run, Failure, Cause);
+  sleepFor(Attempt.pauseBeforeRetry());
   return false;
 }
 
-/// Chooses an engine for the next attempt and pins the adapter there.
-/// \throws spindle_error whose state counts earlier attempts.
-pin_lease nextPin(request_context &Context, const model_run &Run) {
-  try {
+/// Engines that are tried for a suspect before it is held back.
+constexpr std::size_t MostEnginesTried = 4;
+
+/// Pins the adapter on an engine where the request may start: a suspect is
+/// kept off the engine that it was lost with, and off other suspects.
+pin_lease acquireAllowedPin(request_context &Context, model_run &Run) {
+  for (std::size_t Tried = 0; Tried < MostEnginesTried; ++Tried) {
     pin_lease Pin = acquirePin(Context, Run);
     if (Context.Services.Suspects.mayStartOn(Pin.Engine, Run.Fingerprint))
       return Pin;
-    throw spindle_error(result_code::RequestQuarantined,
-                        "a request like this one was lost with its engine and "
-                        "is held back for now");
+    Run.Avoid.push_back(Pin.Engine);
+  }
+  throw spindle_error(result_code::RequestQuarantined,
+                      "a request like this one was lost with its engine and "
+                      "is held back for now");
+}
+
+/// Chooses an engine for the next attempt and pins the adapter there.
+/// \throws spindle_error whose state counts earlier attempts.
+pin_lease nextPin(request_context &Context, model_run &Run) {
+  try {
+    return acquireAllowedPin(Context, Run);
   } catch (const spindle_error &Error) {
     if (!Run.Progress.MayHaveRun)
       throw;
--- a/Libraries/LibHost/upstream_attempt.cpp
+++ b/Libraries/LibHost/upstream_attempt.cpp
@@ -18,7 +18,7 @@
 
 void upstream_attempt::end(run_end End) {
   Ended = true;
-  Services.Suspects.noteEnd(Upstream, Fingerprint, End);
+  Pause = Services.Suspects.noteEnd(Upstream, Fingerprint, End);
   Services.Upstreams.noteFinish(Upstream, Services.Clock.now() - StartedAt);
 }
 
--- a/Libraries/LibHost/upstream_attempt.h
+++ b/Libraries/LibHost/upstream_attempt.h
@@ -27,6 +27,9 @@
   /// Ends the attempt by \p Failure; a lost upstream is shared with other
   /// hosts before this returns. Blocks the calling fiber.
   void fail(attempt_failure Failure);
+  /// How long to wait before the request is sent again; see
+  /// suspect_board::noteEnd(). Precondition: fail() was called.
+  nanoseconds pauseBeforeRetry() const { return Pause; }
 
 private:
   void end(run_end End);
@@ -37,6 +40,7 @@
   endpoint Address;
   request_fingerprint Fingerprint;
   time_point StartedAt;
+  nanoseconds Pause{0};
   bool Ended = false;
 };
 
--- a/Tests/LibResilience/test_suspect_board.cpp
+++ b/Tests/LibResilience/test_suspect_board.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-/// Boards of several hosts, two to a zone, that reach each other directly.
+/// Boards of several hosts, three to a zone, that reach each other directly.
 struct board_fleet {
-  static constexpr int Hosts = 6;
+  static constexpr int Hosts = 9;
 
   board_fleet() {
     Clock.pause();
@@ -33,7 +33,7 @@
   std::size_t Messages = 0;
 
   static zone_id zoneOf(int Host) {
-    return zone_id::ofName("zone" + std::to_string(Host / 2));
+    return zone_id::ofName("zone" + std::to_string(Host / 3));
   }
   static host_id idOf(int Host) {
     return host_id::ofName("host" + std::to_string(Host));
@@ -100,7 +100,7 @@
     CHECK_FALSE(Fleet.holdsBack(Host, Print));
   }
   // The second crash happens through another host.
-  Fleet.lose(3, "engine1", Print);
+  Fleet.lose(4, "engine1", Print);
   for (int Host = 0; Host < board_fleet::Hosts; ++Host)
     CHECK(Fleet.holdsBack(Host, Print));
   CHECK_FALSE(Fleet.holdsBack(0, request_fingerprint::ofName("other")));
@@ -120,24 +120,29 @@
 }
 
 TEST_CASE("a host that peers can't reach learns from the platform") {
+  const request_fingerprint Earlier = request_fingerprint::ofName("earlier");
   board_fleet Fleet;
-  Fleet.Cut = {5};
+  Fleet.Cut = {8};
+  bool WasDown = false;
   SECTION("though the answer to a write is lost") {
     Fleet.Platform.setFaults({false, 1, 0});
   }
   SECTION("though a write fails") { Fleet.Platform.setFaults({false, 0, 1}); }
   SECTION("though the platform was down") {
     Fleet.Platform.setFaults({true, 0, 0});
-    Fleet.lose(1, "engine7", request_fingerprint::ofName("earlier"));
+    Fleet.lose(1, "engine7", Earlier);
     Fleet.Platform.setFaults({});
+    WasDown = true;
   }
   Fleet.lose(0, "engine0", Print);
   Fleet.lose(1, "engine1", Print);
-  CHECK_FALSE(Fleet.Boards[5]->isSuspect(Print));
+  CHECK_FALSE(Fleet.Boards[8]->isSuspect(Print));
   Fleet.Boards[0]->shareOnce();
   Fleet.Boards[1]->shareOnce();
-  Fleet.Boards[5]->pullOnce();
-  CHECK(Fleet.holdsBack(5, Print));
+  Fleet.Boards[8]->pullOnce();
+  CHECK(Fleet.holdsBack(8, Print));
+  // What the platform did not take while it was down reached it afterwards.
+  CHECK(Fleet.Boards[8]->isSuspect(Earlier) == WasDown);
 }
 
 TEST_CASE("the health of upstreams follows outcomes and budgets") {
