LibResidency: Ask owners for reports within a budget

Cause: every host asked every owner of engines five times a second: 30 questions a second with 7 hosts, 1,845 with 370, where 10 KB/s allows about 20. Change: 8 questions a second whatever the size, the longest waiting first and the own zone's 8 times as urgent. What grows is the age of what is known of other zones; own requests in flight correct it in between. Programs that set up no logging get none. Measured: in the test, 36 owners of the own zone and 0 to 333 others get 8 questions a second; with 6 owners each is asked more than once a second.

--- a/Libraries/LibHost/residency_agent_state.h
+++ b/Libraries/LibHost/residency_agent_state.h
@@ -3,6 +3,7 @@
 
 #include "LibHost/residency_agent.h"
 #include "LibResidency/pin_cache.h"
+#include "LibResidency/poll_schedule.h"
 #include "LibResidency/residency_owner.h"
 #include "LibRuntime/completion.h"
 
@@ -42,6 +43,7 @@
   bool Draining = false;
   /// Engines and hosts that are being asked for a report, or synced with.
   std::set<std::uint64_t> Asking;
+  poll_schedule Polls;
 
   std::mutex PinMutex;
   pin_cache Pins;
@@ -90,6 +92,8 @@
 
   // Reports.
   void pollEngine(upstream_id Engine);
+  void pollOwners(const host_view &View,
+                  const std::map<host_id, std::vector<upstream_id>> &Owned);
   void pollOwner(const peer_host &Peer, const std::vector<upstream_id> &Owned);
   void takeCacheEvents(upstream_id Engine, const endpoint &Address);
   void takeReport(upstream_id Engine, const engine_report &Report);
--- a/Libraries/LibHost/residency_reports.cpp
+++ b/Libraries/LibHost/residency_reports.cpp
@@ -26,11 +26,30 @@
         State->endPolling(Engine.Value);
       });
   }
-  for (const peer_host &Peer : View->Peers) {
-    const auto Engines = Owned.find(Peer.Id);
-    if (Engines == Owned.end() || !State->beginPolling(Peer.Id.Value))
+  State->pollOwners(*View, Owned);
+}
+
+void residency_agent::state::pollOwners(
+    const host_view &View,
+    const std::map<host_id, std::vector<upstream_id>> &Owned) {
+  std::vector<poll_candidate> Candidates;
+  std::map<host_id, const peer_host *> Peers;
+  for (const peer_host &Peer : View.Peers) {
+    if (Owned.count(Peer.Id) == 0)
+      continue;
+    Candidates.push_back({Peer.Id, Peer.Zone.Value == Self.zone()});
+    Peers[Peer.Id] = &Peer;
+  }
+  std::vector<host_id> Chosen;
+  {
+    const std::lock_guard<std::mutex> Lock(ViewMutex);
+    Chosen = choosePolls(Polls, Candidates, Clock.now());
+  }
+  for (const host_id Owner : Chosen) {
+    if (!beginPolling(Owner.Value))
       continue;
-    State->Ports.Spawn([State = State, Peer, Engines = Engines->second] {
+    Ports.Spawn([State = shared_from_this(), Peer = *Peers.at(Owner),
+                 Engines = Owned.at(Owner)] {
       State->pollOwner(Peer, Engines);
       State->endPolling(Peer.Id.Value);
     });
--- a/Libraries/LibLog/log.cpp
+++ b/Libraries/LibLog/log.cpp
@@ -28,6 +28,8 @@
                                                      "error"};
 
 static log_settings Current;
+// A program that set up no logging gets none, rather than the library's own.
+static bool Started = false;
 
 static logger &theLogger() {
   static logger Logger;
@@ -104,6 +106,7 @@
 
 void startLogging(const log_settings &Settings) {
   Current = Settings;
+  Started = true;
   using backend = logging::sinks::text_ostream_backend;
   using frontend = logging::sinks::synchronous_sink<backend>;
   const boost::shared_ptr<frontend> Sink = boost::make_shared<frontend>();
@@ -120,7 +123,7 @@
               std::initializer_list<log_field> Fields) noexcept {
   try {
     const log_event_info &Info = infoOf(Event);
-    if (Info.Severity < Current.Least)
+    if (!Started || Info.Severity < Current.Least)
       return;
     BOOST_LOG_SEV(theLogger(), Info.Severity)
         << (Current.AsJson ? jsonLine(Info, Fields) : textLine(Info, Fields));
