--- a/Libraries/LibLimits/lending_policy.cpp
+++ b/Libraries/LibLimits/lending_policy.cpp
@@ -8,8 +8,9 @@
 
 /// Rates below this part of the base share are not worth a loan.
 static constexpr std::int64_t LeastRateLoanDivisor = 50;
-/// A borrower asks ahead when fewer than this many large requests fit.
-static constexpr double LargeRequestsKept = 1.0;
+/// Tokens below this part of the giver's capacity are given only if they are
+/// all that is asked for.
+static constexpr std::int64_t LeastTokensDivisor = 16;
 static constexpr double LargeRequestsWanted = 2.0;
 
 static double demandOf(const tenant_share &Share) {
@@ -46,41 +47,35 @@
   return tokensOfMicros(std::max(ForLarge, ForTime));
 }
 
+/// What is missing up to \p Wanted.
+static micro_tokens missingLevel(const tenant_share &Share,
+                                 micro_tokens Wanted) {
+  return std::max(Wanted - Share.Level, micro_tokens{});
+}
+
 std::optional<loan_wish> wishAhead(const tenant_share &Share,
-                                   const lending_settings &Settings) {
-  const double Demand = demandOf(Share);
-  const double Ahead = inSeconds(Settings.AskAheadTime);
-  const double Rate = static_cast<double>(rateOf(Share).PerSecond);
-  const double Predicted =
-      static_cast<double>(Share.Level.Count) + (Rate - Demand) * Ahead;
-  const double Low = LargeRequestsKept * Share.Demand.LargeMicros;
-  if (Low < 1 || Predicted >= std::max(Low, Demand * Ahead))
-    return std::nullopt;
-  loan_wish Wish{wantedRate(Share, Settings), {}};
-  Wish.Level =
-      std::max(wantedLevel(Share, Settings) - Share.Level, micro_tokens{});
+                                   const lending_settings &Settings,
+                                   bool RequestsWait) {
+  const bool IsLow =
+      static_cast<double>(Share.Level.Count) < Share.Demand.LargeMicros;
+  loan_wish Wish;
+  Wish.Rate = wantedRate(Share, Settings);
+  if (IsLow && !RequestsWait)
+    Wish.Level = missingLevel(Share, wantedLevel(Share, Settings));
   if (Wish.Rate.PerSecond == 0 && Wish.Level.Count == 0)
     return std::nullopt;
   return Wish;
 }
 
-loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount,
-                         const lending_settings &Settings) {
-  const micro_tokens Wanted = std::max(Amount, wantedLevel(Share, Settings));
-  return {wantedRate(Share, Settings), Wanted - Share.Level};
-}
-
-/// Tells whether a large request needs more capacity than \p Capacity.
-static bool lacksCapacity(const tenant_share &Share, micro_tokens Capacity) {
-  return Share.Demand.LargeMicros > static_cast<double>(Capacity.Count);
+loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount) {
+  return {{}, missingLevel(Share, Amount)};
 }
 
 milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
                      const lending_settings &Settings) {
-  const bool TokensSuffice = Share.Kind == refill_kind::ByRate &&
-                             Wish.Rate.PerSecond == 0 &&
-                             !lacksCapacity(Share, capacityOf(Share));
-  return TokensSuffice ? Settings.TransferTerm : Settings.LoanTerm;
+  const bool SpentAtOnce =
+      Share.Kind == refill_kind::ByRate && Wish.Rate.PerSecond == 0;
+  return SpentAtOnce ? Settings.TransferTerm : Settings.LoanTerm;
 }
 
 static micro_rate spareRate(const tenant_share &Share,
@@ -95,17 +90,6 @@
   return std::clamp(rateOf(Share) - Kept, micro_rate{}, Lendable);
 }
 
-static micro_tokens spareLevel(const tenant_share &Share,
-                               const lending_settings &Settings,
-                               bool Draining) {
-  if (Draining)
-    return std::max(Share.Level, micro_tokens{});
-  const double ForTime = demandOf(Share) * inSeconds(Settings.KeptTime);
-  const micro_tokens Kept =
-      tokensOfMicros(std::max(ForTime, Share.Demand.LargeMicros));
-  return std::max(Share.Level - Kept, micro_tokens{});
-}
-
 /// The part of the base capacity that goes with \p Rate.
 static micro_tokens capacityFor(const tenant_share &Share, micro_rate Rate) {
   if (Share.BaseRate.PerSecond == 0)
@@ -134,8 +118,13 @@
                                     const lending_settings &Settings,
                                     bool Draining) {
   loan_amount Offer;
-  Offer.Level = std::min({Wish.Level, spareLevel(Share, Settings, Draining),
+  Offer.Level = std::min({Wish.Level, std::max(Share.Level, micro_tokens{}),
                           lendableCapacity(Share)});
+  // Crumbs cost a message and don't admit a request.
+  const micro_tokens Least{capacityOf(Share).Count / LeastTokensDivisor};
+  if (!Draining && Offer.Level < std::min(Wish.Level, Least))
+    Offer.Level = {};
+  Offer.Capacity = Offer.Level;
   if (Term > LongestTransferTerm) {
     Offer.Rate = std::min(Wish.Rate, spareRate(Share, Settings, Draining));
     if (Offer.Rate.PerSecond < Share.BaseRate.PerSecond / LeastRateLoanDivisor)
@@ -152,8 +141,7 @@
   if (Share.Kind == refill_kind::BySettlement)
     return Share.Outstanding > Capacity;
   const micro_rate Without = rateOf(Share) - Loan.Amount.Rate;
-  return Without < rateOfMicros(demandOf(Share)) ||
-         lacksCapacity(Share, Capacity);
+  return Without < rateOfMicros(demandOf(Share));
 }
 
 bool affordsRenewal(const tenant_share &Share) {
