LibHost: Mend what the linter found in the residency code

Cause: a vector grew inside a loop, a conversion narrowed, a field was unused.

Change: reserve, convert explicitly, drop the field.

Conclusion: the linter is clean over these files.

--- a/Benchmarks/placement_model.cpp
+++ b/Benchmarks/placement_model.cpp
@@ -114,7 +114,6 @@
   std::vector<double> Stalls;
   std::vector<double> Waits;
   std::uint64_t StalledRequests = 0;
-  double TokensDone = 0;
 };
 
 placement_model::placement_model(const placement_load &Load,
@@ -162,7 +161,7 @@
   model_engines &Model = Host.Table.Models["base"];
   Host.Table.LoadsPerSecond = Load.LoadsPerSecond;
   Host.Table.TurnoverSeconds =
-      Engines.size() * Load.Slots / Load.LoadsPerSecond;
+      static_cast<double>(Engines.size() * Load.Slots) / Load.LoadsPerSecond;
   Host.Table.LoadMilliseconds = static_cast<double>(Load.LoadTime.count());
   for (std::size_t Engine = 0; Engine < Engines.size(); ++Engine) {
     routed_engine Routed;
--- a/Libraries/LibHost/residency_reports.cpp
+++ b/Libraries/LibHost/residency_reports.cpp
@@ -67,6 +67,7 @@
 
 static std::vector<adapter_id> idsOf(const std::vector<std::string> &Names) {
   std::vector<adapter_id> Ids;
+  Ids.reserve(Names.size());
   for (const std::string &Name : Names)
     Ids.push_back(adapter_id::ofName(Name));
   return Ids;
