--- a/Libraries/LibHost/suspect_board.cpp
+++ b/Libraries/LibHost/suspect_board.cpp
@@ -155,6 +155,7 @@
                       const host_link::ShareSuspectsRequest &Request,
                       milliseconds Limit) {
   std::vector<boost::fibers::future<void>> Answers;
+  Answers.reserve(Peers.size());
   for (const peer_host &Peer : Peers)
     Answers.push_back(boost::fibers::async([&Port, &Peer, &Request, Limit] {
       try {
--- a/Tests/LibResilience/test_crash_suspects.cpp
+++ b/Tests/LibResilience/test_crash_suspects.cpp
@@ -101,6 +101,7 @@
     suspect_document Document;
     std::vector<suspect_record> Records;
     const int Count = *rc::gen::inRange(1, 20);
+    Records.reserve(static_cast<std::size_t>(Count));
     for (int Index = 0; Index < Count; ++Index)
       Records.push_back({print(*rc::gen::inRange(0, 5)),
                          {engine(*rc::gen::inRange(0, 4))},
--- a/Tests/LibResilience/test_outlier_detector.cpp
+++ b/Tests/LibResilience/test_outlier_detector.cpp
@@ -12,6 +12,7 @@
 
 static std::vector<upstream_place> placesOf(int Count) {
   std::vector<upstream_place> Places;
+  Places.reserve(static_cast<std::size_t>(Count));
   for (int Index = 0; Index < Count; ++Index)
     Places.push_back({upstream_id::ofName("u" + std::to_string(Index)),
                       Index % 3 == 0 ? ZoneB : ZoneA});
--- a/Tests/LibScheduling/test_fair_queue.cpp
+++ b/Tests/LibScheduling/test_fair_queue.cpp
@@ -144,6 +144,7 @@
     Queue.Settings.QueueLimit = 1'000;
     Queue.Settings.CreditTime = milliseconds(0);
     std::vector<tenant_weight> Weights;
+    Weights.reserve(TenantCount);
     for (int Index = 0; Index < TenantCount; ++Index)
       Weights.push_back({tenantOf(Index),
                          static_cast<std::uint32_t>(*rc::gen::inRange(1, 9))});
