--- a/Meta/run-scenarios.sh
+++ b/Meta/run-scenarios.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Starts the system at the users' sizes on loopback, with stand-ins, and runs
-# the scenarios of Examples/scenarios.json. Writes docs/measurements/scenarios.*
+# the scenarios of Examples/scenarios.json. Writes scenarios-run.* to a folder,
+# docs/measurements unless told otherwise.
 # Usage: Meta/run-scenarios.sh [--out FOLDER] [--policy JSON] [SCENARIO...]
 # BUILD names the build folder ("build"). Every port is chosen by the kernel.
 set -euo pipefail
@@ -161,6 +162,6 @@
 arguments=()
 [ $# -gt 0 ] && arguments=(--only "$(join warm-up "$@")")
 "$bin/spindleload" --scenarios "$scenarios" --targets "$work/targets.json" \
-  --json "$out/scenarios.json" --markdown "$out/scenarios.md" \
-  --plot "$out/scenarios.svg" "${arguments[@]}"
+  --json "$out/scenarios-run.json" --markdown "$out/scenarios-run.md" \
+  --plot "$out/scenarios-run.svg" "${arguments[@]}"
 if [ -n "${KEEP_LOGS:-}" ]; then cp "$work"/*.err "$KEEP_LOGS"; fi
