LibResidency: Compare incarnations of a host by identity

Cause: pins, syncs and their marks compared incarnations by order, but a process draws its incarnation at random. A restarted host with a lower number would have had every pin refused as stale by owners that knew the former one, and pins of an incarnation that the platform's list never named would have stayed for good.

Change: marks are kept for each holder. A takeover is complete when exactly the listed incarnations have synced. Pins of another incarnation that was silent for 30 s, longer than any message is under way, end when the host's present one syncs, which it does at least every 20 s. In the test's world owners now give up requests that wait for 5 s, as the agent does sooner; without that, requests of dead hosts kept pins coming.

--- a/Benchmarks/placement_model.cpp
+++ b/Benchmarks/placement_model.cpp
@@ -505,7 +505,7 @@
       }
       const std::optional<std::vector<adapter_id>> Recalled = takeSync(
           Owner, Named.front(), Holders[Holder], Sync.Sequence, Pinned, Now);
-      noteAcknowledged(Pins, Sync, Named.front());
+      noteAcknowledged(Pins, Sync, Named.front(), Now);
       for (const adapter_id Adapter : *Recalled)
         noteRecalled(Pins, {engineId(Engine), Adapter});
     }
--- a/Libraries/LibHost/residency_agent.cpp
+++ b/Libraries/LibHost/residency_agent.cpp
@@ -116,7 +116,7 @@
                State->Draining ? milliseconds(0) : State->Settings.PinRetention,
                State->Clock.now());
     for (const auto &[Engine, Owner] : View->Owners)
-      if (needsSync(State->Pins, Engine, Owner.Fence))
+      if (needsSync(State->Pins, {Engine, Owner.Fence}, State->Clock.now()))
         Wanted[Owner.Host].push_back({Engine, Owner.Fence});
   }
   const auto Self = Wanted.find(State->selfId());
@@ -174,7 +174,7 @@
   for (const fenced_engine &Engine : Sync.Engines)
     if (std::ranges::find(Reply.not_owned(), Engine.Engine.Value) ==
         Reply.not_owned().end())
-      noteAcknowledged(Pins, Sync, Engine);
+      noteAcknowledged(Pins, Sync, Engine, Clock.now());
   for (const host_link::PinnedAdapter &Pin : Reply.refused())
     noteRecalled(Pins, {{Pin.engine()}, {Pin.adapter()}});
 }
--- a/Libraries/LibHost/residency_owner_part.cpp
+++ b/Libraries/LibHost/residency_owner_part.cpp
@@ -68,7 +68,7 @@
     }
     for (auto &[Id, Engine] : Owner.Engines)
       for (const auto &[Host, LastGone] : View.GoneIncarnations)
-        releaseGone(Engine, Host, LastGone);
+        releaseGone(Engine, {Host, LastGone});
   }
   tell(Resolved);
 }
--- a/Libraries/LibResidency/engine_slots.cpp
+++ b/Libraries/LibResidency/engine_slots.cpp
@@ -37,18 +37,16 @@
   Engine.Known = false;
   Engine.Occupied.clear();
   Engine.Ordered.clear();
-  Engine.Synced.clear();
+  for (auto &[Holder, Mark] : Engine.Holders)
+    Mark.Synced = false;
 }
 
 /// Tells whether \p Sequence of \p Holder is covered by a later sync.
 static bool isOutdated(const engine_slots &Engine, const pin_holder &Holder,
                        std::uint64_t Sequence) {
-  const auto Mark = Engine.Synced.find(Holder.Host);
-  if (Mark == Engine.Synced.end())
-    return false;
-  if (Holder.Incarnation != Mark->second.Incarnation)
-    return Holder.Incarnation < Mark->second.Incarnation;
-  return Sequence <= Mark->second.Sequence;
+  const auto Mark = Engine.Holders.find(Holder);
+  return Mark != Engine.Holders.end() && Mark->second.Synced &&
+         Sequence <= Mark->second.Sequence;
 }
 
 static bool holdsPin(const engine_slots &Engine, adapter_id Adapter,
@@ -70,22 +68,34 @@
   if (Slot == nullptr || !isServing(*Slot) || !isFenced(Engine))
     return pin_outcome::NotLoaded;
   Slot->LastUsed = Now;
+  Engine.Holders[Holder].LastHeard = Now;
   setPin(Engine, Adapter, Holder, Sequence);
   return pin_outcome::Pinned;
 }
 
+/// Ends the pins of silent former incarnations of a holder's host.
+static void releaseSuperseded(engine_slots &Engine, const pin_holder &Holder,
+                              time_point Now) {
+  std::vector<pin_holder> Gone;
+  for (const auto &[Known, Mark] : Engine.Holders)
+    if (Known.Host == Holder.Host && Known != Holder &&
+        Now - Mark.LastHeard > SupersededAfter)
+      Gone.push_back(Known);
+  for (const pin_holder &Former : Gone) {
+    releaseGone(Engine, Former);
+    Engine.Holders.erase(Former);
+  }
+}
+
 std::vector<adapter_id> syncPins(engine_slots &Engine, const pin_holder &Holder,
                                  std::uint64_t Sequence,
                                  std::span<const adapter_id> Pins,
                                  time_point Now) {
   if (isOutdated(Engine, Holder, Sequence))
     return {};
-  Engine.Synced[Holder.Host] = {Holder.Incarnation, Sequence};
+  Engine.Holders[Holder] = {true, Sequence, Now};
+  releaseSuperseded(Engine, Holder, Now);
   erasePins(Engine, [&](adapter_id Adapter, const held_pin &Pin) {
-    if (Pin.Holder.Host != Holder.Host)
-      return false;
-    if (Pin.Holder.Incarnation < Holder.Incarnation)
-      return true;
     return Pin.Holder == Holder && Pin.Sequence < Sequence &&
            !contains(Pins, Adapter);
   });
@@ -101,9 +111,9 @@
   return Refused;
 }
 
-void releaseGone(engine_slots &Engine, host_id Host, std::uint64_t LastGone) {
-  erasePins(Engine, [&](adapter_id, const held_pin &Pin) {
-    return Pin.Holder.Host == Host && Pin.Holder.Incarnation <= LastGone;
+void releaseGone(engine_slots &Engine, const pin_holder &Gone) {
+  erasePins(Engine, [&Gone](adapter_id, const held_pin &Pin) {
+    return Pin.Holder == Gone;
   });
 }
 
@@ -174,9 +184,8 @@
   if (!Engine.Known || Now - Engine.OwnedSince < SettleTime)
     return false;
   return std::ranges::all_of(Peers, [&Engine](const pin_holder &Peer) {
-    const auto Mark = Engine.Synced.find(Peer.Host);
-    return Mark != Engine.Synced.end() &&
-           Mark->second.Incarnation >= Peer.Incarnation;
+    const auto Mark = Engine.Holders.find(Peer);
+    return Mark != Engine.Holders.end() && Mark->second.Synced;
   });
 }
 
--- a/Libraries/LibResidency/engine_slots.h
+++ b/Libraries/LibResidency/engine_slots.h
@@ -40,12 +40,18 @@
   std::uint64_t Sequence = 0;
 };
 
-/// The newest pin sync of a host.
-struct pin_sync_mark {
-  std::uint64_t Incarnation = 0;
+/// What was heard of a holder.
+struct holder_mark {
+  /// Whether it has synced its pins since the takeover, and the newest sync.
+  bool Synced = false;
   std::uint64_t Sequence = 0;
+  time_point LastHeard;
 };
 
+/// Longer than any message between hosts is under way: a holder that was
+/// silent for this long is gone if another incarnation of its host speaks.
+inline constexpr seconds SupersededAfter{30};
+
 /// What the owner of an engine knows of its slots and of who pins them.
 struct engine_slots {
   upstream_id Engine;
@@ -69,8 +75,7 @@
   /// Adapters whose load is on order, be it that a victim is unloaded first.
   std::set<adapter_id> Ordered;
   std::unordered_map<adapter_id, std::vector<held_pin>> Pins;
-  /// The newest sync of each host since the takeover.
-  std::map<host_id, pin_sync_mark> Synced;
+  std::map<pin_holder, holder_mark> Holders;
 };
 
 enum class pin_outcome : std::uint8_t {
@@ -109,8 +114,8 @@
                                  std::span<const adapter_id> Pins,
                                  time_point Now);
 
-/// Ends the pins of \p Host's incarnations up to \p LastGone.
-void releaseGone(engine_slots &Engine, host_id Host, std::uint64_t LastGone);
+/// Ends the pins of a holder that is known to be gone.
+void releaseGone(engine_slots &Engine, const pin_holder &Gone);
 
 /// What an engine says of its slots.
 struct slot_report {
--- a/Libraries/LibResidency/pin_cache.cpp
+++ b/Libraries/LibResidency/pin_cache.cpp
@@ -76,14 +76,15 @@
   return Cache.Pins.lower_bound({Engine, adapter_id{}});
 }
 
-bool needsSync(const pin_cache &Cache, upstream_id Engine,
-               std::uint64_t Fence) {
-  const auto Mark = Cache.Acknowledged.find(Engine);
-  if (Mark == Cache.Acknowledged.end() || Mark->second.Fence != Fence ||
-      Mark->second.Sequence < Mark->second.LastChange)
+bool needsSync(const pin_cache &Cache, const fenced_engine &Engine,
+               time_point Now) {
+  const auto Mark = Cache.Acknowledged.find(Engine.Engine);
+  if (Mark == Cache.Acknowledged.end() || Mark->second.Fence != Engine.Fence ||
+      Mark->second.Sequence < Mark->second.LastChange ||
+      Now - Mark->second.Time >= ResyncAfter)
     return true;
-  const auto Pin = firstPin(Cache, Engine);
-  return Pin != Cache.Pins.end() && Pin->first.Engine == Engine;
+  const auto Pin = firstPin(Cache, Engine.Engine);
+  return Pin != Cache.Pins.end() && Pin->first.Engine == Engine.Engine;
 }
 
 pin_sync composeSync(pin_cache &Cache, std::span<const fenced_engine> Engines) {
@@ -98,9 +99,10 @@
 }
 
 void noteAcknowledged(pin_cache &Cache, const pin_sync &Sync,
-                      const fenced_engine &Engine) {
+                      const fenced_engine &Engine, time_point Now) {
   acknowledged_sync &Mark = Cache.Acknowledged[Engine.Engine];
   Mark.Fence = Engine.Fence;
+  Mark.Time = Now;
   Mark.Sequence = std::max(Mark.Sequence, Sync.Sequence);
   for (const synced_pin &Pin : Sync.Pins) {
     if (Pin.Placement.Engine != Engine.Engine)
--- a/Libraries/LibResidency/pin_cache.h
+++ b/Libraries/LibResidency/pin_cache.h
@@ -41,8 +41,13 @@
   std::uint64_t Sequence = 0;
   /// The first sequence whose sync tells of the last release.
   std::uint64_t LastChange = 0;
+  time_point Time;
 };
 
+/// A sync is repeated after this long also if nothing has changed, so that the
+/// owner hears that former incarnations of this host are gone.
+inline constexpr seconds ResyncAfter{20};
+
 /// The pins of this host. An unused pin is kept for a while, so that requests
 /// for a popular adapter needn't ask its owner.
 struct pin_cache {
@@ -88,13 +93,14 @@
 
 /// Drops pins that are unused and recalled, or unused for \p Retention.
 void dropUnused(pin_cache &Cache, milliseconds Retention, time_point Now);
-/// Tells whether the owner of \p Engine under \p Fence needs a sync.
-bool needsSync(const pin_cache &Cache, upstream_id Engine, std::uint64_t Fence);
+/// Tells whether the owner of \p Engine needs a sync.
+bool needsSync(const pin_cache &Cache, const fenced_engine &Engine,
+               time_point Now);
 /// Composes a sync that speaks for \p Engines.
 pin_sync composeSync(pin_cache &Cache, std::span<const fenced_engine> Engines);
 /// Notes that the owner has taken in \p Sync for \p Engine.
 void noteAcknowledged(pin_cache &Cache, const pin_sync &Sync,
-                      const fenced_engine &Engine);
+                      const fenced_engine &Engine, time_point Now);
 /// Notes that the owner refused a pin or asks it back.
 void noteRecalled(pin_cache &Cache, placement Placement);
 
--- a/Libraries/LibResidency/pin_holder.h
+++ b/Libraries/LibResidency/pin_holder.h
@@ -8,7 +8,8 @@
 
 namespace spindle {
 
-/// One run of a host's process, which holds pins. Incarnations of a host grow.
+/// One run of a host's process, which holds pins. Incarnations of a host differ
+/// but have no order.
 struct pin_holder {
   host_id Host;
   std::uint64_t Incarnation = 0;
--- a/Tests/LibResidency/residency_world.cpp
+++ b/Tests/LibResidency/residency_world.cpp
@@ -17,7 +17,7 @@
   for (world_host &Host : Hosts)
     hurry(Host);
   takeOwnership(0);
-  settle();
+  settle(4);
 }
 
 static adapter_id adapterAt(std::size_t Index) { return {Index + 1}; }
@@ -122,7 +122,7 @@
   Waiting.Since = Now;
   const pin_verdict Verdict = requestPin(Owner.Owner, Waiting, Now);
   if (Verdict == pin_verdict::Waiting)
-    Owner.Waiters[Waiting.Ticket] = Ask;
+    Owner.Waiters[Waiting.Ticket] = {Waiting, Ask};
   else
     reply(Ask, Verdict == pin_verdict::Pinned,
           Owner.Owner.Engines.contains(Engine)
@@ -168,7 +168,7 @@
   if (Holder.Paused || Holder.Fence == 0)
     return;
   dropUnused(Holder.Pins, milliseconds(300), Now);
-  if (!needsSync(Holder.Pins, Engine, Holder.Fence))
+  if (!needsSync(Holder.Pins, {Engine, Holder.Fence}, Now))
     return;
   const std::vector<fenced_engine> Named{{Engine, Holder.Fence}};
   const pin_sync Sync = composeSync(Holder.Pins, Named);
@@ -194,7 +194,7 @@
                        if (Hosts[Host].Incarnation != Incarnation)
                          return;
                        noteAcknowledged(Hosts[Host].Pins, Sync,
-                                        Sync.Engines.front());
+                                        Sync.Engines.front(), Now);
                        for (const adapter_id Adapter : *Refused)
                          noteRecalled(Hosts[Host].Pins, {Engine, Adapter});
                      },
@@ -207,16 +207,28 @@
     const auto Waiter = Hosts[Host].Waiters.find(Resolution.Ticket);
     if (Waiter == Hosts[Host].Waiters.end())
       continue;
-    reply(Waiter->second, Resolution.Verdict == pin_verdict::Pinned,
+    reply(Waiter->second.second, Resolution.Verdict == pin_verdict::Pinned,
           Resolution.Fence);
     Hosts[Host].Waiters.erase(Waiter);
   }
 }
 
+void residency_world::giveUpOld(std::size_t Host) {
+  std::erase_if(Hosts[Host].Waiters, [this, Host](const auto &Entry) {
+    const auto &[Waiting, Ask] = Entry.second;
+    if (Now - Waiting.Since < AskLimit)
+      return false;
+    giveUpWaiting(Hosts[Host].Owner, Waiting);
+    reply(Ask, false, 0);
+    return true;
+  });
+}
+
 void residency_world::ownerStep(std::size_t Host) {
   world_host &Owner = Hosts[Host];
   if (Owner.Paused)
     return;
+  giveUpOld(Host);
   resolve(Host, resolveLoaded(Owner.Owner, Engine, Now));
   for (const residency_order &Order : planFenceRaises(Owner.Owner, Now))
     sendOrder(Host, Order, true);
@@ -349,7 +361,7 @@
   if (Slots.Fence < PlatformFence)
     takeOver(Slots, PlatformFence, Now);
   for (std::size_t Other = 0; Other < HostCount; ++Other)
-    releaseGone(Slots, hostAt(Other), Hosts[Other].Incarnation - 1);
+    releaseGone(Slots, {hostAt(Other), Hosts[Other].Incarnation - 1});
 }
 
 void residency_world::crash(std::size_t Host) {
@@ -383,12 +395,12 @@
                      [] {}, false});
 }
 
-void residency_world::settle() {
+void residency_world::settle(int Rounds) {
   FailLoads = false;
   for (world_host &Host : Hosts)
     Host.Paused = false;
-  for (int Round = 0; Round < 20; ++Round) {
-    Now += milliseconds(500);
+  for (int Round = 0; Round < Rounds; ++Round) {
+    Now += milliseconds(1'000);
     renew(PlatformOwner);
     if (Now >= PlatformValidUntil)
       takeOwnership(Round % HostCount);
@@ -410,7 +422,7 @@
   for (std::size_t Index = 0; Index < AdapterCount; ++Index) {
     const std::size_t Before = Runs;
     ask(Index % HostCount, adapterAt(Index));
-    settle();
+    settle(8);
     Served += Runs > Before ? 1 : 0;
   }
   return Served;
--- a/Tests/LibResidency/residency_world.h
+++ b/Tests/LibResidency/residency_world.h
@@ -36,7 +36,8 @@
   std::size_t OwnerHost = 0;
   std::uint64_t Fence = 0;
   std::vector<pin_holder> Holders;
-  std::map<std::uint64_t, std::shared_ptr<world_ask>> Waiters;
+  std::map<std::uint64_t, std::pair<waiting_pin, std::shared_ptr<world_ask>>>
+      Waiters;
 };
 
 /// A message that may be delivered at any time or never, and between hosts
@@ -55,14 +56,16 @@
   static constexpr std::size_t SlotCount = 2;
   static constexpr milliseconds Lease{2'000};
   static constexpr milliseconds Margin{300};
+  /// How long an owner lets a request wait.
+  static constexpr milliseconds AskLimit{5'000};
 
   explicit residency_world(bool HonoursFencing);
 
   /// Does one step of a history: what and to whom is drawn from \p Operation
   /// and \p Argument.
   void step(unsigned Operation, unsigned Argument);
-  /// Ends all faults and runs until nothing is left to do.
-  void settle();
+  /// Ends all faults and runs for so many rounds of one second.
+  void settle(int Rounds);
   /// Pins and runs every adapter in turn; returns how many could be run.
   std::size_t serveEach();
   std::size_t openAsks() const;
@@ -87,6 +90,7 @@
   void deliverSync(std::size_t Host, std::uint64_t Incarnation,
                    std::size_t Owner, const pin_sync &Sync);
   void resolve(std::size_t Host, const std::vector<pin_resolution> &Resolved);
+  void giveUpOld(std::size_t Host);
   void ownerStep(std::size_t Host);
   void sendOrder(std::size_t Host, const residency_order &Order, bool IsLoad);
   void execute(std::size_t Host, const residency_order &Order, bool IsLoad,
--- a/Tests/LibResidency/test_residency_properties.cpp
+++ b/Tests/LibResidency/test_residency_properties.cpp
@@ -22,7 +22,8 @@
   }
   Covered.Evictions += World.Evictions;
   Covered.Takeovers += World.Takeovers;
-  World.settle();
+  // Long enough for pins of hosts that restarted twice to be released.
+  World.settle(120);
   RC_ASSERT(World.Violation == std::string());
   RC_ASSERT(World.openAsks() == 0U);
   RC_ASSERT(World.serveEach() == std::size_t{residency_world::AdapterCount});
