--- a/Tests/LibResidency/test_residency_owner.cpp
+++ b/Tests/LibResidency/test_residency_owner.cpp
@@ -195,3 +195,15 @@
     REQUIRE(World.holds(1) == (Victims == victim_policy::Value));
   }
 }
+
+TEST_CASE("a late sync of another incarnation ends no pin of a live one") {
+  owned_engine World(2, false, {adapter(1)});
+  const pin_holder OtherRun{Self.Host, 99};
+  REQUIRE(World.ask(1) == pin_verdict::Pinned);
+  World.Now += SupersededAfter;
+  takeSync(World.Owner, {Engine, 2}, OtherRun, 1, {}, World.Now);
+  REQUIRE(isPinned(World.slots(), adapter(1)));
+  World.Now += seconds(1);
+  takeSync(World.Owner, {Engine, 2}, OtherRun, 2, {}, World.Now);
+  REQUIRE_FALSE(isPinned(World.slots(), adapter(1)));
+}
