Tests: Bring about failures through the real programs

The whole path was tested through the real programs with all well, but for a platform that is down and planned stops.

--- a/Tests/EndToEnd/fleet.cpp
+++ b/Tests/EndToEnd/fleet.cpp
@@ -37,10 +37,11 @@
       start("platform_stand_in", {"--loads-per-second", "50"}, Platform));
   Engines.resize(Size.Engines);
   for (std::size_t Index = 0; Index < Size.Engines; ++Index) {
-    StandIns.push_back(start("engine_stand_in",
-                             {"--model", "deksel-llm", "--step-ms", "5",
-                              "--weight-store", toText(Platform)},
-                             Engines[Index]));
+    std::vector<std::string> Options = {"--model", "deksel-llm",
+                                        "--weight-store", toText(Platform)};
+    Options.insert(Options.end(), Size.EngineOptions.begin(),
+                   Size.EngineOptions.end());
+    StandIns.push_back(start("engine_stand_in", Options, Engines[Index]));
     addMachine("engine-" + std::to_string(Index), "upstream", zoneOf(Index));
   }
   Services.resize(Size.Services);
@@ -71,9 +72,20 @@
 
 std::string fleet::writeFile(const std::string &Name,
                              const std::string &Text) const {
-  const std::filesystem::path Path = Folder / Name;
+  const std::string Path = filePath(Name);
   std::ofstream(Path) << Text;
-  return Path.string();
+  return Path;
+}
+
+std::string fleet::filePath(const std::string &Name) const {
+  return (Folder / Name).string();
+}
+
+std::string fleet::writeIntent(const std::string &Name,
+                               const std::function<void(json &)> &Change) {
+  json Intent = makeIntent();
+  Change(Intent);
+  return writeFile(Name, Intent.dump(2));
 }
 
 void fleet::addMachine(const std::string &Name, const std::string &Role,
@@ -93,6 +105,20 @@
   });
 }
 
+void fleet::setMachineState(const std::string &Name, const std::string &State) {
+  const std::string Path =
+      "/apis/parsleyspindle/v1/namespaces/default/machines/" + Name;
+  json Object = control(Platform, Path);
+  Object["spec"]["state"] = State;
+  run([&] {
+    const http_response Response = Client.call(
+        Platform, {"PUT", Path, {{"Content-Type", "application/json"}}},
+        Object.dump(), {}, connection_use::FreshOnce, AnswerLimit);
+    if (Response.Head.Status >= 300)
+      throw std::runtime_error("machine refused: " + Response.Body);
+  });
+}
+
 void fleet::startHost(std::size_t Index) {
   json Settings = {
       {"name", hostName(Index)},
@@ -179,10 +205,8 @@
 }
 
 void fleet::applyIntent(const std::function<void(json &)> &Change) {
-  json Intent = makeIntent();
-  Change(Intent);
-  const std::string IntentFile = writeFile("intent.json", Intent.dump(2));
-  const std::string PlanFile = (Folder / "plan.json").string();
+  const std::string IntentFile = writeIntent("intent.json", Change);
+  const std::string PlanFile = filePath("plan.json");
   const program_result Plan = spindlectl({"plan", IntentFile, "-o", PlanFile});
   if (Plan.ExitCode != 0)
     throw std::runtime_error("plan: " + Plan.Output);
--- a/Tests/EndToEnd/fleet.h
+++ b/Tests/EndToEnd/fleet.h
@@ -20,6 +20,7 @@
   std::size_t Hosts = 2;
   std::size_t Engines = 2;
   std::size_t Services = 1;
+  std::vector<std::string> EngineOptions = {"--step-ms", "5"};
 };
 
 /// The real programs on loopback, with ports that the kernel chooses: stand-ins
@@ -39,6 +40,14 @@
   /// until every host has it in force.
   void applyIntent(const std::function<void(nlohmann::json &)> &Change =
                        [](auto &) {});
+  /// Writes an intent, which \p Change may have changed first, to the file
+  /// \p Name. Returns the file's path.
+  std::string writeIntent(const std::string &Name,
+                          const std::function<void(nlohmann::json &)> &Change);
+  /// The path of a file \p Name among the test's files.
+  std::string filePath(const std::string &Name) const;
+  /// Changes the state that the platform's list of machines tells.
+  void setMachineState(const std::string &Name, const std::string &State);
   /// Starts host \p Index again, which was ended before.
   void startHost(std::size_t Index);
   void waitUntilReady(std::size_t Index);
