Meta: Make the sanitizer presets fit fibers that they don't see

Cause: the presets asan and tsan defined BOOST_USE_ASAN and BOOST_USE_TSAN. Boost.Context reads these in its ucontext implementation only; the distribution's library is built with the assembler one, so a switch between fibers isn't reported to the sanitizers.

Change: drop the definitions; don't mark variables on the stack (--param=asan-stack=0) and don't record entries and exits of functions (--param=tsan-instrument-func-entry-exit=0).

Conclusion: faults on the heap are found, also on fibers, whose stacks lie on the heap; overruns within a live frame are not.

--- a/Meta/CMake/SpindleTargets.cmake
+++ b/Meta/CMake/SpindleTargets.cmake
@@ -34,10 +34,13 @@
   add_link_options(-fsanitize=${SPINDLE_SANITIZE})
   # Sanitizers make gcc warn falsely about values it can no longer follow.
   add_compile_options(-Wno-maybe-uninitialized -Wno-tsan)
+  # The sanitizers don't see Boost.Context switch from fiber to fiber. Without
+  # these settings, an exception that is thrown on a fiber leaves the marks of
+  # the frames it passed, and entries and exits of functions don't match.
   if(SPINDLE_SANITIZE MATCHES "address")
-    add_compile_definitions(BOOST_USE_ASAN)
+    add_compile_options(--param=asan-stack=0)
   elseif(SPINDLE_SANITIZE MATCHES "thread")
-    add_compile_definitions(BOOST_USE_TSAN)
+    add_compile_options(--param=tsan-instrument-func-entry-exit=0)
   endif()
 endif()
 
