LibHost: Go on pinning what is loaded when an owner's lease has lapsed

(1) 10 s into an outage of the platform, adapters that were loaded were refused with 1402 after a wait of 18 s, since an owner whose lease had lapsed granted no pin. (2) A new owner waited for the pins of live hosts only, so a host that was cut off from the platform could have an adapter evicted under its requests. (3) g++ 12 drops the store of the pause after a failure, so that failed periodic work was repeated at once, ten reads a second a host in an outage. Change: a lapsed owner pins what is loaded and gives no orders; a new owner waits for every host that is not known to be gone, lapsed ones included, before it evicts; the pause is set in the handler. Loads are weighed by class, too.

--- a/Libraries/LibHost/membership_agent.cpp
+++ b/Libraries/LibHost/membership_agent.cpp
@@ -413,6 +413,10 @@
         {host_id::ofName(Host), Host, zone_id::ofName(Record.Zone), Record.Link,
          Record.Incarnation, Record.ConfigurationVersion, Record.Draining});
   }
+  for (const std::string &Host : Observer.lapsedHosts())
+    if (Host != Settings.Name)
+      NewView.LapsedHosts.push_back(
+          {host_id::ofName(Host), Observer.records().at(Host).Incarnation});
   const zone_id Own = zone_id::ofName(Settings.Zone);
   std::stable_partition(
       NewView.Peers.begin(), NewView.Peers.end(),
--- a/Libraries/LibHost/model_handler.cpp
+++ b/Libraries/LibHost/model_handler.cpp
@@ -116,6 +116,21 @@
   return Run;
 }
 
+/// How much a class counts when loads are put in order.
+double loadWeightOf(priority_class Priority) {
+  switch (Priority) {
+  case priority_class::Rush:
+    return 4;
+  case priority_class::Chat:
+    return 2;
+  case priority_class::Plain:
+    return 1;
+  case priority_class::Batch:
+    return 0.5;
+  }
+  return 1;
+}
+
 pin_lease acquirePin(request_context &Context, const model_run &Run) {
   pin_request Wanted;
   Wanted.Adapter = Run.Adapter.Id;
@@ -130,7 +145,7 @@
   const load_fairness::waiting_request Waiting =
       Context.Services.LoadFairness.enter(Context.Caller.Tenant,
                                           Tenant ? Tenant->Weight : 1);
-  Wanted.Weight = Waiting.Weight;
+  Wanted.Weight = Waiting.Weight * loadWeightOf(Run.Priority);
   return Context.Services.Residency.acquire(Wanted);
 }
 
--- a/Libraries/LibHost/periodic_tasks.cpp
+++ b/Libraries/LibHost/periodic_tasks.cpp
@@ -24,10 +24,13 @@
   ++Running;
   Runtime.spawn([this, Name = std::move(Name), Work = std::move(Work)] {
     while (!Stopping.load()) {
-      milliseconds Pause = PauseAfterFailure;
+      milliseconds Pause{0};
       try {
         Pause = Work();
       } catch (const std::exception &Error) {
+        // NOTE: Set here and not before the call: g++ 12 drops the earlier
+        // store at -O2.
+        Pause = PauseAfterFailure;
         logEvent(log_event::PeriodicTaskFailed,
                  {{"task", Name}, {"reason", Error.what()}});
       }
--- a/Libraries/LibHost/residency_agent.cpp
+++ b/Libraries/LibHost/residency_agent.cpp
@@ -32,6 +32,9 @@
   std::vector<pin_holder> Holders{{selfId(), Self.incarnation()}};
   for (const peer_host &Peer : View.Peers)
     Holders.push_back({Peer.Id, Peer.Incarnation});
+  // One that is cut off from the platform may still use adapters.
+  for (const lapsed_host &Lapsed : View.LapsedHosts)
+    Holders.push_back({Lapsed.Id, Lapsed.Incarnation});
   return Holders;
 }
 
--- a/Libraries/LibMembership/host_view.h
+++ b/Libraries/LibMembership/host_view.h
@@ -41,11 +41,20 @@
   time_point ValidUntil;
 };
 
+/// A host whose lease has lapsed and whose process is not known to have ended.
+/// It may be cut off from the platform and still send requests.
+struct lapsed_host {
+  host_id Id;
+  std::uint64_t Incarnation = 0;
+};
+
 /// What a host knows of the fleet at one moment.
 struct host_view {
   std::uint64_t Sequence = 0;
   /// Live hosts without this one, those of the own zone first.
   std::vector<peer_host> Peers;
+  /// Hosts that are neither live nor gone, without this one.
+  std::vector<lapsed_host> LapsedHosts;
   /// Hosts that the platform's list no longer names, or that came back with
   /// another incarnation: (host, last incarnation that is gone).
   std::map<host_id, std::uint64_t> GoneIncarnations;
--- a/Libraries/LibMembership/lease_observer.cpp
+++ b/Libraries/LibMembership/lease_observer.cpp
@@ -92,6 +92,19 @@
          Settings.Duration + Settings.Margin;
 }
 
+std::vector<std::string> lease_observer::lapsedHosts() const {
+  const std::map<std::string, std::uint64_t> Gone = goneIncarnations();
+  std::vector<std::string> Lapsed;
+  for (const auto &[Host, Record] : Records) {
+    const auto Ended = Gone.find(Host);
+    const bool HasEnded =
+        Ended != Gone.end() && Ended->second == Record.Incarnation;
+    if (!HasEnded && !isLive(Host))
+      Lapsed.push_back(Host);
+  }
+  return Lapsed;
+}
+
 std::map<std::string, std::uint64_t> lease_observer::goneIncarnations() const {
   std::map<std::string, std::uint64_t> Gone;
   for (const auto &[Host, Record] : Records) {
--- a/Libraries/LibMembership/lease_observer.h
+++ b/Libraries/LibMembership/lease_observer.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace spindle {
 
@@ -48,6 +49,9 @@
                         time_point Now);
   /// Whether the host's present process holds its lease, as far as is known.
   bool isLive(const std::string &Host) const;
+  /// Hosts whose present process has lost its lease, has not stopped in order
+  /// and is not known to have ended.
+  std::vector<std::string> lapsedHosts() const;
   /// The records as last read.
   const std::map<std::string, lease_record> &records() const { return Records; }
   /// Processes that have ended: (host, the last incarnation that has).
--- a/Libraries/LibResidency/residency_owner.cpp
+++ b/Libraries/LibResidency/residency_owner.cpp
@@ -20,7 +20,7 @@
 pin_verdict requestPin(residency_owner &Owner, waiting_pin &Request,
                        time_point Now) {
   const auto Engine = Owner.Engines.find(Request.Placement.Engine);
-  if (Engine == Owner.Engines.end() || Now >= Owner.ValidUntil)
+  if (Engine == Owner.Engines.end())
     return pin_verdict::NotOwner;
   noteDemand(Owner.Uses, Request.Placement.Adapter, 1, Now);
   const pin_outcome Outcome =
@@ -30,6 +30,8 @@
     return pin_verdict::Pinned;
   if (Outcome == pin_outcome::Stale)
     return pin_verdict::Stale;
+  if (Now >= Owner.ValidUntil)
+    return pin_verdict::NotOwner;
   load_demand &Demand = Owner.Demands[Request.Placement];
   if (isHeldBack(Owner, Demand.Failures, Now))
     return pin_verdict::LoadFailed;
--- a/Libraries/LibResidency/residency_owner.h
+++ b/Libraries/LibResidency/residency_owner.h
@@ -40,7 +40,9 @@
 /// What a host decides as the owner of its engines.
 struct residency_owner {
   residency_settings Settings;
-  /// From then on this host may neither grant pins nor give orders.
+  /// From then on this host may give no orders. It goes on granting pins on
+  /// what is loaded, so that a zone that is cut off goes on serving: a new
+  /// owner evicts nothing before this host, too, has synced with it.
   time_point ValidUntil;
   std::map<upstream_id, engine_slots> Engines;
   std::map<placement, load_demand> Demands;
@@ -86,7 +88,7 @@
             std::uint64_t Fence, time_point Now);
 
 /// Pins at once if the adapter is loaded, else lets the request wait; then
-/// \p Request gets its ticket.
+/// \p Request gets its ticket. A lapsed owner lets nothing wait.
 pin_verdict requestPin(residency_owner &Owner, waiting_pin &Request,
                        time_point Now);
 /// Takes in the whole set of pins that a holder has on one engine; returns
--- a/Tests/LibMembership/test_leases.cpp
+++ b/Tests/LibMembership/test_leases.cpp
@@ -57,3 +57,20 @@
   Term.confirm(Second, Start + seconds(18), Start + seconds(21));
   CHECK_FALSE(Term.holds(Start + seconds(22)));
 }
+
+TEST_CASE(
+    "a host whose lease was lost is lapsed until it is known to be gone") {
+  lease_observer Observer({});
+  const auto See = [&Observer](seconds At) {
+    Observer.observe("a", recordOf(1), Start + At,
+                     Start + At + milliseconds(100));
+  };
+  const std::vector<std::string> OnlyA{"a"};
+  See(seconds(0));
+  Observer.observeMachines({"a"});
+  CHECK(Observer.lapsedHosts().empty());
+  See(seconds(13));
+  CHECK(Observer.lapsedHosts() == OnlyA);
+  Observer.observeMachines({});
+  CHECK(Observer.lapsedHosts().empty());
+}
