LibHost: Prefer services that have not just fallen silent

A service whose connections fell silent was chosen again for every call, as its zone had no other that would let it be ejected, and its deadline doubled with each silence. In the test of a silent service with a second one at hand, checks took 10 s and 20 s, and a first one at a deadline that was not yet adapted ended after 30 s without an answer.

A call that passes its deadline puts its upstream in doubt for 15 s or until it is heard. A service in doubt is chosen only if no other is left. In the same test every check is answered within the first adapted deadline (5 s) and its lateness, and the whole test takes 15.0 s instead of 45.3 s. The test warms each host with 400 checks instead of 120, so that its deadline for either service is adapted; the bound is unchanged.

--- a/Libraries/LibHost/service_handler.cpp
+++ b/Libraries/LibHost/service_handler.cpp
@@ -47,8 +47,14 @@
                                            const service_run &Run) {
   const std::span<const upstream_declaration *const> Candidates =
       Context.Snapshot->upstreamsOfRoute(Context.Route.Name);
-  const std::optional<upstream_id> Chosen =
-      Context.Services.Upstreams.chooseService(Candidates, Run.Avoid);
+  std::vector<upstream_id> Avoid = Run.Avoid;
+  for (const upstream_declaration *const Upstream : Candidates)
+    if (Context.Services.Health.isDoubted(upstream_id::ofName(Upstream->Name)))
+      Avoid.push_back(upstream_id::ofName(Upstream->Name));
+  std::optional<upstream_id> Chosen =
+      Context.Services.Upstreams.chooseService(Candidates, Avoid);
+  if (!Chosen)
+    Chosen = Context.Services.Upstreams.chooseService(Candidates, Run.Avoid);
   if (!Chosen)
     throw spindle_error(
         result_code::NoUpstream,
--- a/Libraries/LibHost/upstream_health.cpp
+++ b/Libraries/LibHost/upstream_health.cpp
@@ -171,9 +171,16 @@
   peer_health *const Peer = State->findPeer(Upstream);
   if (Peer == nullptr)
     return connection_advice::VerifyPool;
+  noteDoubted(*Peer, State->Clock.now());
   return spindle::noteSilence(*Peer);
 }
 
+bool upstream_health::isDoubted(upstream_id Upstream) const {
+  const lock Lock(State->Mutex);
+  const peer_health *const Peer = State->findPeer(Upstream);
+  return Peer != nullptr && spindle::isDoubted(*Peer, State->Clock.now());
+}
+
 connection_advice upstream_health::noteVerified(upstream_id Upstream,
                                                 bool Answered,
                                                 nanoseconds Latency,
--- a/Libraries/LibHost/upstream_health.h
+++ b/Libraries/LibHost/upstream_health.h
@@ -51,6 +51,9 @@
   /// Notes that a deadline passed. The caller closes the connection, discards
   /// the peer's idle ones, and tries a new connection if VerifyPool says so.
   connection_advice noteSilence(upstream_id Upstream);
+  /// Tells whether another upstream is preferred, as a call to this one passed
+  /// its deadline lately and nothing was heard since.
+  bool isDoubted(upstream_id Upstream) const;
   /// Notes whether the new connection answered, and how fast.
   connection_advice noteVerified(upstream_id Upstream, bool Answered,
                                  nanoseconds Latency, nanoseconds Deadline);
--- a/Libraries/LibResilience/peer_health.cpp
+++ b/Libraries/LibResilience/peer_health.cpp
@@ -94,6 +94,14 @@
   return connection_choice::Pooled;
 }
 
+void noteDoubted(peer_health &Health, time_point Now) {
+  Health.DoubtedUntil = Now + Health.Settings.DoubtTime;
+}
+
+bool isDoubted(const peer_health &Health, time_point Now) {
+  return Health.Suspect && Now < Health.DoubtedUntil;
+}
+
 bool probeDue(const peer_health &Health, time_point Now) {
   return Now - Health.LastHeard >= Health.Settings.ProbeIdleAfter;
 }
--- a/Libraries/LibResilience/peer_health.h
+++ b/Libraries/LibResilience/peer_health.h
@@ -29,6 +29,8 @@
   milliseconds ProbeIdleAfter{15'000};
   /// How long a probe's answer may take.
   milliseconds ProbeTimeout{1'000};
+  /// How long a peer that fell silent is passed over for others.
+  milliseconds DoubtTime{15'000};
 };
 
 /// What is known of the connections to one peer. Changed through the functions
@@ -44,6 +46,8 @@
   time_point LastHeard;
   /// Whether a deadline passed and nothing was heard since.
   bool Suspect = false;
+  /// Until when others are preferred to a suspect peer.
+  time_point DoubtedUntil;
 };
 
 /// What to do about the connections to a peer.
@@ -81,6 +85,11 @@
 /// Which connection a call may use: calls that may not be repeated, and all
 /// calls to a suspect peer, only a new one. Thread-safe for readers.
 connection_choice chooseConnection(const peer_health &Health, bool Idempotent);
+/// Notes that the peer, just found silent, is passed over for a while.
+void noteDoubted(peer_health &Health, time_point Now);
+/// Tells whether another peer is preferred, as a call to this one passed its
+/// deadline lately and nothing was heard since. Thread-safe for readers.
+bool isDoubted(const peer_health &Health, time_point Now);
 /// Tells whether idle connections of the peer should be probed. Thread-safe
 /// for readers.
 bool probeDue(const peer_health &Health, time_point Now);
--- a/Tests/EndToEnd/test_failures_calls.cpp
+++ b/Tests/EndToEnd/test_failures_calls.cpp
@@ -88,7 +88,7 @@
 TEST_CASE("a silent service delays a check and gets no order twice") {
   constexpr int Rounds = 3;
   // Enough that each host knows how fast each service answers.
-  constexpr int WarmChecks = 120;
+  constexpr int WarmChecks = 400;
   // The shortest deadline that follows from measured latency.
   constexpr milliseconds MostSilence{5'000};
   fleet Fleet({2, 1, 2});
