Tests: Tell the crashing request from those beside it

One case checked both that a request that crashes engines takes at most two of them down and that others are served meanwhile; the second half fails, which hid that the first holds.

There are two cases now. The first repeats the request 40 times over 4 s, longer than the engines are down, and passes. The second fails in all 16 rounds that fall within the second that two of four engines are down: other requests are sent to the same two engines again, lost twice, and some of them held back.

--- a/Libraries/LibHost/service_handler.cpp
+++ b/Libraries/LibHost/service_handler.cpp
@@ -165,8 +165,7 @@
 }
 
 std::string orderKeyOf(const request_context &Context) {
-  const std::string Key(
-      findField(Context.Exchange.request().Fields, OrderKeyField));
+  std::string Key(findField(Context.Exchange.request().Fields, OrderKeyField));
   if (Key.size() > LongestOrderKey)
     throw spindle_error(result_code::BadRequest,
                         "header \"Idempotency-Key\" has more than 256 bytes");
--- a/Tests/EndToEnd/fleet.cpp
+++ b/Tests/EndToEnd/fleet.cpp
@@ -72,7 +72,7 @@
 
 std::string fleet::writeFile(const std::string &Name,
                              const std::string &Text) const {
-  const std::string Path = filePath(Name);
+  std::string Path = filePath(Name);
   std::ofstream(Path) << Text;
   return Path;
 }
--- a/Tests/EndToEnd/test_failures_configuration.cpp
+++ b/Tests/EndToEnd/test_failures_configuration.cpp
@@ -33,7 +33,7 @@
 std::string plan(fleet &Fleet, const std::string &Name,
                  const std::function<void(json &)> &Change) {
   const std::string Intent = Fleet.writeIntent(Name + "-intent.json", Change);
-  const std::string Plan = Fleet.filePath(Name + "-plan.json");
+  std::string Plan = Fleet.filePath(Name + "-plan.json");
   const program_result Result = Fleet.spindlectl({"plan", Intent, "-o", Plan});
   INFO(Result.Output);
   REQUIRE(Result.ExitCode == 0);
@@ -128,6 +128,7 @@
     int Codes[2] = {-1, -1};
     {
       std::vector<std::jthread> Operators;
+      Operators.reserve(2);
       for (int Index = 0; Index < 2; ++Index)
         Operators.emplace_back([&, Index] {
           Codes[Index] =
--- a/Tests/EndToEnd/test_failures_engines.cpp
+++ b/Tests/EndToEnd/test_failures_engines.cpp
@@ -56,7 +56,7 @@
 } // namespace
 
 TEST_CASE("a request that crashes engines takes at most two of them down") {
-  constexpr std::size_t Repeats = 16;
+  constexpr std::size_t Repeats = 40;
   // Its first calls may be those that show what it does.
   constexpr std::size_t FirstHeldBack = 2;
   fleet Fleet({2, 4, 0});
@@ -73,18 +73,33 @@
       CHECK(Answer.is(result_code::RequestQuarantined));
       CHECK(Answer.State == "not run");
     }
-    const completion_question Other{"pickler@1",
-                                    "harmless " + std::to_string(Index)};
-    const caller_answer Served = ask(Fleet, (Index + 1) % 2, Other);
-    INFO("another request: " << describe(Served));
-    CHECK(Served.Whole);
-    CHECK(isOwnOrError(Served, Other));
+    sleepFor(milliseconds(100));
   }
   const std::uint64_t Lost = sumOfRecords(Fleet, Fleet.Engines, "restarts");
   CHECK(Lost >= 1);
   CHECK(Lost <= MostEnginesLost);
   for (const endpoint &Engine : Fleet.Engines)
     CHECK(Fleet.control(Engine, "/control/record").at("restarts") <= 1);
+  for (std::size_t Host = 0; Host < 2; ++Host)
+    CHECK(ask(Fleet, Host, {"pickler@1", "harmless"}).Whole);
+}
+
+TEST_CASE("others are served while engines that a request crashed are down") {
+  constexpr std::size_t Rounds = 16;
+  fleet Fleet({2, 4, 0});
+  Fleet.applyIntent();
+  for (std::size_t Host = 0; Host < 2; ++Host)
+    REQUIRE(ask(Fleet, Host, {"pickler@1", "warm"}).Whole);
+  setAll(Fleet, Fleet.Engines, {{"crash_mark", "poison"}, {"crash_ms", 1'000}});
+  for (std::size_t Round = 0; Round < Rounds; ++Round) {
+    CHECK_FALSE(ask(Fleet, Round % 2, {"pickler@1", "poison"}).Whole);
+    const completion_question Other{"pickler@1",
+                                    "harmless " + std::to_string(Round)};
+    const caller_answer Served = ask(Fleet, (Round + 1) % 2, Other);
+    INFO("round " << Round << ": " << describe(Served));
+    CHECK(Served.Whole);
+    CHECK(isOwnOrError(Served, Other));
+  }
 }
 
 TEST_CASE("an engine that restarts empty cuts streams with an explicit error") {
