--- a/Libraries/LibHost/service_handler.cpp
+++ b/Libraries/LibHost/service_handler.cpp
@@ -47,8 +47,14 @@
                                            const service_run &Run) {
   const std::span<const upstream_declaration *const> Candidates =
       Context.Snapshot->upstreamsOfRoute(Context.Route.Name);
-  const std::optional<upstream_id> Chosen =
-      Context.Services.Upstreams.chooseService(Candidates, Run.Avoid);
+  std::vector<upstream_id> Avoid = Run.Avoid;
+  for (const upstream_declaration *const Upstream : Candidates)
+    if (Context.Services.Health.isDoubted(upstream_id::ofName(Upstream->Name)))
+      Avoid.push_back(upstream_id::ofName(Upstream->Name));
+  std::optional<upstream_id> Chosen =
+      Context.Services.Upstreams.chooseService(Candidates, Avoid);
+  if (!Chosen)
+    Chosen = Context.Services.Upstreams.chooseService(Candidates, Run.Avoid);
   if (!Chosen)
     throw spindle_error(
         result_code::NoUpstream,
@@ -159,8 +165,7 @@
 }
 
 std::string orderKeyOf(const request_context &Context) {
-  const std::string Key(
-      findField(Context.Exchange.request().Fields, OrderKeyField));
+  std::string Key(findField(Context.Exchange.request().Fields, OrderKeyField));
   if (Key.size() > LongestOrderKey)
     throw spindle_error(result_code::BadRequest,
                         "header \"Idempotency-Key\" has more than 256 bytes");
