LibHost: Keep own claims in the view while the lease is lapsed

Cause: the view left a lapsed host's own claims out, so that requests in an outage found no owner to pin at and waited until their deadline. Change: own claims stay in the view until the lease is regained under a new term; that ownership has lapsed is told by its time alone, which all orders check. Measured: the end-to-end test of an outage, which failed with a timeout 13 s into it, passes; the histories of LibMembership pass.

--- a/Libraries/LibHost/zone_keeper.cpp
+++ b/Libraries/LibHost/zone_keeper.cpp
@@ -159,8 +159,11 @@
                              time_point Now) const {
   const bool HoldsLease = Lease.leaseTerm().holds(Now);
   for (const auto &[Name, Claim] : Table.Engines) {
-    const bool IsActing = HoldsLease && Stopped.count(Name) == 0 &&
-                          Claim.LeaseTerm == Lease.leaseTerm().number();
+    // While the lease is lapsed, this host still pins what is loaded there;
+    // OwnershipValidUntil is past, so it gives no orders.
+    const bool IsActing =
+        Stopped.count(Name) == 0 &&
+        (!HoldsLease || Claim.LeaseTerm == Lease.leaseTerm().number());
     if (Claim.Owner.empty() || (isOwn(Claim) && !IsActing))
       continue;
     // Nor does this host own what an earlier process of it claimed.
--- a/Libraries/LibMembership/host_view.h
+++ b/Libraries/LibMembership/host_view.h
@@ -58,6 +58,8 @@
   /// Hosts that the platform's list no longer names, or that came back with
   /// another incarnation: (host, last incarnation that is gone).
   std::map<host_id, std::uint64_t> GoneIncarnations;
+  /// The engines' owners. This host's own claims stay while its lease is
+  /// lapsed: it then pins what is loaded and gives no orders.
   std::map<upstream_id, engine_owner> Owners;
   /// Until when this host may act as the owner of its engines.
   time_point OwnershipValidUntil;
