LibHost: Tell the truth of engines' errors and of long drains

Cause: a 5xx answer of an engine counted as not run, though it may have run in part. A planned stop that reached its limit was logged as if all had ended, and one without the platform waited 300 s to hand over.

--- a/Libraries/LibHost/host.cpp
+++ b/Libraries/LibHost/host.cpp
@@ -113,6 +113,7 @@
   void startServing();
   bool ready();
   void runDrain();
+  void handOver();
   void waitForQuiet(time_point Until);
 
   const runtime_clock &Clock;
@@ -363,14 +364,24 @@
   waitForQuiet(Until);
   CallerServer->closeIdle();
   waitForQuiet(Until);
+  if (CallerServer->runningExchanges() > 0)
+    logEvent(log_event::DrainLimitReached, {});
+  handOver();
+  logEvent(log_event::DrainFinished, {});
+  Drained.store(true);
+}
+
+/// Gives back what this host holds. Waits no longer than others would wait to
+/// take it by themselves, since the platform may be down.
+void host::state::handOver() {
+  const time_point Until =
+      Clock.now() + Settings.Lease.Duration + Settings.Lease.Margin;
   while (Clock.now() < Until &&
          !(Membership->enginesReleased() && Orders.unwrittenOutcomes() == 0))
     sleepFor(DrainStepPause);
   Membership->finishDrain();
   while (Clock.now() < Until && !Membership->drained())
     sleepFor(DrainStepPause);
-  logEvent(log_event::DrainFinished, {});
-  Drained.store(true);
 }
 
 host::host(const runtime_clock &Clock, fiber_runtime &Runtime,
--- a/Libraries/LibHost/model_handler.cpp
+++ b/Libraries/LibHost/model_handler.cpp
@@ -24,6 +24,7 @@
 constexpr int HttpNotFound = 404;
 constexpr int HttpTooManyRequests = 429;
 constexpr int FirstServerError = 500;
+constexpr int HttpUnavailable = 503;
 
 /// A request to run a model, checked and ready to be sent.
 struct model_run {
@@ -230,6 +231,13 @@
   return usedTokens(Run, Verifier);
 }
 
+/// Whether an engine's status tells that it has not run the request: the
+/// adapter is not there, or there is no room.
+bool saysNotRun(int Status) {
+  return Status == HttpNotFound || Status == HttpTooManyRequests ||
+         Status == HttpUnavailable;
+}
+
 enum class attempt_result { Answered, Refused };
 
 /// Sends the request to one engine and passes its answer on.
@@ -245,9 +253,12 @@
       Pin.Address, upstreamHead(Context, Run.RequestId), Body,
       limitsFor(Context, Pin.Engine), connectionFor(Context, Pin.Engine, true));
   const int Status = Call->head().Status;
-  if (Status == HttpNotFound || Status == HttpTooManyRequests ||
-      Status >= FirstServerError)
+  if (saysNotRun(Status))
     return attempt_result::Refused;
+  if (Status >= FirstServerError)
+    throw spindle_error(result_code::UpstreamFailed,
+                        "the engine answered with status " +
+                            std::to_string(Status));
   if (Status != HttpOk) {
     passRefusal(Context, *Call);
     Charge.settle(tokens{0});
--- a/Libraries/LibHost/service_handler.cpp
+++ b/Libraries/LibHost/service_handler.cpp
@@ -114,7 +114,7 @@
     if (Call->head().Status < FirstServerError)
       Attempt.succeed();
     else
-      Attempt.fail(attempt_failure::Refused);
+      Attempt.fail(attempt_failure::Errored);
     return true;
   } catch (const spindle_error &Error) {
     const std::optional<attempt_failure> Failure = failureOf(Error);
--- a/Libraries/LibHost/upstream_attempt.cpp
+++ b/Libraries/LibHost/upstream_attempt.cpp
@@ -56,6 +56,8 @@
   switch (Error.code()) {
   case result_code::UpstreamUnreachable:
     return attempt_failure::NotConnected;
+  case result_code::UpstreamFailed:
+    return attempt_failure::Errored;
   case result_code::UpstreamLost:
   case result_code::AnswerCutShort:
     return attempt_failure::ConnectionLost;
--- a/Libraries/LibResilience/call_progress.cpp
+++ b/Libraries/LibResilience/call_progress.cpp
@@ -10,7 +10,8 @@
   if (Failure == attempt_failure::ConnectionLost)
     ++Progress.LostAttempts;
   if (Failure == attempt_failure::ConnectionLost ||
-      Failure == attempt_failure::TimedOut)
+      Failure == attempt_failure::TimedOut ||
+      Failure == attempt_failure::Errored)
     Progress.MayHaveRun = true;
 }
 
--- a/Libraries/LibResilience/call_progress.h
+++ b/Libraries/LibResilience/call_progress.h
@@ -11,6 +11,8 @@
   NotConnected,
   /// The upstream said that it did not run the request.
   Refused,
+  /// The upstream answered with an error of its own and may have run it.
+  Errored,
   /// The connection was lost after a byte may have left.
   ConnectionLost,
   /// No answer, or no further byte, came before a deadline.
--- a/Libraries/LibResilience/retry_decision.cpp
+++ b/Libraries/LibResilience/retry_decision.cpp
@@ -17,6 +17,8 @@
     return result_code::UpstreamUnreachable;
   case attempt_failure::Refused:
     return result_code::NoUpstream;
+  case attempt_failure::Errored:
+    return result_code::UpstreamFailed;
   case attempt_failure::ConnectionLost:
     return result_code::UpstreamLost;
   case attempt_failure::TimedOut:
