LibHost: Pass over engines that were just lost

Cause: after a crash, other requests were sent to the engines that were down, lost two of them, and were refused; their fingerprints fell under suspicion. Change: an upstream whose connection was lost is passed over for 3 s or until it is heard, unless no other is left; a loss of an upstream that was lost before the attempt began raises no suspicion.

--- a/Libraries/LibHost/model_handler.cpp
+++ b/Libraries/LibHost/model_handler.cpp
@@ -132,6 +132,20 @@
   return 1;
 }
 
+/// Adds the engines that were lost a short while ago to those that are
+/// avoided. Returns whether any was added.
+bool avoidLostEngines(const request_context &Context, const model_run &Run,
+                      pin_request &Wanted) {
+  const std::span<const upstream_declaration *const> Engines =
+      Context.Snapshot->enginesOfModel(Run.Adapter.Model);
+  for (const upstream_declaration *const Engine : Engines) {
+    const upstream_id Id = upstream_id::ofName(Engine->Name);
+    if (Context.Services.Health.isLost(Id))
+      Wanted.Avoid.push_back(Id);
+  }
+  return Wanted.Avoid.size() > Run.Avoid.size();
+}
+
 pin_lease acquirePin(request_context &Context, const model_run &Run) {
   pin_request Wanted;
   Wanted.Adapter = Run.Adapter.Id;
@@ -147,6 +161,15 @@
       Context.Services.LoadFairness.enter(Context.Caller.Tenant,
                                           Tenant ? Tenant->Weight : 1);
   Wanted.Weight = Waiting.Weight * loadWeightOf(Run.Priority);
+  if (!avoidLostEngines(Context, Run, Wanted))
+    return Context.Services.Residency.acquire(Wanted);
+  try {
+    return Context.Services.Residency.acquire(Wanted);
+  } catch (const spindle_error &Error) {
+    if (Error.code() != result_code::NoUpstream)
+      throw;
+  }
+  Wanted.Avoid = Run.Avoid;
   return Context.Services.Residency.acquire(Wanted);
 }
 
--- a/Libraries/LibHost/upstream_attempt.cpp
+++ b/Libraries/LibHost/upstream_attempt.cpp
@@ -7,6 +7,7 @@
                                    request_fingerprint Fingerprint)
     : Services(Services), Upstream(Upstream), Address(std::move(Address)),
       Fingerprint(Fingerprint), StartedAt(Services.Clock.now()) {
+  BegunWhileLost = Services.Health.isLost(Upstream);
   Services.Suspects.noteStart(Upstream, Fingerprint);
   Services.Upstreams.noteDispatch(Upstream);
 }
@@ -46,7 +47,8 @@
     return;
   }
   const bool WasSuspect = Services.Suspects.isSuspect(Fingerprint);
-  end(run_end::Lost);
+  end(BegunWhileLost ? run_end::Failed : run_end::Lost);
+  Services.Health.noteLost(Upstream);
   Services.Health.noteOutcome(Upstream, WasSuspect ? call_outcome::LostToSuspect
                                                    : call_outcome::Failure);
   Services.Suspects.shareOnce();
--- a/Libraries/LibHost/upstream_attempt.h
+++ b/Libraries/LibHost/upstream_attempt.h
@@ -40,6 +40,9 @@
   endpoint Address;
   request_fingerprint Fingerprint;
   time_point StartedAt;
+  /// The upstream had been lost before this attempt began: that it is lost
+  /// again says nothing of the request.
+  bool BegunWhileLost = false;
   nanoseconds Pause{0};
   bool Ended = false;
 };
--- a/Libraries/LibHost/upstream_health.cpp
+++ b/Libraries/LibHost/upstream_health.cpp
@@ -181,6 +181,18 @@
   return Peer != nullptr && spindle::isDoubted(*Peer, State->Clock.now());
 }
 
+void upstream_health::noteLost(upstream_id Upstream) {
+  const lock Lock(State->Mutex);
+  if (peer_health *const Peer = State->findPeer(Upstream))
+    spindle::noteLost(*Peer, State->Clock.now());
+}
+
+bool upstream_health::isLost(upstream_id Upstream) const {
+  const lock Lock(State->Mutex);
+  const peer_health *const Peer = State->findPeer(Upstream);
+  return Peer != nullptr && spindle::isLost(*Peer, State->Clock.now());
+}
+
 connection_advice upstream_health::noteVerified(upstream_id Upstream,
                                                 bool Answered,
                                                 nanoseconds Latency,
--- a/Libraries/LibHost/upstream_health.h
+++ b/Libraries/LibHost/upstream_health.h
@@ -54,6 +54,11 @@
   /// Tells whether another upstream is preferred, as a call to this one passed
   /// its deadline lately and nothing was heard since.
   bool isDoubted(upstream_id Upstream) const;
+  /// Notes that the upstream's connection was lost while a call ran.
+  void noteLost(upstream_id Upstream);
+  /// Tells whether the upstream was lost a short while ago and not heard
+  /// since; it is used only if no other is left.
+  bool isLost(upstream_id Upstream) const;
   /// Notes whether the new connection answered, and how fast.
   connection_advice noteVerified(upstream_id Upstream, bool Answered,
                                  nanoseconds Latency, nanoseconds Deadline);
--- a/Libraries/LibResilience/peer_health.cpp
+++ b/Libraries/LibResilience/peer_health.cpp
@@ -102,6 +102,13 @@
   return Health.Suspect && Now < Health.DoubtedUntil;
 }
 
+void noteLost(peer_health &Health, time_point Now) { Health.LostAt = Now; }
+
+bool isLost(const peer_health &Health, time_point Now) {
+  return Health.LostAt > Health.LastHeard &&
+         Now - Health.LostAt < Health.Settings.LostTime;
+}
+
 bool probeDue(const peer_health &Health, time_point Now) {
   return Now - Health.LastHeard >= Health.Settings.ProbeIdleAfter;
 }
--- a/Libraries/LibResilience/peer_health.h
+++ b/Libraries/LibResilience/peer_health.h
@@ -31,6 +31,9 @@
   milliseconds ProbeTimeout{1'000};
   /// How long a peer that fell silent is passed over for others.
   milliseconds DoubtTime{15'000};
+  /// How long a peer whose connection was lost is passed over, unless it is
+  /// heard before.
+  milliseconds LostTime{3'000};
 };
 
 /// What is known of the connections to one peer. Changed through the functions
@@ -44,6 +47,9 @@
   std::uint32_t Widened = 0;
   std::uint32_t AnswersSinceSilence = 0;
   time_point LastHeard;
+  /// When the connection to the peer was last lost while a call ran, unless
+  /// the peer was heard since.
+  time_point LostAt;
   /// Whether a deadline passed and nothing was heard since.
   bool Suspect = false;
   /// Until when others are preferred to a suspect peer.
@@ -90,6 +96,11 @@
 /// Tells whether another peer is preferred, as a call to this one passed its
 /// deadline lately and nothing was heard since. Thread-safe for readers.
 bool isDoubted(const peer_health &Health, time_point Now);
+/// Notes that the connection was lost while a call ran.
+void noteLost(peer_health &Health, time_point Now);
+/// Tells whether the peer was lost a short while ago and not heard since; it
+/// is used only if no other is left.
+bool isLost(const peer_health &Health, time_point Now);
 /// Tells whether idle connections of the peer should be probed. Thread-safe
 /// for readers.
 bool probeDue(const peer_health &Health, time_point Now);
--- a/Tests/LibResilience/test_peer_health.cpp
+++ b/Tests/LibResilience/test_peer_health.cpp
@@ -82,3 +82,14 @@
   CHECK_FALSE(probeDue(Health, Now + seconds(14)));
   CHECK(probeDue(Health, Now + seconds(15)));
 }
+
+TEST_CASE("a lost peer is passed over until it is heard or some time passed") {
+  const time_point Now{seconds(100)};
+  peer_health Health;
+  noteFirstByte(Health, milliseconds(5), Now);
+  noteLost(Health, Now + seconds(1));
+  CHECK(isLost(Health, Now + seconds(2)));
+  CHECK_FALSE(isLost(Health, Now + seconds(4)));
+  noteFirstByte(Health, milliseconds(5), Now + seconds(2));
+  CHECK_FALSE(isLost(Health, Now + seconds(3)));
+}
