Tests: Wait for the writer before the platform's port goes

Cause: "a watch delivers each change after its version in order" ended when the third event had come, at times before the answer to the write that caused it. The fixture then freed the port while the writing fiber used it.

Change: the test also waits until the writer has ended, and checks that it did. The fault was the test's: a port must outlive the calls made through it.

--- a/Tests/LibPlatform/test_http_platform.cpp
+++ b/Tests/LibPlatform/test_http_platform.cpp
@@ -1,5 +1,6 @@
 #include "LibCore/result_code.h"
 #include "LibPlatform/http_platform.h"
+#include "LibRuntime/completion.h"
 #include "platform_stand_in/platform_server.h"
 
 #include <catch2/catch.hpp>
@@ -157,14 +158,16 @@
   loopback_platform P;
   platform_list List;
   std::vector<std::string> Seen;
+  completion<int> Written;
   const result_code Code = P.run([&] {
     P.Platform.Create("orders", "before", "{}");
     List = P.Platform.List("orders");
-    P.Runtime.spawn([&P] {
+    P.Runtime.spawn([&P, Deliver = Written.deliverer()] {
       const std::uint64_t Version = P.Platform.Create("orders", "a", "{}");
       P.Platform.Create("suspects", "other", "{}");
       P.Platform.Update("orders", "a", Version, R"({"n":2})");
       P.Platform.Remove("orders", "a", Version + 2);
+      Deliver(0);
     });
     P.Platform.Watch("orders", List.Version, LongWatch,
                      [&Seen](const platform_event &Event) {
@@ -174,6 +177,8 @@
                        return Seen.size() < 3;
                      });
   });
+  // The watch may end before the last write's answer has come.
+  CHECK(Written.waitFor(seconds(10)));
   REQUIRE(Code == result_code{});
   CHECK(List.Objects.size() == 1);
   CHECK(Seen ==
