Meta: Run the platform port and the stand-ins under ThreadSanitizer

Cause: TestLibPlatform and TestStandIns start threads, but were left out as they had not been run yet.

Change: add both to the programs of Meta/run-sanitizers.sh thread.

--- a/Meta/run-sanitizers.sh
+++ b/Meta/run-sanitizers.sh
@@ -9,12 +9,13 @@
 # These share state between threads and have run without a false report under
 # ThreadSanitizer. TestLibPeer can't: the distribution's gRPC isn't built for it.
 programs=(TestLibCore TestLibRuntime TestLibHTTP TestLibScheduling TestLibLimits
-  TestLibOrders TestLibResilience TestLibConfiguration)
+  TestLibOrders TestLibResilience TestLibConfiguration TestLibPlatform
+  TestStandIns)
 case "${1:-}" in
   address)
     preset=asan
     programs+=(TestLibMembership TestLibResidency TestLibRouting TestLibSettings
-      TestLibEngine TestLibPlatform TestLibPeer TestLibLoad TestStandIns) ;;
+      TestLibEngine TestLibPeer TestLibLoad) ;;
   thread) preset=tsan ;;
   *) sed -n 's/^# Usage: //p' "$0" >&2; exit 2 ;;
 esac
