LibHost: Hear from peers which upstreams were lost

Cause: a host that had not itself met a crashed engine sent requests to two of them in a row and gave up, as two losses end a request. The property of retries draws the new kind of failure as well, with the same assertions.

--- a/Libraries/LibHost/host.cpp
+++ b/Libraries/LibHost/host.cpp
@@ -228,6 +228,9 @@
   };
   Handlers.ShareSuspects =
       [this](const host_link::ShareSuspectsRequest &Request) {
+        for (const host_link::Suspect &Suspect : Request.suspects())
+          for (const std::uint64_t Lost : Suspect.upstreams())
+            Health.noteLost(upstream_id{Lost});
         return Suspects.handleShareSuspects(Request);
       };
   return Handlers;
--- a/Tests/LibResilience/test_retries.cpp
+++ b/Tests/LibResilience/test_retries.cpp
@@ -50,10 +50,13 @@
     bool Begun = false;
     int Lost = 0;
     for (int Attempt = 1;; ++Attempt) {
-      const auto Failure =
-          static_cast<attempt_failure>(*rc::gen::inRange(0, 4));
+      const attempt_failure Failure = *rc::gen::element(
+          attempt_failure::NotConnected, attempt_failure::Refused,
+          attempt_failure::Errored, attempt_failure::ConnectionLost,
+          attempt_failure::TimedOut);
       const bool Sent = Failure == attempt_failure::ConnectionLost ||
-                        Failure == attempt_failure::TimedOut;
+                        Failure == attempt_failure::TimedOut ||
+                        Failure == attempt_failure::Errored;
       Begun = Begun || (Sent && *rc::gen::arbitrary<bool>());
       ByteLeft = ByteLeft || Sent;
       Lost += Failure == attempt_failure::ConnectionLost ? 1 : 0;
