LibHost: Split the model handler by its steps

A setting named a buffer that does not exist, since answers are passed on as they are read. A listener that threw would have kept later configurations from being told. Change: model_request prepares, model_pin chooses and pins, model_answer passes answers on, model_handler tries; the setting is gone; a failing listener is logged.

--- a/Libraries/LibHost/configuration_follower.cpp
+++ b/Libraries/LibHost/configuration_follower.cpp
@@ -183,6 +183,16 @@
   Notifications.push_back(std::move(Snapshot));
 }
 
+/// A listener that fails must not keep later versions from being told.
+static void notify(const configuration_follower::listener &Listener,
+                   const snapshot_pointer &Snapshot) {
+  try {
+    Listener(Snapshot);
+  } catch (const std::exception &Error) {
+    logEvent(log_event::UnexpectedFailure, {{"reason", Error.what()}});
+  }
+}
+
 /// Tells the listeners of each version in order; one fiber at a time does so.
 void configuration_follower::state::notifyListeners() {
   while (true) {
@@ -198,7 +208,7 @@
     logEvent(log_event::ConfigurationApplied,
              {{"version", std::to_string(Next->version())}});
     for (const listener &Listener : Listeners)
-      Listener(Next);
+      notify(Listener, Next);
     const lock Lock(Mutex);
     Notifying = false;
   }
--- /dev/null
+++ b/Libraries/LibHost/model_pin.cpp
@@ -0,0 +1,61 @@
+#include "LibHost/model_pin.h"
+
+namespace spindle {
+
+/// How much a class counts when loads are put in order.
+static double loadWeightOf(priority_class Priority) {
+  switch (Priority) {
+  case priority_class::Rush:
+    return 4;
+  case priority_class::Chat:
+    return 2;
+  case priority_class::Plain:
+    return 1;
+  case priority_class::Batch:
+    return 0.5;
+  }
+  return 1;
+}
+
+/// Adds the engines that were lost a short while ago to those that are
+/// avoided. Returns whether any was added.
+static bool avoidLostEngines(const request_context &Context,
+                             const model_run &Run, pin_request &Wanted) {
+  const std::span<const upstream_declaration *const> Engines =
+      Context.Snapshot->enginesOfModel(Run.Adapter.Model);
+  for (const upstream_declaration *const Engine : Engines) {
+    const upstream_id Id = upstream_id::ofName(Engine->Name);
+    if (Context.Services.Health.isLost(Id))
+      Wanted.Avoid.push_back(Id);
+  }
+  return Wanted.Avoid.size() > Run.Avoid.size();
+}
+
+pin_lease acquireModelPin(request_context &Context, const model_run &Run) {
+  pin_request Wanted;
+  Wanted.Adapter = Run.Adapter.Id;
+  Wanted.AdapterName = Run.AdapterName;
+  Wanted.Model = std::string(Run.Adapter.Model);
+  Wanted.PrefixHash = Run.Request.PrefixHash;
+  Wanted.Prompt = Run.Request.PromptTokens;
+  Wanted.Deadline = Run.Deadline;
+  Wanted.Avoid = Run.Avoid;
+  const tenant_declaration *const Tenant =
+      Context.Snapshot->findTenant(Context.Caller.Tenant);
+  const load_fairness::waiting_request Waiting =
+      Context.Services.LoadFairness.enter(Context.Caller.Tenant,
+                                          Tenant ? Tenant->Weight : 1);
+  Wanted.Weight = Waiting.Weight * loadWeightOf(Run.Priority);
+  if (!avoidLostEngines(Context, Run, Wanted))
+    return Context.Services.Residency.acquire(Wanted);
+  try {
+    return Context.Services.Residency.acquire(Wanted);
+  } catch (const spindle_error &Error) {
+    if (Error.code() != result_code::NoUpstream)
+      throw;
+  }
+  Wanted.Avoid = Run.Avoid;
+  return Context.Services.Residency.acquire(Wanted);
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibHost/model_request.h
@@ -0,0 +1,17 @@
+#ifndef PARSLEYSPINDLE_LIBHOST_MODEL_REQUEST_H
+#define PARSLEYSPINDLE_LIBHOST_MODEL_REQUEST_H
+
+#include "LibHost/model_run.h"
+
+namespace spindle {
+
+/// Reads and checks a request to run a model. Blocks the calling fiber while
+/// the body arrives.
+/// \throws spindle_error BadRequest, BodyTooLarge, UnknownModel,
+/// PriorityNotAllowed: the request has not run.
+model_run prepareModelRun(request_context &Context,
+                          completion_endpoint Endpoint);
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBHOST_MODEL_REQUEST_H
--- a/Libraries/LibSettings/host_settings.cpp
+++ b/Libraries/LibSettings/host_settings.cpp
@@ -133,9 +133,6 @@
       integerField<record>("idleConnectionsPerUpstream",
                            &record::IdleConnectionsPerUpstream, "", 0, 10'000,
                            "Unused connections kept to one upstream."),
-      integerField<record>("callerBufferBytes", &record::CallerBufferBytes,
-                           "bytes", 4'096, 67'108'864,
-                           "Answer bytes held for a caller that reads slowly."),
   };
   return Table;
 }
--- a/Libraries/LibSettings/host_settings.h
+++ b/Libraries/LibSettings/host_settings.h
@@ -46,7 +46,6 @@
   std::size_t HeaderBytes = 16'384;
   std::uint32_t Connections = 20'000;
   std::uint32_t IdleConnectionsPerUpstream = 64;
-  std::size_t CallerBufferBytes = 262'144;
 };
 
 /// What one host learns from its settings file.
