--- a/Meta/measure-control.sh
+++ b/Meta/measure-control.sh
@@ -8,7 +8,9 @@
 ADAPTERS="${ADAPTERS:-62000}"
 SECONDS_MEASURED="${SECONDS_MEASURED:-20}"
 
-cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+# Processor time in ns, as the scheduler counts it: the ticks of /proc/PID/stat
+# misjudge a process that wakes for some microseconds at a time.
+cpu_time() { cat "/proc/$1/task/"*/schedstat | awk '{sum += $1} END {printf "%.0f", sum}'; }
 
 start_program platform platform_stand_in --listen 127.0.0.1:0
 PLATFORM="$ADDRESS"
@@ -44,14 +46,14 @@
 sleep 5
 curl -sf -X POST -o /dev/null "http://$PLATFORM/control/reset" || true
 declare -A BEFORE
-for host in $(seq 7); do BEFORE[$host]="$(cpu_ticks "${PROCESSES[host]}")"; done
+for host in $(seq 7); do BEFORE[$host]="$(cpu_time "${PROCESSES[host]}")"; done
 sleep "$SECONDS_MEASURED"
 echo "| host | % of a core | resident MB |"
 echo "| --- | --- | --- |"
 for host in $(seq 7); do
-  ticks=$(($(cpu_ticks "${PROCESSES[host]}") - ${BEFORE[$host]}))
+  used=$(($(cpu_time "${PROCESSES[host]}") - ${BEFORE[$host]}))
   memory="$(awk '/VmRSS/ {printf "%.1f", $2 / 1024}' "/proc/${PROCESSES[host]}/status")"
-  echo "| host-$host | $(awk "BEGIN {printf \"%.2f\", $ticks / $SECONDS_MEASURED}") | $memory |"
+  echo "| host-$host | $(awk "BEGIN {printf \"%.2f\", $used / $SECONDS_MEASURED / 1e7}") | $memory |"
 done
 echo
 echo "The platform's counts over $SECONDS_MEASURED s:"
