LibHost: Hand configurations and views to the engine table once

Cause: the host and the residency agent both passed each configuration and view to the engine table, so that each change ranked every model twice. Change: the agent alone does it.

--- a/Libraries/LibHost/host.cpp
+++ b/Libraries/LibHost/host.cpp
@@ -249,7 +249,6 @@
                         Policy.WeightStoreLoadsInFlight);
   Limiter.applyConfiguration(*Snapshot);
   Queue.applyConfiguration(*Snapshot);
-  Upstreams.applyConfiguration(*Snapshot);
   Residency.applyConfiguration(Snapshot);
   Health.applyConfiguration(*Snapshot);
   Suspects.applyConfiguration(*Snapshot);
@@ -262,7 +261,6 @@
 void host::state::applyView(const membership_agent::view_pointer &View) {
   Limiter.applyView(*View);
   Configuration.applyView(*View);
-  Upstreams.applyView(*View);
   Residency.applyView(View);
   Suspects.applyView(View);
 }
