LibGateway: Give each adapter one home and settle orders one by one

Cause: an unload that waits for running requests makes the engine refuse every other order, and a report read meanwhile is older than the orders; adapters were fetched once a zone; a watch may hear nothing after a compaction; kept connections brought requests until the end of a planned stop.

--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -9,7 +9,7 @@
 
 // A request that is sent at the end of a hold still reaches the engine in it.
 static constexpr milliseconds SendMargin{500};
-static constexpr milliseconds LongestWait{3'000};
+static constexpr milliseconds LongestWait{1'500};
 // The lead's answer takes so much longer than the load that it waits for.
 static constexpr milliseconds AnswerMargin{150};
 
@@ -45,6 +45,15 @@
   Fleet.noteAdapter(Engine.Id, {Name, 0}, false);
   const std::lock_guard<std::mutex> Lock(Mutex);
   Held.erase({Engine.Id, Name});
+  Missing.insert({Engine.Id, Name});
+}
+
+/// Whether the engine has refused a request for the adapter since it was last
+/// held. Tells it once.
+bool adapter_holds::takeMissing(const upstream_entry &Engine,
+                                const adapter_name &Name) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Missing.erase({Engine.Id, Name}) > 0;
 }
 
 std::uint64_t adapter_holds::askLead(const upstream_entry &Engine,
@@ -61,12 +70,14 @@
   Request.set_adapter(Wanted.Name.Adapter);
   Request.set_version(Wanted.Version);
   Request.set_wait_ms(std::max<std::int64_t>(0, Wait.count()));
+  Request.set_missing(takeMissing(Engine, Wanted.Name));
   host_link::HoldAdapterReply Reply;
   try {
     Reply = Peers.HoldAdapter(Lead, Request, Wait + AnswerMargin);
   } catch (const spindle_error &Error) {
     logEvent(log_event::OwnerUnreachable,
              {{"lead", toText(Lead)}, {"cause", Error.what()}});
+    Fleet.noteZoneSilent(Engine.Zone);
     return relyOnRegistration(Engine, Wanted);
   }
   if (!Reply.held())
@@ -87,6 +98,8 @@
       return Found->second.Version;
   }
   if (Hub.fence(Engine.Zone)) {
+    if (takeMissing(Engine, Wanted.Name))
+      Keeper.noteMissing(Engine.Id, Wanted.Name);
     const loaded_adapter There = Keeper.hold(Engine.Id, Wanted, Until);
     remember(Engine, There, Now);
     return There.Version;
@@ -102,6 +115,8 @@
   host_link::HoldAdapterReply Reply;
   const loaded_adapter Wanted{{Request.model(), Request.adapter()},
                               Request.version()};
+  if (Request.missing())
+    Keeper.noteMissing(upstream_id::ofName(Request.upstream()), Wanted.Name);
   try {
     const loaded_adapter There =
         Keeper.hold(upstream_id::ofName(Request.upstream()), Wanted,
--- a/Libraries/LibGateway/adapter_holds.h
+++ b/Libraries/LibGateway/adapter_holds.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace spindle {
 
@@ -40,6 +41,7 @@
   };
   using hold_key = std::pair<upstream_id, adapter_name>;
 
+  bool takeMissing(const upstream_entry &Engine, const adapter_name &Name);
   std::uint64_t askLead(const upstream_entry &Engine, const endpoint &Lead,
                         const loaded_adapter &Wanted, time_point Until);
   std::uint64_t relyOnRegistration(const upstream_entry &Engine,
@@ -55,6 +57,7 @@
   const host_link::Sender Self;
   mutable std::mutex Mutex;
   std::map<hold_key, held_adapter> Held;
+  std::set<hold_key> Missing;
 };
 
 } // namespace spindle
--- a/Libraries/LibGateway/adapter_keeper.cpp
+++ b/Libraries/LibGateway/adapter_keeper.cpp
@@ -14,6 +14,10 @@
 static constexpr milliseconds HoldPause{8};
 static constexpr milliseconds LoadedPause{30};
 static constexpr milliseconds PauseAfterRefusal{60};
+// Reports are so old at most.
+static constexpr milliseconds ReportLag{450};
+// An engine that did not answer is left alone for so long.
+static constexpr milliseconds SilencePause{1'000};
 // Hosts repeat what runs more often than this.
 static constexpr milliseconds InUseTerm{900};
 // An engine that is ordered again tells at once whether it is done; it may
@@ -30,6 +34,13 @@
   bool CountKnown = false;
   /// Orders are sent one at a time, as each names the count before it.
   boost::fibers::mutex Ordering;
+  /// An unload waits for requests that run; until it is done the engine takes
+  /// no other order.
+  bool UnloadPending = false;
+  /// When the last order was accepted; reports of before don't show it.
+  time_point AcceptedAt;
+  /// No orders are tried until then, since the engine did not answer.
+  time_point SilentUntil;
   /// Adapters that it had before, which it may have kept in its memory.
   std::set<adapter_name> Had;
 };
@@ -71,28 +82,69 @@
   LoadMilliseconds += (Milliseconds.count() - LoadMilliseconds) * NewWeight;
 }
 
-/// Reads the engine's count of orders and what it has. Returns whether it
-/// answered. Precondition: Ordering is held.
+/// Reads the engine's count of orders and what it has, once its reports show
+/// the last order. Returns whether it answered. Precondition: Ordering is held.
 bool adapter_keeper::resync(kept_engine &Engine) {
+  const nanoseconds Since = Clock.now() - Engine.AcceptedAt;
+  if (Since < ReportLag)
+    sleepFor(ReportLag - Since);
   try {
     const engine_state State = Ports.Orders.Report(*Engine.Entry, ReportLimit);
-    const time_point Now = Clock.now();
     const std::lock_guard<std::mutex> Lock(Mutex);
     Engine.OrderCount = State.OrderCount;
     Engine.CountKnown = true;
-    reconcile(Engine.Places, State.Loaded, State.Loading, Now);
+    reconcile(Engine.Places, State.Loaded, State.Loading, Clock.now());
     return true;
   } catch (const spindle_error &Error) {
     logEvent(log_event::EngineReportMissing,
              {{"upstream", Engine.Entry->Name}, {"reason", Error.what()}});
+    Engine.SilentUntil = Clock.now() + SilencePause;
     return false;
   }
 }
 
+/// Sees to it that the engine's places are known from itself.
+bool adapter_keeper::makeKnown(kept_engine &Engine) {
+  if (Engine.CountKnown)
+    return true;
+  const std::lock_guard<boost::fibers::mutex> Lock(Engine.Ordering);
+  return Engine.CountKnown || resync(Engine);
+}
+
+bool adapter_keeper::isSilent(const kept_engine &Engine) const {
+  return Clock.now() < Engine.SilentUntil;
+}
+
+/// Books what an order's outcome says of the engine.
+void adapter_keeper::noteOrder(kept_engine &Engine, order_action Action,
+                               order_outcome Outcome, bool IsRepeat) {
+  const bool Accepted =
+      Outcome == order_outcome::Started ||
+      (Outcome == order_outcome::Done && Action == order_action::Unload);
+  if (Accepted && !IsRepeat) {
+    ++Engine.OrderCount;
+    Engine.AcceptedAt = Clock.now();
+  }
+  if (Action == order_action::Unload)
+    Engine.UnloadPending = Outcome == order_outcome::Started;
+  if (Outcome == order_outcome::CountDiffers ||
+      Outcome == order_outcome::Unknown)
+    Engine.CountKnown = false;
+  if (Outcome != order_outcome::Unknown)
+    return;
+  Engine.SilentUntil = Clock.now() + SilencePause;
+  Fleet.noteOutcome(Engine.Entry->Id, call_outcome::Failure);
+}
+
 /// Sends one order and books its outcome. Blocks the fiber.
 order_outcome adapter_keeper::order(kept_engine &Engine, order_action Action,
                                     const loaded_adapter &Adapter,
                                     bool IsRepeat) {
+  const bool IsUnloadRepeat = IsRepeat && Action == order_action::Unload;
+  const time_point Start = Clock.now();
+  while (Engine.UnloadPending && !IsUnloadRepeat &&
+         Clock.now() - Start < LongestLoad)
+    sleepFor(LoadedPause);
   const std::lock_guard<boost::fibers::mutex> Lock(Engine.Ordering);
   const std::optional<std::uint64_t> Fence = Ports.Fence(Engine.Entry->Zone);
   if (!Fence)
@@ -115,14 +167,7 @@
             {"count", std::to_string(Engine.OrderCount)},
             {"fence", std::to_string(*Fence)},
             {"outcome", std::string(toText(Outcome))}});
-  const bool Accepted =
-      Outcome == order_outcome::Started ||
-      (Outcome == order_outcome::Done && Action == order_action::Unload);
-  if (Accepted && !IsRepeat)
-    ++Engine.OrderCount;
-  if (Outcome == order_outcome::CountDiffers ||
-      Outcome == order_outcome::Unknown)
-    Engine.CountKnown = false;
+  noteOrder(Engine, Action, Outcome, IsRepeat);
   if (Outcome == order_outcome::Fenced)
     Ports.OnFenced(*Fence);
   return Outcome;
@@ -210,6 +255,7 @@
   }
   const std::lock_guard<std::mutex> Lock(Mutex);
   Engine.CountKnown = false;
+  Engine.UnloadPending = false;
   noteLoaded(Engine.Places, Victim);
 }
 
@@ -238,11 +284,17 @@
       throw spindle_error(result_code::NotOwner,
                           "this host gives no orders in zone " + Entry->Zone);
     const engine_pointer Engine = engineFor(Entry);
+    if (!makeKnown(*Engine))
+      throw spindle_error(result_code::AdapterNotLoaded,
+                          "the engine does not answer");
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
       const hold_plan Plan = planHold(Engine->Places, Wanted, Clock.now());
       if (Plan.Action == hold_action::Held)
         return findPlace(Engine->Places, Wanted.Name)->Adapter;
+      if (isSilent(*Engine))
+        throw spindle_error(result_code::AdapterNotLoaded,
+                            "the engine does not answer orders");
       if (Plan.Action == hold_action::Load)
         startLoad(Engine, Wanted);
       if (Plan.Action == hold_action::Unload)
@@ -255,6 +307,18 @@
   }
 }
 
+void adapter_keeper::noteMissing(upstream_id Id, const adapter_name &Name) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Engines.find(Id);
+  if (Found == Engines.end())
+    return;
+  // The next hold orders a load, which the engine answers at once if it has
+  // the adapter after all.
+  const adapter_place *const Place = findPlace(Found->second->Places, Name);
+  if (Place && Place->State == place_state::Loaded && !Place->Ordered)
+    startLoad(Found->second, Place->Adapter);
+}
+
 void adapter_keeper::noteInUse(upstream_id Id, const adapter_name &Name) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Engines.find(Id);
--- a/Libraries/LibGateway/adapter_keeper.h
+++ b/Libraries/LibGateway/adapter_keeper.h
@@ -49,6 +49,9 @@
   /// until \p Until. \throws spindle_error NotOwner, AdapterNotLoaded.
   loaded_adapter hold(upstream_id Engine, const loaded_adapter &Wanted,
                       time_point Until);
+  /// Notes that the engine has refused a request because the adapter is not
+  /// there.
+  void noteMissing(upstream_id Engine, const adapter_name &Name);
   /// Notes that a host has requests for the adapter under way at the engine.
   void noteInUse(upstream_id Engine, const adapter_name &Name);
   /// Loads the newest versions of adapters that engines have older ones of.
@@ -59,8 +62,6 @@
   using engine_pointer = std::shared_ptr<kept_engine>;
 
   engine_pointer engineFor(const upstream_pointer &Entry);
-  std::optional<loaded_adapter> holdOnce(kept_engine &Engine,
-                                         const loaded_adapter &Wanted);
   void startLoad(const engine_pointer &Engine, const loaded_adapter &Adapter);
   void startUnload(const engine_pointer &Engine, const loaded_adapter &Victim);
   order_outcome order(kept_engine &Engine, order_action Action,
@@ -69,6 +70,10 @@
   void runUnload(kept_engine &Engine, const loaded_adapter &Victim);
   void waitUntilLoaded(kept_engine &Engine, const loaded_adapter &Adapter);
   bool resync(kept_engine &Engine);
+  bool makeKnown(kept_engine &Engine);
+  bool isSilent(const kept_engine &Engine) const;
+  void noteOrder(kept_engine &Engine, order_action Action,
+                 order_outcome Outcome, bool IsRepeat);
   milliseconds loadEstimate() const;
   void noteLoadTook(nanoseconds Took);
 
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -111,13 +111,13 @@
                    Query.Model->Model) != Entry.Models.end();
 }
 
-/// The engine of the own zone that the adapter's name hashes to, so that all
-/// hosts of the zone look for an absent adapter at the same engine.
+/// The engine that the adapter's name hashes to, so that all hosts look for an
+/// absent adapter at the same engine.
 upstream_id fleet_table::adapterHome(const upstream_query &Query) const {
   upstream_id Home;
   std::uint64_t Best = 0;
   for (const auto &[Id, Known] : Upstreams) {
-    if (Known.Entry->Zone != OwnZone || !mayUse(Known, Query))
+    if (!mayUse(Known, Query) || healthOf(Known) <= 0)
       continue;
     const std::uint64_t Rank =
         hashName(Query.Model->Adapter + "@" + Known.Entry->Name);
@@ -141,6 +141,21 @@
              : adapter_presence::Absent;
 }
 
+double fleet_table::healthOf(const known_upstream &Known) const {
+  static constexpr double HealthIfSilent = 0.3;
+  const time_point Now = Clock.now();
+  const auto Silent = SilentUntil.find(Known.Entry->Zone);
+  const bool IsSilent = Silent != SilentUntil.end() && Silent->second > Now;
+  return weightOf(Outliers, Known.Entry->Id, Now) *
+         (IsSilent ? HealthIfSilent : 1);
+}
+
+void fleet_table::noteZoneSilent(const std::string &Zone) {
+  static constexpr milliseconds SilenceCounts{1'500};
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  SilentUntil[Zone] = Clock.now() + SilenceCounts;
+}
+
 upstream_candidate fleet_table::candidate(const known_upstream &Known,
                                           const upstream_query &Query) const {
   upstream_candidate Candidate;
@@ -149,7 +164,7 @@
   Candidate.UnreadTokens = Known.UnreadTokens + Known.UnreadElsewhere;
   Candidate.Requests = Known.Requests + Known.RequestsElsewhere;
   Candidate.Slots = Known.Entry->Slots;
-  Candidate.Health = weightOf(Outliers, Known.Entry->Id, Clock.now());
+  Candidate.Health = healthOf(Known);
   if (!Query.Model)
     return Candidate;
   Candidate.Adapter = presenceOf(Known.Adapters, Query);
@@ -171,6 +186,9 @@
     Sources.push_back(&Known);
   }
   choice_request Request;
+  Request.ObjectiveMilliseconds = static_cast<double>(Query.Objective.count());
+  Request.LeftMilliseconds = static_cast<double>(Query.Left.count());
+  Request.Bytes = static_cast<double>(Query.BodyBytes);
   if (Query.Model)
     Request.PromptTokens = std::max<std::int64_t>(1, Query.Model->PromptTokens);
   const std::optional<upstream_choice> Choice =
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -29,6 +29,10 @@
   std::span<const upstream_id> Avoid;
   /// If set, only this upstream is considered.
   upstream_id Only;
+  /// The latency that callers expect, and what is left of it.
+  milliseconds Objective{1'000};
+  milliseconds Left{1'000};
+  std::size_t BodyBytes = 0;
 };
 
 struct chosen_upstream {
@@ -70,6 +74,9 @@
   /// Notes that an engine has read a prompt for its adapter.
   void notePrompt(upstream_id Id, const request_description &Request);
   void noteOutcome(upstream_id Id, call_outcome Outcome);
+  /// Notes that the lead of a zone did not answer this host, which probably
+  /// does not reach the zone's upstreams either.
+  void noteZoneSilent(const std::string &Zone);
   /// Notes which adapter an engine has, before its registration tells.
   void noteAdapter(upstream_id Id, const loaded_adapter &Adapter, bool Present);
 
@@ -95,6 +102,7 @@
   upstream_candidate candidate(const known_upstream &Known,
                                const upstream_query &Query) const;
   upstream_id adapterHome(const upstream_query &Query) const;
+  double healthOf(const known_upstream &Known) const;
   bool mayUse(const known_upstream &Known, const upstream_query &Query) const;
 
   const runtime_clock &Clock;
@@ -102,6 +110,7 @@
   mutable std::mutex Mutex;
   std::map<upstream_id, known_upstream> Upstreams;
   std::map<std::string, std::int64_t, std::less<>> CacheTokens;
+  std::map<std::string, time_point, std::less<>> SilentUntil;
   outlier_detector Outliers;
 };
 
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -19,6 +19,12 @@
 constexpr std::size_t MostUnreachable = 4;
 /// An attempt that has less time than this can't succeed.
 constexpr milliseconds LeastTime{5};
+/// What an answer adds to the bytes that cross a zone's border.
+constexpr std::size_t AnswerBytes = 2'000;
+/// Sends of one request to upstreams that refuse it.
+constexpr std::uint32_t MostSends = 4;
+/// A hold that takes longer is tried at another engine.
+constexpr milliseconds LongestHold{1'500};
 
 double draw() {
   thread_local std::mt19937_64 Generator{std::random_device{}()};
@@ -116,6 +122,11 @@
   Avoid.insert(Avoid.end(), Request.Avoid.begin(), Request.Avoid.end());
   upstream_query Query;
   Query.Service = Request.Service.Name;
+  Query.Objective = Request.Route.Objective;
+  Query.Left = Request.Route.Objective -
+               std::chrono::duration_cast<milliseconds>(
+                   Request.Services.Clock.now() - Request.Start);
+  Query.BodyBytes = Request.Body.size() + AnswerBytes;
   Query.Only = Only;
   if (!Only)
     Query.Avoid = Avoid;
@@ -135,8 +146,10 @@
     return std::nullopt;
   const adapter_name Name{Description.Model, Description.Adapter};
   const loaded_adapter Wanted{Name, Request.Services.Releases.newest(Name)};
+  const time_point Until =
+      std::min(Request.Deadline, Request.Services.Clock.now() + LongestHold);
   const std::uint64_t Version =
-      Request.Services.Holds.hold(Upstream, Wanted, Request.Deadline);
+      Request.Services.Holds.hold(Upstream, Wanted, Until);
   return Version > 0 ? std::optional(Version) : std::nullopt;
 }
 
@@ -182,6 +195,8 @@
 
 std::optional<next_target> nextTarget(const forwarded_request &Request,
                                       const attempt_report &Report) {
+  if (Request.Sends >= MostSends)
+    return std::nullopt;
   if (Report.End == attempt_end::AdapterMissing)
     return next_target{false, Request.SentTo.back()};
   if (Request.SentTo.size() >= Request.Route.Attempts)
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -258,9 +258,11 @@
 
 void gateway_host::state::startTasks() {
   for (object_mirror *const Mirror :
-       {&Configurations, &Upstreams, &ReleaseObjects, &Members})
+       {&Configurations, &Upstreams, &ReleaseObjects, &Members}) {
+    Mirror->onAskRelayed([this] { return Hub.hearsLead(); });
     Tasks.repeatVarying("mirror of " + Mirror->kind(),
                         [Mirror] { return Mirror->step(); });
+  }
   Tasks.repeat("membership", MembershipPause, [this] { Hub.keepMembership(); });
   Tasks.repeat("exchange", ExchangePause, [this] {
     for (const adapter_use &Use : Fleet.adaptersInUse())
@@ -331,7 +333,7 @@
   Hub.leave();
   CallerServer->startDrain();
   sleepFor(Settings.DrainDelay);
-  waitForQuiet(Until);
+  // A request that came later on a kept connection might not end in time.
   CallerServer->closeIdle();
   waitForQuiet(Until);
   if (CallerServer->runningExchanges() > 0)
--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -85,7 +85,9 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     From = Cursor;
   }
-  const platform_changes News = Platform.Changes(Kind, From, Settings.HoldOpen);
+  const bool Relayed = IsRelayed && IsRelayed();
+  const platform_changes News = Platform.Changes(
+      Kind, From, Relayed ? Settings.HoldOpenIfRelayed : Settings.HoldOpen);
   bool Any = false;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -16,8 +16,11 @@
 namespace spindle {
 
 struct mirror_settings {
-  /// How long the platform may hold a look at changes open.
-  milliseconds HoldOpen{8'000};
+  /// How long the platform may hold a look at changes open. A look may hear
+  /// nothing although there are changes, so this bounds how late they come.
+  milliseconds HoldOpen{1'000};
+  /// The same while another host tells of what this one does not hear.
+  milliseconds HoldOpenIfRelayed{5'000};
   /// The pause after changes came, so that a busy kind costs few calls.
   milliseconds PauseAfterChange{0};
   milliseconds PauseAfterFailure{250};
@@ -36,6 +39,9 @@
   /// What runs after each change, on the fiber that brought it. Set it before
   /// the first step.
   void onChange(std::function<void()> Hook) { Changed = std::move(Hook); }
+  /// Tells whether another host passes on what it hears. Set it before the
+  /// first step.
+  void onAskRelayed(std::function<bool()> Ask) { IsRelayed = std::move(Ask); }
   /// Lists the kind, or waits for changes. Returns the pause until the next
   /// step. Never throws for a platform that doesn't answer.
   milliseconds step();
@@ -70,6 +76,7 @@
   const std::string Kind;
   const mirror_settings Settings;
   std::function<void()> Changed;
+  std::function<bool()> IsRelayed;
   mutable std::mutex Mutex;
   std::map<std::string, platform_object, std::less<>> Objects;
   bool Known = false;
--- a/Libraries/LibGateway/sync_message.cpp
+++ b/Libraries/LibGateway/sync_message.cpp
@@ -40,6 +40,17 @@
   return Record;
 }
 
+void writeAdapterUse(const adapter_use &Use, host_link::AdapterUse &Message) {
+  Message.set_upstream(Use.Engine.Value);
+  Message.set_model(Use.Adapter.Model);
+  Message.set_adapter(Use.Adapter.Adapter);
+}
+
+adapter_use readAdapterUse(const host_link::AdapterUse &Message) {
+  return {upstream_id{Message.upstream()},
+          {Message.model(), Message.adapter()}};
+}
+
 std::vector<host_link::UpstreamLoad>
 sumLoads(std::span<const host_link::UpstreamLoad> Loads) {
   std::map<std::uint64_t, host_link::UpstreamLoad> Sums;
--- a/Libraries/LibGateway/sync_message.h
+++ b/Libraries/LibGateway/sync_message.h
@@ -2,6 +2,7 @@
 #define PARSLEYSPINDLE_LIBGATEWAY_SYNC_MESSAGE_H
 
 #include "LibGateway/customer_quota.h"
+#include "LibGateway/fleet_table.h"
 #include "LibPeer/Generated/host_link.pb.h"
 #include "LibResilience/crash_suspects.h"
 
@@ -19,6 +20,8 @@
     const google::protobuf::RepeatedPtrField<host_link::CustomerUse> &Messages);
 void writeSuspect(const suspect_record &Record, host_link::Suspect &Message);
 suspect_record readSuspect(const host_link::Suspect &Message);
+void writeAdapterUse(const adapter_use &Use, host_link::AdapterUse &Message);
+adapter_use readAdapterUse(const host_link::AdapterUse &Message);
 /// Adds up the loads of each upstream.
 std::vector<host_link::UpstreamLoad>
 sumLoads(std::span<const host_link::UpstreamLoad> Loads);
--- a/Libraries/LibGateway/upstream_choice.cpp
+++ b/Libraries/LibGateway/upstream_choice.cpp
@@ -1,25 +1,28 @@
 #include "LibGateway/upstream_choice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace spindle {
 
-// Keeps apart idle upstreams of unlike health.
-static constexpr double LeastMilliseconds = 1;
+// How far estimates of the wait err, as a part of the objective.
+static constexpr double ErrorOfObjective = 0.15;
+static constexpr double BytesPerMegabyte = 1e6;
+static constexpr double MillisecondsPerSecond = 1'000;
 
 static double loadMilliseconds(const upstream_candidate &Candidate,
                                const choice_costs &Costs) {
-  switch (Candidate.Adapter) {
-  case adapter_presence::NotNeeded:
-  case adapter_presence::Loaded:
+  if (Candidate.Adapter != adapter_presence::Absent)
     return 0;
-  case adapter_presence::Loading:
-    return Costs.HomeLoadMilliseconds / 2;
-  case adapter_presence::Absent:
-    return Candidate.IsAdapterHome ? Costs.HomeLoadMilliseconds
-                                   : Costs.LoadMilliseconds;
-  }
-  return 0;
+  return Candidate.IsAdapterHome ? Costs.HomeLoadMilliseconds
+                                 : Costs.LoadMilliseconds;
+}
+
+static double loadCost(const upstream_candidate &Candidate,
+                       const choice_costs &Costs) {
+  if (Candidate.Adapter != adapter_presence::Absent)
+    return 0;
+  return Candidate.IsAdapterHome ? Costs.HomeLoad : Costs.Load;
 }
 
 static double plainMilliseconds(const upstream_candidate &Candidate,
@@ -44,21 +47,38 @@
   return Reading + Running + loadMilliseconds(Candidate, Costs) + Zone;
 }
 
+double expectedWorth(double Expected, const choice_request &Request,
+                     const choice_costs &Costs) {
+  const double Error =
+      std::max(1.0, Request.ObjectiveMilliseconds * ErrorOfObjective);
+  const double InTime =
+      1 / (1 + std::exp((Expected - Request.LeftMilliseconds) / Error));
+  return Costs.LateWorth + (1 - Costs.LateWorth) * InTime;
+}
+
+static double valueOf(const upstream_candidate &Candidate, double Expected,
+                      const choice_request &Request,
+                      const choice_costs &Costs) {
+  const double Zone = Candidate.InOwnZone ? 0
+                                          : Request.Bytes / BytesPerMegabyte *
+                                                Costs.OtherZonePerMegabyte;
+  const double Wait = Expected / MillisecondsPerSecond * Costs.WaitPerSecond;
+  return expectedWorth(Expected, Request, Costs) * Candidate.Health -
+         loadCost(Candidate, Costs) - Zone - Wait;
+}
+
 std::optional<upstream_choice>
 chooseUpstream(std::span<const upstream_candidate> Candidates,
                const choice_request &Request, const choice_costs &Costs) {
   std::optional<upstream_choice> Best;
-  double BestWeighted = 0;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     const upstream_candidate &Candidate = Candidates[Index];
     if (Candidate.Health <= 0)
       continue;
     const double Expected = expectedMilliseconds(Candidate, Request, Costs);
-    const double Weighted = (Expected + LeastMilliseconds) / Candidate.Health;
-    if (Best && Weighted >= BestWeighted)
-      continue;
-    Best = upstream_choice{Index, Expected};
-    BestWeighted = Weighted;
+    const double Value = valueOf(Candidate, Expected, Request, Costs);
+    if (!Best || Value > Best->Value)
+      Best = upstream_choice{Index, Expected, Value};
   }
   return Best;
 }
--- a/Libraries/LibGateway/upstream_choice.h
+++ b/Libraries/LibGateway/upstream_choice.h
@@ -11,7 +11,7 @@
 namespace spindle {
 
 /// Whether an engine has the adapter that a request needs.
-enum class adapter_presence { NotNeeded, Loaded, Loading, Absent };
+enum class adapter_presence { NotNeeded, Loaded, Absent };
 
 /// What is known of one upstream that a request might be sent to.
 struct upstream_candidate {
@@ -28,7 +28,8 @@
   std::uint32_t Slots = 1;
   /// Tokens of this request's prompt that the engine has read before.
   std::int64_t CachedTokens = 0;
-  /// From 0, gets nothing, to 1.
+  /// The chance that the upstream serves what it gets, from 0, gets nothing,
+  /// to 1.
   double Health = 1;
 };
 
@@ -38,32 +39,53 @@
   std::int64_t PromptTokens = 0;
   /// How long a plain call usually takes.
   double PlainMilliseconds = 50;
+  /// The latency that callers expect, and what is left of it.
+  double ObjectiveMilliseconds = 1'000;
+  double LeftMilliseconds = 1'000;
+  /// Bytes that cross the border if the upstream is in another zone.
+  double Bytes = 0;
 };
 
+/// What things cost, in parts of what an answer in time is worth.
 struct choice_costs {
+  /// An answer that comes later than callers expect.
+  double LateWorth = 0.3;
+  /// A load from the weight store.
+  double Load = 0.3;
+  /// The same at the adapter's home, which often has a copy in its memory.
+  double HomeLoad = 0.15;
+  double OtherZonePerMegabyte = 3;
+  /// A second of the caller's waiting, where it does not make the answer late.
+  double WaitPerSecond = 0.1;
   /// Tokens of a prompt that an engine reads in a millisecond.
   double ReadTokensPerMillisecond = 38;
   /// What a request that runs there adds to the time until the first token.
-  double PerRequestMilliseconds = 0.3;
-  double LoadMilliseconds = 260;
-  /// At the engine that probably has a copy in its memory.
-  double HomeLoadMilliseconds = 120;
-  /// What leaving the zone costs.
-  double OtherZoneMilliseconds = 90;
+  double PerRequestMilliseconds = 0.5;
+  double LoadMilliseconds = 270;
+  double HomeLoadMilliseconds = 150;
+  double OtherZoneMilliseconds = 4;
 };
 
-/// An upstream and the time to the first token, or the answer, there.
+/// An upstream and what is expected there.
 struct upstream_choice {
   std::size_t Index = 0;
+  /// Time to the first token, or to the answer.
   double ExpectedMilliseconds = 0;
+  /// Expected worth less costs.
+  double Value = 0;
 };
 
 /// The time that a request would wait at \p Candidate. Thread-safe.
 double expectedMilliseconds(const upstream_candidate &Candidate,
                             const choice_request &Request,
                             const choice_costs &Costs);
-/// Chooses the upstream with the least expected time, weighted by health.
-/// None if every candidate's health is 0. Thread-safe.
+/// The worth that is expected of an answer after \p Expected milliseconds, from
+/// LateWorth to 1. The estimate errs, so it falls off smoothly around the
+/// objective. Thread-safe.
+double expectedWorth(double Expected, const choice_request &Request,
+                     const choice_costs &Costs);
+/// Chooses the upstream whose answer is worth most, less what it costs. None if
+/// every candidate's health is 0. Thread-safe.
 std::optional<upstream_choice>
 chooseUpstream(std::span<const upstream_candidate> Candidates,
                const choice_request &Request, const choice_costs &Costs);
--- a/Libraries/LibGateway/zone_hub.cpp
+++ b/Libraries/LibGateway/zone_hub.cpp
@@ -80,6 +80,11 @@
   return Token.has_value();
 }
 
+bool zone_hub::hearsLead() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return !Token && Parts.Clock.now() - LeadHeardAt < HeardLimit;
+}
+
 std::optional<std::uint64_t> zone_hub::fence(std::string_view Zone) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const bool MayOrder = Zone == Self.Zone && Token && *Token != FencedToken &&
@@ -296,15 +301,13 @@
       for (const auto &[Host, Told] : LoadsByPeer)
         if (!Ledger.Peers[Host].IsLead)
           Loads.insert(Loads.end(), Told.begin(), Told.end());
+      for (const auto &[Host, Used] : UsesByHost)
+        for (const adapter_use &Use : Used)
+          writeAdapterUse(Use, *Request.add_adapters());
     }
   }
-  if (!FromLead)
-    for (const adapter_use &Use : Parts.Fleet.adaptersInUse()) {
-      host_link::AdapterUse &Message = *Request.add_adapters();
-      Message.set_upstream(Use.Engine.Value);
-      Message.set_model(Use.Adapter.Model);
-      Message.set_adapter(Use.Adapter.Adapter);
-    }
+  for (const adapter_use &Use : Parts.Fleet.adaptersInUse())
+    writeAdapterUse(Use, *Request.add_adapters());
   writeUses(Uses, *Request.mutable_uses());
   for (const host_link::UpstreamLoad &Load : sumLoads(Loads))
     *Request.add_loads() = Load;
@@ -459,10 +462,11 @@
       (Request.from_lead() ? "from zone " : "host ") + Request.host_name();
   mergeKinds(Peer, Request.kinds());
   mergeSuspectMessages(Request.suspects());
-  if (Parts.OnAdapterUse)
-    for (const host_link::AdapterUse &Use : Request.adapters())
-      Parts.OnAdapterUse(
-          {upstream_id{Use.upstream()}, {Use.model(), Use.adapter()}});
+  std::vector<adapter_use> AdapterUses;
+  for (const host_link::AdapterUse &Use : Request.adapters()) {
+    AdapterUses.push_back(readAdapterUse(Use));
+    Parts.OnAdapterUse(AdapterUses.back());
+  }
   host_link::SyncReply Reply;
   Reply.set_incarnation(Self.Incarnation);
   customer_uses Uses = Parts.Quota.ownUses();
@@ -480,6 +484,7 @@
                            readUses(Request.uses()), 1, false};
       Grown = noteTold(Ledger, Peer, Told, Now);
       LoadsByPeer[Peer] = {Request.loads().begin(), Request.loads().end()};
+      UsesByHost[Peer] = std::move(AdapterUses);
     }
     addUses(Uses, usedByOthers(Ledger, Peer, !Request.from_lead()));
     Reply.set_hosts_heard(
--- a/Libraries/LibGateway/zone_hub.h
+++ b/Libraries/LibGateway/zone_hub.h
@@ -76,6 +76,8 @@
   /// Where the lead of a zone can be asked; none if the zone has none.
   std::optional<endpoint> leadOf(std::string_view Zone) const;
   bool isLead() const;
+  /// Whether another host is lead and has answered lately.
+  bool hearsLead() const;
   /// Where other hosts reach this one.
   const endpoint &link() const { return Self.Link; }
 
@@ -137,6 +139,7 @@
   std::uint64_t SeenIncarnation = 0;
   std::size_t NextAsked = 0;
   std::map<std::string, std::vector<host_link::UpstreamLoad>> LoadsByPeer;
+  std::map<std::string, std::vector<adapter_use>> UsesByHost;
   std::map<std::string, std::map<std::string, std::uint64_t>> PeerCursors;
   crash_suspects Suspects;
   std::map<request_fingerprint, suspect_record> RecentSuspects;
