LibGateway: Load base models into empty engines and pass over silent ones

An adapter was unloaded a moment after its load, before those who waited for it asked again. A dark engine was noticed only by requests that timed out, and a zone that was cut off cost each request 1.7 s.

--- a/Libraries/LibEngine/event_stream_reader.h
+++ b/Libraries/LibEngine/event_stream_reader.h
@@ -14,10 +14,10 @@
   std::string_view Raw;
   /// The event's data, lines joined by LF; empty for comments.
   std::string_view Data;
-  /// The event's id; empty if it has none.
-  std::string_view Id;
   /// Whether the data is "[DONE]".
   bool Done = false;
+  /// The event's id; empty if it has none.
+  std::string_view Id = {};
 };
 
 /// Splits the body of a text/event-stream answer into events, however its
--- a/Libraries/LibGateway/adapter_keeper.cpp
+++ b/Libraries/LibGateway/adapter_keeper.cpp
@@ -14,6 +14,10 @@
 static constexpr milliseconds HoldPause{8};
 static constexpr milliseconds LoadedPause{30};
 static constexpr milliseconds PauseAfterRefusal{60};
+static constexpr milliseconds ModelPause{300};
+static constexpr milliseconds LongestModelLoad{15'000};
+// An engine's registration shows a change within this.
+static constexpr milliseconds RegistrationLag{2'000};
 // Reports are so old at most.
 static constexpr milliseconds ReportLag{450};
 // An engine that did not answer is left alone for so long.
@@ -41,6 +45,8 @@
   time_point AcceptedAt;
   /// No orders are tried until then, since the engine did not answer.
   time_point SilentUntil;
+  /// An order to load a base model was given and is followed.
+  bool ModelPending = false;
   /// Adapters that it had before, which it may have kept in its memory.
   std::set<adapter_name> Had;
 };
@@ -187,7 +193,7 @@
       if (!First)
         noteLoadTook(Clock.now() - Start);
       const std::lock_guard<std::mutex> Lock(Mutex);
-      noteLoaded(Engine.Places, Adapter);
+      noteLoaded(Engine.Places, Adapter, Clock.now());
       return;
     }
     if (Outcome == order_outcome::Fenced ||
@@ -213,7 +219,7 @@
     break;
   case order_outcome::Done: {
     const std::lock_guard<std::mutex> Lock(Mutex);
-    noteLoaded(Engine.Places, Adapter);
+    noteLoaded(Engine.Places, Adapter, Clock.now());
     break;
   }
   case order_outcome::CountDiffers:
@@ -256,7 +262,7 @@
   const std::lock_guard<std::mutex> Lock(Mutex);
   Engine.CountKnown = false;
   Engine.UnloadPending = false;
-  noteLoaded(Engine.Places, Victim);
+  noteLoaded(Engine.Places, Victim, Clock.now());
 }
 
 /// Precondition: Mutex is held.
@@ -326,6 +332,46 @@
     spindle::noteInUse(Found->second->Places, Name, Clock.now() + InUseTerm);
 }
 
+/// The models that the engine may load, and how many may be loaded a second.
+void adapter_keeper::loadModels() {
+  for (const upstream_pointer &Entry : Fleet.all()) {
+    if (Entry->Leaving || !Entry->Models.empty() || !Ports.Fence(Entry->Zone))
+      continue;
+    const std::string Model = Ports.MissingModel(Entry->Service);
+    if (Model.empty())
+      continue;
+    const engine_pointer Engine = engineFor(Entry);
+    if (Engine->ModelPending || isSilent(*Engine) || !Ports.MayLoadModel())
+      continue;
+    Engine->ModelPending = true;
+    Ports.Spawn([this, Engine, Model] { runModelLoad(*Engine, Model); });
+  }
+}
+
+/// Loads a base model into an empty engine, which takes no other order until
+/// it is done. Its registration tells when it is.
+void adapter_keeper::runModelLoad(kept_engine &Engine,
+                                  const std::string &Model) {
+  const loaded_adapter Wanted{{Model, ""}, 0};
+  const time_point Start = Clock.now();
+  bool Started = false;
+  while (Clock.now() - Start < LongestModelLoad) {
+    const order_outcome Outcome =
+        order(Engine, order_action::Load, Wanted, Started);
+    Started = Started || Outcome == order_outcome::Started;
+    if (Outcome == order_outcome::Done || Outcome == order_outcome::Fenced ||
+        Outcome == order_outcome::OtherUpstream)
+      break;
+    sleepFor(ModelPause);
+    const upstream_pointer Entry = Fleet.find(Engine.Entry->Id);
+    if (!Entry || !Entry->Models.empty() ||
+        Entry->StartedAt != Engine.Entry->StartedAt)
+      break;
+  }
+  sleepFor(RegistrationLag);
+  Engine.ModelPending = false;
+}
+
 void adapter_keeper::renewVersions() {
   const std::lock_guard<std::mutex> Lock(Mutex);
   for (const auto &[Id, Engine] : Engines) {
--- a/Libraries/LibGateway/adapter_keeper.h
+++ b/Libraries/LibGateway/adapter_keeper.h
@@ -29,6 +29,11 @@
   std::function<std::uint64_t(const adapter_name &)> NewestVersion;
   /// How many adapters an engine of the service has room for.
   std::function<std::size_t(std::string_view Service)> Capacity;
+  /// The base model that an empty engine of the service should load; empty for
+  /// a service without models.
+  std::function<std::string(std::string_view Service)> MissingModel;
+  /// Whether the weight store may be asked for a base model now; counts it.
+  std::function<bool()> MayLoadModel;
   /// Who this host is, as engines are told.
   std::string Holder;
 };
@@ -54,6 +59,8 @@
   void noteMissing(upstream_id Engine, const adapter_name &Name);
   /// Notes that a host has requests for the adapter under way at the engine.
   void noteInUse(upstream_id Engine, const adapter_name &Name);
+  /// Loads a base model into the zone's engines that have none.
+  void loadModels();
   /// Loads the newest versions of adapters that engines have older ones of.
   void renewVersions();
 
@@ -67,6 +74,7 @@
   order_outcome order(kept_engine &Engine, order_action Action,
                       const loaded_adapter &Adapter, bool IsRepeat);
   void runLoad(kept_engine &Engine, const loaded_adapter &Adapter);
+  void runModelLoad(kept_engine &Engine, const std::string &Model);
   void runUnload(kept_engine &Engine, const loaded_adapter &Victim);
   void waitUntilLoaded(kept_engine &Engine, const loaded_adapter &Adapter);
   bool resync(kept_engine &Engine);
--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -22,6 +22,7 @@
 /// byte, and at least a part of the time that it has.
 constexpr int PatienceInObjectives = 2;
 constexpr int PatiencePartOfTime = 3;
+constexpr milliseconds SuspectSilence{1'500};
 
 bool isSuccess(int Status) {
   return Status >= FirstSuccess && Status < FirstRedirect;
@@ -108,8 +109,8 @@
   }
 }
 
-void passStream(forwarded_request &Request, http_call &Call,
-                load_booking &Booking) {
+void passStream(forwarded_request &Request, const upstream_entry &Upstream,
+                http_call &Call, load_booking &Booking) {
   std::array<char, PartBytes> Part{};
   event_stream_reader Reader;
   const bool Resumable = Request.Route.Resumable;
@@ -118,6 +119,7 @@
   Request.StreamStarted = true;
   while (const std::size_t Count = Call.readSome(Part)) {
     Booking.noteRead();
+    Request.Services.Fleet.noteHeard(Upstream.Id);
     const std::string_view Bytes(Part.data(), Count);
     if (!Resumable) {
       Request.Exchange.writeSome(Bytes);
@@ -139,8 +141,10 @@
 
 /// Deals with an answer's head; reads and passes on the body if it is for the
 /// caller.
-attempt_report passAnswer(forwarded_request &Request, http_call &Call,
+attempt_report passAnswer(forwarded_request &Request,
+                          const upstream_entry &Upstream, http_call &Call,
                           load_booking &Booking, bool LastTry) {
+  Request.Services.Fleet.noteHeard(Upstream.Id);
   const http_response_head Head = Call.head();
   const upstream_answer Answer = Request.Services.Wire.ReadAnswer(Head);
   if (Answer.NotRun || Head.Status == HttpMisdirected) {
@@ -155,7 +159,7 @@
     throw spindle_error(result_code::UpstreamLost,
                         "the answer is not signed by the upstream");
   if (isSuccess(Head.Status) && Request.Route.Kind == call_kind::Stream) {
-    passStream(Request, Call, Booking);
+    passStream(Request, Upstream, Call, Booking);
     return reportOfAnswer(attempt_end::Answered, Head.Status);
   }
   if (Request.StreamStarted)
@@ -173,6 +177,17 @@
   return reportOfAnswer(attempt_end::Answered, Head.Status);
 }
 
+/// A caller that leaves after a long wait for the first byte has probably met
+/// an upstream, or a connection, that says nothing any more.
+void noteIfSilent(forwarded_request &Request, const upstream_entry &Upstream,
+                  time_point SentAt) {
+  if (Request.StreamStarted ||
+      Request.Services.Clock.now() - SentAt < SuspectSilence)
+    return;
+  Request.Services.Client.discardIdle(Upstream.Address);
+  Request.Services.Fleet.noteOutcome(Upstream.Id, call_outcome::Failure);
+}
+
 /// What an error of the client tells of the attempt.
 attempt_end endOf(const forwarded_request &Request,
                   const spindle_error &Error) {
@@ -193,6 +208,7 @@
       describeCall(Request, Upstream, AdapterVersion));
   load_booking Booking(Request, Upstream);
   const bool MayHaveRunBefore = Request.MayHaveRun;
+  const time_point SentAt = Services.Clock.now();
   ++Request.Sends;
   try {
     Request.MayHaveRun = true;
@@ -200,7 +216,8 @@
         Upstream.Address, Head, Request.Body, limitsOf(Request, LastTry),
         connection_use::PooledOnce);
     Request.MayHaveRun = MayHaveRunBefore;
-    const attempt_report Report = passAnswer(Request, *Call, Booking, LastTry);
+    const attempt_report Report =
+        passAnswer(Request, Upstream, *Call, Booking, LastTry);
     const bool IsFailure = Report.Status >= FirstServerError;
     if (Report.End == attempt_end::Answered && !IsFailure)
       Booking.setEnd(run_end::Completed);
@@ -215,8 +232,10 @@
   } catch (const spindle_error &Error) {
     // The caller's own troubles say nothing of the upstream.
     if (Request.Cancellation->reason() ||
-        Error.code() == result_code::CallerTooSlow)
+        Error.code() == result_code::CallerTooSlow) {
+      noteIfSilent(Request, Upstream, SentAt);
       throw;
+    }
     attempt_report Report;
     Report.End = endOf(Request, Error);
     Report.Cause = Error.what();
--- a/Libraries/LibGateway/engine_places.cpp
+++ b/Libraries/LibGateway/engine_places.cpp
@@ -6,6 +6,8 @@
 namespace spindle {
 
 static constexpr std::chrono::duration<double> UseHalfLife{6.0};
+// Those who wait for a load ask again within this.
+static constexpr milliseconds HoldAfterLoad{300};
 
 static double usesNow(const adapter_place &Place, time_point Now) {
   const std::chrono::duration<double> Since = Now - Place.LastUsed;
@@ -85,13 +87,15 @@
   Place->Ordered = true;
 }
 
-void noteLoaded(engine_places &Engine, const loaded_adapter &Adapter) {
+void noteLoaded(engine_places &Engine, const loaded_adapter &Adapter,
+                time_point Now) {
   adapter_place *const Place = find(Engine, Adapter.Name);
   if (!Place)
     return;
   Place->Adapter = Adapter;
   Place->State = place_state::Loaded;
   Place->Ordered = false;
+  Place->HeldUntil = std::max(Place->HeldUntil, Now + HoldAfterLoad);
 }
 
 void noteUnloading(engine_places &Engine, const adapter_name &Name) {
--- a/Libraries/LibGateway/engine_places.h
+++ b/Libraries/LibGateway/engine_places.h
@@ -64,7 +64,9 @@
 /// Notes that an order was given. Not thread-safe.
 void noteLoading(engine_places &Engine, const loaded_adapter &Adapter,
                  time_point Now);
-void noteLoaded(engine_places &Engine, const loaded_adapter &Adapter);
+/// An adapter that was just loaded is held for those who wait for it.
+void noteLoaded(engine_places &Engine, const loaded_adapter &Adapter,
+                time_point Now);
 void noteUnloading(engine_places &Engine, const adapter_name &Name);
 void noteGone(engine_places &Engine, const adapter_name &Name);
 /// The place of an adapter, or null. Not thread-safe.
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -143,11 +143,16 @@
 
 double fleet_table::healthOf(const known_upstream &Known) const {
   static constexpr double HealthIfSilent = 0.3;
+  // An engine that works sends some request's token at least so often, also
+  // while it reads a long prompt.
+  static constexpr milliseconds LongestSilence{1'200};
   const time_point Now = Clock.now();
   const auto Silent = SilentUntil.find(Known.Entry->Zone);
-  const bool IsSilent = Silent != SilentUntil.end() && Silent->second > Now;
+  const bool ZoneIsSilent = Silent != SilentUntil.end() && Silent->second > Now;
+  const bool IsSilent =
+      Known.SilentSince && Now - *Known.SilentSince > LongestSilence;
   return weightOf(Outliers, Known.Entry->Id, Now) *
-         (IsSilent ? HealthIfSilent : 1);
+         (ZoneIsSilent ? HealthIfSilent : 1) * (IsSilent ? HealthIfSilent : 1);
 }
 
 void fleet_table::noteZoneSilent(const std::string &Zone) {
@@ -207,12 +212,21 @@
   const auto Found = Upstreams.find(Id);
   if (Found == Upstreams.end())
     return;
+  if (!Found->second.SilentSince)
+    Found->second.SilentSince = Clock.now();
   ++Found->second.Requests;
   Found->second.UnreadTokens += Request.PromptTokens;
   if (!Request.Adapter.empty())
     ++Found->second.Using[{Request.Model, Request.Adapter}];
 }
 
+void fleet_table::noteHeard(upstream_id Id) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Upstreams.find(Id);
+  if (Found != Upstreams.end())
+    Found->second.SilentSince.reset();
+}
+
 void fleet_table::noteRead(upstream_id Id, std::int64_t UnreadTokens) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Upstreams.find(Id);
@@ -229,6 +243,8 @@
     return;
   if (Found->second.Requests > 0)
     --Found->second.Requests;
+  if (Found->second.Requests == 0)
+    Found->second.SilentSince.reset();
   const auto Using = Found->second.Using.find({Request.Model, Request.Adapter});
   if (Using != Found->second.Using.end() && --Using->second == 0)
     Found->second.Using.erase(Using);
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -70,6 +70,8 @@
   /// noteRead(). Each is followed by one noteDone().
   void noteSent(upstream_id Id, const request_description &Request);
   void noteRead(upstream_id Id, std::int64_t UnreadTokens);
+  /// Notes that something came from the upstream.
+  void noteHeard(upstream_id Id);
   void noteDone(upstream_id Id, const request_description &Request);
   /// Notes that an engine has read a prompt for its adapter.
   void notePrompt(upstream_id Id, const request_description &Request);
@@ -97,6 +99,9 @@
     prompt_memory Prompts;
     std::map<adapter_name, std::uint64_t> Adapters;
     std::map<adapter_name, std::uint32_t> Using;
+    /// When a request was sent after which nothing was heard; none if
+    /// something was heard since the last send.
+    std::optional<time_point> SilentSince;
   };
 
   upstream_candidate candidate(const known_upstream &Known,
--- a/Libraries/LibGateway/gateway_configuration.cpp
+++ b/Libraries/LibGateway/gateway_configuration.cpp
@@ -48,6 +48,15 @@
   return &Configuration.Customers[Found->second];
 }
 
+std::size_t adapterPlaces(const engine_capacity &Engine) {
+  double Places = Engine.AdapterPlaces;
+  for (const engine_model &Model : Engine.Models)
+    if (Model.AdapterMegabytes > 0 && Engine.Megabytes > 0)
+      Places = std::min(Places, (Engine.Megabytes - Model.Megabytes) /
+                                    Model.AdapterMegabytes);
+  return static_cast<std::size_t>(std::max(0.0, Places));
+}
+
 const gateway_service *chooseService(const gateway_configuration &Configuration,
                                      const gateway_route &Route, double Draw) {
   double Sum = 0;
--- a/Libraries/LibGateway/gateway_configuration.h
+++ b/Libraries/LibGateway/gateway_configuration.h
@@ -60,13 +60,29 @@
   }
 };
 
+/// A base model that engines may load.
+struct engine_model {
+  std::string Name;
+  double Megabytes = 0;
+  double AdapterMegabytes = 0;
+};
+
 /// What a service's model engines have room for.
 struct engine_capacity {
   std::uint32_t AdapterPlaces = 0;
   std::uint32_t BatchSlots = 0;
   std::int64_t CacheTokens = 0;
+  /// For models and adapters together.
+  double Megabytes = 0;
+  std::vector<engine_model> Models;
+  /// How many models all engines together may fetch from the weight store.
+  double ModelLoadsPerSecond = 0;
 };
 
+/// How many adapters an engine has room for beside the largest of its models.
+/// Thread-safe.
+std::size_t adapterPlaces(const engine_capacity &Engine);
+
 struct gateway_service {
   std::string Name;
   std::string HealthPath;
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/result_code.h"
 #include "LibGateway/forward_request.h"
 #include "LibGateway/gateway_services.h"
+#include "LibGateway/load_pace.h"
 #include "LibHTTP/http_server.h"
 #include "LibLog/log.h"
 #include "LibPeer/host_link_server.h"
@@ -22,6 +23,10 @@
 constexpr milliseconds ExchangePause{250};
 constexpr milliseconds VersionPause{200};
 constexpr milliseconds UpstreamPause{500};
+constexpr milliseconds ModelPause{300};
+// The leads of zones share the weight store's rate; in most deployments there
+// are no more zones than this.
+constexpr double LeadsThatLoad = 4;
 constexpr milliseconds DrainStep{50};
 // A drain ends only after no request has run for so long.
 constexpr milliseconds QuietBeforeClose{200};
@@ -61,6 +66,7 @@
 
   adapter_keeper_ports keeperPorts();
   host_link_handlers linkHandlers();
+  std::string rarestModel(std::string_view Service) const;
   void applyConfiguration();
   void applyUpstreams();
   void applyReleases();
@@ -87,6 +93,7 @@
   customer_quota Quota;
   release_table Releases;
   repeat_budgets Repeats;
+  load_pace ModelLoads;
   zone_hub Hub;
   adapter_keeper Keeper;
   adapter_holds Holds;
@@ -167,8 +174,12 @@
     const auto Found = Current->Services.find(Service);
     const bool IsEngine =
         Found != Current->Services.end() && Found->second.Engine;
-    return IsEngine ? Found->second.Engine->AdapterPlaces : 0;
+    return IsEngine ? adapterPlaces(*Found->second.Engine) : 0;
   };
+  Result.MissingModel = [this](std::string_view Service) {
+    return rarestModel(Service);
+  };
+  Result.MayLoadModel = [this] { return ModelLoads.take(Clock.now()); };
   Result.Holder = Settings.Name;
   return Result;
 }
@@ -184,6 +195,27 @@
   return Handlers;
 }
 
+/// The model of a service that the fewest engines have.
+std::string gateway_host::state::rarestModel(std::string_view Service) const {
+  const configuration_pointer Current = Configuration.current();
+  if (!Current)
+    return {};
+  const auto Found = Current->Services.find(Service);
+  if (Found == Current->Services.end() || !Found->second.Engine)
+    return {};
+  std::map<std::string, std::size_t> Engines;
+  for (const engine_model &Model : Found->second.Engine->Models)
+    Engines[Model.Name] = 0;
+  for (const upstream_pointer &Entry : Fleet.all())
+    for (const std::string &Model : Entry->Models)
+      ++Engines[Model];
+  const auto Rarest = std::min_element(Engines.begin(), Engines.end(),
+                                       [](const auto &Left, const auto &Right) {
+                                         return Left.second < Right.second;
+                                       });
+  return Rarest == Engines.end() ? std::string() : Rarest->first;
+}
+
 void gateway_host::state::applyConfiguration() {
   const std::optional<platform_object> Object =
       Configurations.find(Ports.Wire.ConfigurationName);
@@ -201,6 +233,11 @@
   }
   if (Current && Next->Version <= Current->Version)
     return;
+  double LoadsPerSecond = 0;
+  for (const auto &[Name, Service] : Next->Services)
+    if (Service.Engine)
+      LoadsPerSecond += Service.Engine->ModelLoadsPerSecond;
+  ModelLoads.setRate(LoadsPerSecond / LeadsThatLoad);
   for (const auto &[Name, Service] : Next->Services)
     if (Service.Engine)
       Fleet.setCacheTokens(
@@ -270,6 +307,7 @@
     Hub.exchange(Settings.Seeds);
     Repeats.setHosts(Hub.fleetHosts());
   });
+  Tasks.repeat("models", ModelPause, [this] { Keeper.loadModels(); });
   Tasks.repeat("registrations", UpstreamPause, [this] {
     if (Upstreams.reachableSince() != time_point())
       applyUpstreams();
--- /dev/null
+++ b/Libraries/LibGateway/load_pace.h
@@ -0,0 +1,27 @@
+#ifndef PARSLEYSPINDLE_LIBGATEWAY_LOAD_PACE_H
+#define PARSLEYSPINDLE_LIBGATEWAY_LOAD_PACE_H
+
+#include "LibCore/runtime_clock.h"
+
+#include <mutex>
+
+namespace spindle {
+
+/// Spaces loads from the weight store so that they stay under a rate.
+/// Thread-safe.
+class load_pace {
+public:
+  /// 0 lets none through.
+  void setRate(double LoadsPerSecond);
+  /// Counts a load that begins now; false if it must wait.
+  bool take(time_point Now);
+
+private:
+  std::mutex Mutex;
+  double PerSecond = 0;
+  time_point Next;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBGATEWAY_LOAD_PACE_H
--- a/Libraries/LibGateway/zone_hub.cpp
+++ b/Libraries/LibGateway/zone_hub.cpp
@@ -348,6 +348,9 @@
                          const host_link::SyncReply &Reply, bool FromOwnLead) {
   mergeKinds(Peer, Reply.kinds());
   mergeSuspectMessages(Reply.suspects());
+  if (FromOwnLead)
+    for (const std::string &Zone : Reply.silent_zones())
+      Parts.Fleet.noteZoneSilent(Zone);
   const customer_uses Uses = readUses(Reply.uses());
   customer_uses Grown;
   std::vector<host_link::UpstreamLoad> Loads(Reply.loads().begin(),
@@ -405,8 +408,13 @@
           Parts.Peers.Sync(Lead, makeRequest(Peer, true), PeerLimit);
       if (Reply.is_lead())
         takeReply(Peer, Reply, false);
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      SilentZones.erase(Zone);
     } catch (const spindle_error &Error) {
       // Its share of the rates counts as unheard until it answers again.
+      Parts.Fleet.noteZoneSilent(Zone);
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      SilentZones.insert(Zone);
       logEvent(log_event::PeerSilent,
                {{"zone", Zone}, {"cause", Error.what()}});
     }
@@ -477,6 +485,8 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     const time_point Now = Parts.Clock.now();
     Reply.set_is_lead(Token.has_value());
+    for (const std::string &Zone : SilentZones)
+      Reply.add_silent_zones(Zone);
     const bool IsOwnHost =
         !Request.from_lead() && Request.sender().zone() == Self.Sender.zone();
     if (Token && IsOwnHost) {
--- a/Libraries/LibGateway/zone_hub.h
+++ b/Libraries/LibGateway/zone_hub.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -138,6 +139,7 @@
   customer_uses SeenFromLead;
   std::uint64_t SeenIncarnation = 0;
   std::size_t NextAsked = 0;
+  std::set<std::string> SilentZones;
   std::map<std::string, std::vector<host_link::UpstreamLoad>> LoadsByPeer;
   std::map<std::string, std::vector<adapter_use>> UsesByHost;
   std::map<std::string, std::map<std::string, std::uint64_t>> PeerCursors;
