LibGateway: Keep the place of an adapter whose replacement was refused

Cause: an order to replace a loaded adapter by its new version was refused while an unload waited for running requests. Orders that were already waiting for their turn did not look for the pending unload. Change: a refused replacement gives the place back its old version, an unclear end leaves it taken until a report tells; orders look for a pending unload after their turn has come; an order for an engine that started anew under its name is not sent; reports are read only after a lost order would show. The new test of the keeper failed before (the engine was overfilled). Conclusion: places are never given up on a guess.

--- a/Libraries/LibGateway/adapter_keeper.cpp
+++ b/Libraries/LibGateway/adapter_keeper.cpp
@@ -41,6 +41,8 @@
   /// An unload waits for requests that run; until it is done the engine takes
   /// no other order.
   bool UnloadPending = false;
+  /// It has started anew under its name, and is empty.
+  bool Restarted = false;
   /// When the last order was accepted; reports of before don't show it.
   time_point AcceptedAt;
   /// No orders are tried until then, since the engine did not answer.
@@ -97,6 +99,8 @@
   try {
     const engine_state State = Ports.Orders.Report(*Engine.Entry, ReportLimit);
     const std::lock_guard<std::mutex> Lock(Mutex);
+    if (State.StartedAt != Engine.Entry->StartedAt)
+      Engine.Restarted = true;
     Engine.OrderCount = State.OrderCount;
     Engine.CountKnown = true;
     reconcile(Engine.Places, State.Loaded, State.Loading, Clock.now());
@@ -138,6 +142,8 @@
     Engine.CountKnown = false;
   if (Outcome != order_outcome::Unknown)
     return;
+  // It may have been accepted just now.
+  Engine.AcceptedAt = Clock.now();
   Engine.SilentUntil = Clock.now() + SilencePause;
   Fleet.noteOutcome(Engine.Entry->Id, call_outcome::Failure);
 }
@@ -148,15 +154,21 @@
                                     bool IsRepeat) {
   const bool IsUnloadRepeat = IsRepeat && Action == order_action::Unload;
   const time_point Start = Clock.now();
+  std::unique_lock<boost::fibers::mutex> Lock(Engine.Ordering);
   while (Engine.UnloadPending && !IsUnloadRepeat &&
-         Clock.now() - Start < LongestLoad)
+         Clock.now() - Start < LongestLoad) {
+    Lock.unlock();
     sleepFor(LoadedPause);
-  const std::lock_guard<boost::fibers::mutex> Lock(Engine.Ordering);
+    Lock.lock();
+  }
   const std::optional<std::uint64_t> Fence = Ports.Fence(Engine.Entry->Zone);
   if (!Fence)
     return order_outcome::Fenced;
   if (!Engine.CountKnown && !resync(Engine))
     return order_outcome::Unknown;
+  // What is known of it was known of its former process.
+  if (Engine.Restarted)
+    return order_outcome::OtherUpstream;
   adapter_order Order;
   Order.Action = Action;
   Order.Adapter = Adapter;
@@ -205,7 +217,7 @@
   }
   const std::lock_guard<std::mutex> Lock(Mutex);
   Engine.CountKnown = false;
-  noteGone(Engine.Places, Adapter.Name);
+  noteUnsettled(Engine.Places, Adapter.Name);
 }
 
 void adapter_keeper::runLoad(kept_engine &Engine,
@@ -229,7 +241,7 @@
     // Until then the adapter counts as loading, so that nobody orders it.
     sleepFor(PauseAfterRefusal);
     const std::lock_guard<std::mutex> Lock(Mutex);
-    noteGone(Engine.Places, Adapter.Name);
+    noteFailed(Engine.Places, Adapter.Name);
     break;
   }
   }
--- a/Libraries/LibGateway/engine_places.cpp
+++ b/Libraries/LibGateway/engine_places.cpp
@@ -82,6 +82,8 @@
     Place->LastUsed = Now;
     Place->Uses = 1;
   }
+  if (Place->State == place_state::Loaded)
+    Place->Replaces = Place->Adapter.Version;
   Place->Adapter = Adapter;
   Place->State = place_state::Loading;
   Place->Ordered = true;
@@ -95,6 +97,7 @@
   Place->Adapter = Adapter;
   Place->State = place_state::Loaded;
   Place->Ordered = false;
+  Place->Replaces.reset();
   Place->HeldUntil = std::max(Place->HeldUntil, Now + HoldAfterLoad);
 }
 
@@ -118,6 +121,25 @@
   });
 }
 
+void noteFailed(engine_places &Engine, const adapter_name &Name) {
+  adapter_place *const Place = find(Engine, Name);
+  if (!Place)
+    return;
+  if (!Place->Replaces) {
+    noteGone(Engine, Name);
+    return;
+  }
+  Place->Adapter.Version = *Place->Replaces;
+  Place->Replaces.reset();
+  Place->State = place_state::Loaded;
+  Place->Ordered = false;
+}
+
+void noteUnsettled(engine_places &Engine, const adapter_name &Name) {
+  if (adapter_place *const Place = find(Engine, Name))
+    Place->Ordered = false;
+}
+
 static bool contains(const std::vector<loaded_adapter> &Adapters,
                      const adapter_name &Name) {
   return std::any_of(
--- a/Libraries/LibGateway/engine_places.h
+++ b/Libraries/LibGateway/engine_places.h
@@ -24,6 +24,8 @@
   /// This host has given an order that is not confirmed yet; until then
   /// reports say nothing new of the place.
   bool Ordered = false;
+  /// The version that is being replaced; it stays if the load fails.
+  std::optional<std::uint64_t> Replaces;
 };
 
 /// The places for adapters in one engine, as the host that gives its orders
@@ -69,6 +71,11 @@
                 time_point Now);
 void noteUnloading(engine_places &Engine, const adapter_name &Name);
 void noteGone(engine_places &Engine, const adapter_name &Name);
+/// Notes that an engine did not accept a load.
+void noteFailed(engine_places &Engine, const adapter_name &Name);
+/// Notes that it is not known how an order ended: the place counts as taken
+/// until a report tells.
+void noteUnsettled(engine_places &Engine, const adapter_name &Name);
 /// The place of an adapter, or null. Not thread-safe.
 const adapter_place *findPlace(const engine_places &Engine,
                                const adapter_name &Name);
--- a/Tests/LibGateway/fake_engine.cpp
+++ b/Tests/LibGateway/fake_engine.cpp
@@ -57,6 +57,11 @@
   Faults = NewFaults;
 }
 
+void fake_engine::refuseNext(int Orders) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  ToRefuse = Orders;
+}
+
 void fake_engine::setRunning(const adapter_name &Adapter, bool IsRunning) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   if (IsRunning)
@@ -131,6 +136,11 @@
   // A repeat of what is under way.
   if (IsLoad ? Loading.contains(Adapter) : Unloading.contains(Adapter))
     return order_outcome::Started;
+  if (ToRefuse > 0) {
+    --ToRefuse;
+    ++Refusals;
+    return order_outcome::CountDiffers;
+  }
   if (!Unloading.empty() ||
       (Order.ExpectedCount && *Order.ExpectedCount != Count)) {
     ++Refusals;
--- a/Tests/LibGateway/fake_engine.h
+++ b/Tests/LibGateway/fake_engine.h
@@ -33,6 +33,8 @@
   order_port port();
   upstream_entry entry() const;
   void setFaults(fake_engine_faults NewFaults);
+  /// Refuses the next orders, this many, as if another came between.
+  void refuseNext(int Orders);
   /// Notes requests that run for the adapter; an unload waits for them.
   void setRunning(const adapter_name &Name, bool Running);
   bool has(const adapter_name &Name);
@@ -70,6 +72,7 @@
   std::deque<std::pair<time_point, engine_state>> Reports;
   bool Overfilled = false;
   std::size_t Refusals = 0;
+  int ToRefuse = 0;
 };
 
 } // namespace spindle
--- a/Tests/LibGateway/test_adapter_keeper.cpp
+++ b/Tests/LibGateway/test_adapter_keeper.cpp
@@ -104,6 +104,24 @@
   REQUIRE_FALSE(Test.Engine.overfilled());
 }
 
+TEST_CASE("a replacement that the engine refuses keeps its place") {
+  kept Test;
+  for (int Number = 0; Number < 3; ++Number)
+    REQUIRE_FALSE(Test.hold(adapter(Number, 1)));
+  Test.Engine.setRunning(adapter(0).Name, true);
+  sleepFor(HoldTerm + milliseconds(100));
+  for (int Number = 1; Number < 3; ++Number)
+    REQUIRE_FALSE(Test.hold(adapter(Number, 1)));
+  Test.Engine.refuseNext(1);
+  Test.hold(adapter(1, 2), milliseconds(50));
+  REQUIRE(Test.hold(adapter(7), milliseconds(200)) ==
+          result_code::AdapterNotLoaded);
+  Test.Engine.setRunning(adapter(0).Name, false);
+  for (int Number = 7; Number < 12; ++Number)
+    Test.hold(adapter(Number), milliseconds(800));
+  REQUIRE_FALSE(Test.Engine.overfilled());
+}
+
 TEST_CASE("orders without an answer, also those carried out late, overfill no "
           "engine") {
   kept Test;
--- a/Tests/LibGateway/test_engine_places.cpp
+++ b/Tests/LibGateway/test_engine_places.cpp
@@ -66,6 +66,19 @@
   REQUIRE(planHold(Engine, adapter(0, 1), Later).Action == hold_action::Held);
 }
 
+TEST_CASE("a load that failed gives its place up, a replacement does not") {
+  engine_places Engine = full(2, Start);
+  noteLoading(Engine, adapter(0, 2), Start);
+  noteFailed(Engine, adapter(0).Name);
+  REQUIRE(findPlace(Engine, adapter(0).Name)->State == place_state::Loaded);
+  REQUIRE(findPlace(Engine, adapter(0).Name)->Adapter.Version == 0);
+  noteGone(Engine, adapter(1).Name);
+  noteLoading(Engine, adapter(5), Start);
+  noteFailed(Engine, adapter(5).Name);
+  REQUIRE_FALSE(findPlace(Engine, adapter(5).Name));
+  REQUIRE(Engine.Places.size() == 1);
+}
+
 TEST_CASE("no history of holds, orders and reports overfills an engine") {
   rc::prop("places never exceed the capacity", [] {
     engine_places Engine;
