LibGateway: Let the estimate of a load fall again and hold adapters shortly

Places stayed held for 1.5 s after each request; one lost answer to an order closed its engine for a second. Change: the first look comes after four fifths of the estimate; holds last 0.8 s and are renewed while requests run; leads tell how many adapters an engine could load, and engines without room are passed over; two lost answers in a row count as silence. Failed holds are logged with their cause.

--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -8,7 +8,7 @@
 namespace spindle {
 
 // A request that is sent at the end of a hold still reaches the engine in it.
-static constexpr milliseconds SendMargin{500};
+static constexpr milliseconds SendMargin{550};
 static constexpr milliseconds LongestWait{1'500};
 // The lead's answer takes so much longer than the load that it waits for.
 static constexpr milliseconds AnswerMargin{150};
@@ -59,7 +59,7 @@
 std::uint64_t adapter_holds::askLead(const upstream_entry &Engine,
                                      const endpoint &Lead,
                                      const loaded_adapter &Wanted,
-                                     time_point Until) {
+                                     time_point Until, bool WaitForRoom) {
   const time_point Asked = Clock.now();
   const milliseconds Wait = std::min(
       LongestWait, std::chrono::duration_cast<milliseconds>(Until - Asked));
@@ -70,6 +70,7 @@
   Request.set_adapter(Wanted.Name.Adapter);
   Request.set_version(Wanted.Version);
   Request.set_wait_ms(std::max<std::int64_t>(0, Wait.count()));
+  Request.set_wait_for_room(WaitForRoom);
   Request.set_missing(takeMissing(Engine, Wanted.Name));
   host_link::HoldAdapterReply Reply;
   try {
@@ -80,6 +81,8 @@
     Fleet.noteZoneSilent(Engine.Zone);
     return relyOnRegistration(Engine, Wanted);
   }
+  if (!Reply.held())
+    Fleet.noteRoom({Engine.Id, 0});
   if (!Reply.held())
     throw spindle_error(result_code::AdapterNotLoaded, Reply.message());
   remember(Engine, {Wanted.Name, Reply.version()}, Asked);
@@ -88,7 +91,7 @@
 
 std::uint64_t adapter_holds::hold(const upstream_entry &Engine,
                                   const loaded_adapter &Wanted,
-                                  time_point Until) {
+                                  time_point Until, bool WaitForRoom) {
   const time_point Now = Clock.now();
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -100,14 +103,15 @@
   if (Hub.fence(Engine.Zone)) {
     if (takeMissing(Engine, Wanted.Name))
       Keeper.noteMissing(Engine.Id, Wanted.Name);
-    const loaded_adapter There = Keeper.hold(Engine.Id, Wanted, Until);
+    const loaded_adapter There =
+        Keeper.hold(Engine.Id, Wanted, Until, WaitForRoom);
     remember(Engine, There, Now);
     return There.Version;
   }
   const std::optional<endpoint> Lead = Hub.leadOf(Engine.Zone);
   if (!Lead || *Lead == Hub.link())
     return relyOnRegistration(Engine, Wanted);
-  return askLead(Engine, *Lead, Wanted, Until);
+  return askLead(Engine, *Lead, Wanted, Until, WaitForRoom);
 }
 
 host_link::HoldAdapterReply
@@ -118,9 +122,9 @@
   if (Request.missing())
     Keeper.noteMissing(upstream_id::ofName(Request.upstream()), Wanted.Name);
   try {
-    const loaded_adapter There =
-        Keeper.hold(upstream_id::ofName(Request.upstream()), Wanted,
-                    Clock.now() + milliseconds(Request.wait_ms()));
+    const loaded_adapter There = Keeper.hold(
+        upstream_id::ofName(Request.upstream()), Wanted,
+        Clock.now() + milliseconds(Request.wait_ms()), Request.wait_for_room());
     Reply.set_held(true);
     Reply.set_term_ms(HoldTerm.count());
     Reply.set_version(There.Version);
--- a/Libraries/LibGateway/adapter_holds.h
+++ b/Libraries/LibGateway/adapter_holds.h
@@ -25,9 +25,10 @@
   /// Returns the version that the engine has, at least \p Wanted's. Blocks the
   /// fiber until \p Until at most. If the zone's lead does not answer, what
   /// the engine has registered is relied on.
+  /// If every adapter there is in use, it waits only with \p WaitForRoom.
   /// \throws spindle_error AdapterNotLoaded, NotOwner, NoUpstream.
   std::uint64_t hold(const upstream_entry &Engine, const loaded_adapter &Wanted,
-                     time_point Until);
+                     time_point Until, bool WaitForRoom);
   /// Notes that the engine refused a request for the adapter.
   void forget(const upstream_entry &Engine, const adapter_name &Name);
   /// Serves a peer. May block the fiber.
@@ -43,7 +44,8 @@
 
   bool takeMissing(const upstream_entry &Engine, const adapter_name &Name);
   std::uint64_t askLead(const upstream_entry &Engine, const endpoint &Lead,
-                        const loaded_adapter &Wanted, time_point Until);
+                        const loaded_adapter &Wanted, time_point Until,
+                        bool WaitForRoom);
   std::uint64_t relyOnRegistration(const upstream_entry &Engine,
                                    const loaded_adapter &Wanted) const;
   void remember(const upstream_entry &Engine, const loaded_adapter &Adapter,
--- a/Libraries/LibGateway/adapter_keeper.cpp
+++ b/Libraries/LibGateway/adapter_keeper.cpp
@@ -9,7 +9,7 @@
 
 namespace spindle {
 
-static constexpr milliseconds OrderLimit{400};
+static constexpr milliseconds OrderLimit{250};
 static constexpr milliseconds ReportLimit{500};
 static constexpr milliseconds HoldPause{8};
 static constexpr milliseconds LoadedPause{30};
@@ -22,8 +22,10 @@
 static constexpr milliseconds ReportLag{450};
 // An engine that did not answer is left alone for so long.
 static constexpr milliseconds SilencePause{1'000};
+// Single answers get lost; an engine that is silent answers none.
+static constexpr std::uint32_t UnansweredIfSilent = 2;
 // Hosts repeat what runs more often than this.
-static constexpr milliseconds InUseTerm{900};
+static constexpr milliseconds InUseTerm{700};
 // An engine that is ordered again tells at once whether it is done; it may
 // need far longer than usual while many loads run.
 static constexpr milliseconds LongestLoad{5'000};
@@ -47,6 +49,8 @@
   time_point AcceptedAt;
   /// No orders are tried until then, since the engine did not answer.
   time_point SilentUntil;
+  /// Orders in a row that got no answer.
+  std::uint32_t Unanswered = 0;
   /// An order to load a base model was given and is followed.
   bool ModelPending = false;
   /// Adapters that it had before, which it may have kept in its memory.
@@ -85,9 +89,12 @@
 
 void adapter_keeper::noteLoadTook(nanoseconds Took) {
   static constexpr double NewWeight = 0.2;
+  static constexpr double MostMilliseconds = 600;
   const std::chrono::duration<double, std::milli> Milliseconds = Took;
   const std::lock_guard<std::mutex> Lock(Mutex);
-  LoadMilliseconds += (Milliseconds.count() - LoadMilliseconds) * NewWeight;
+  LoadMilliseconds +=
+      (std::min(Milliseconds.count(), MostMilliseconds) - LoadMilliseconds) *
+      NewWeight;
 }
 
 /// Reads the engine's count of orders and what it has, once its reports show
@@ -140,10 +147,14 @@
   if (Outcome == order_outcome::CountDiffers ||
       Outcome == order_outcome::Unknown)
     Engine.CountKnown = false;
-  if (Outcome != order_outcome::Unknown)
+  if (Outcome != order_outcome::Unknown) {
+    Engine.Unanswered = 0;
     return;
+  }
   // It may have been accepted just now.
   Engine.AcceptedAt = Clock.now();
+  if (++Engine.Unanswered < UnansweredIfSilent)
+    return;
   Engine.SilentUntil = Clock.now() + SilencePause;
   Fleet.noteOutcome(Engine.Entry->Id, call_outcome::Failure);
 }
@@ -191,18 +202,19 @@
   return Outcome;
 }
 
-/// Asks again until the engine says that it has the adapter.
+/// Asks again until the engine says that it has the adapter. The first look
+/// comes before the load usually ends, so that the estimate can fall as well.
 void adapter_keeper::waitUntilLoaded(kept_engine &Engine,
                                      const loaded_adapter &Adapter) {
   const time_point Start = Clock.now();
   const bool HadBefore = !Engine.Had.insert(Adapter.Name).second;
-  sleepFor(HadBefore ? FirstLook : loadEstimate());
-  bool First = HadBefore;
+  sleepFor(HadBefore ? FirstLook : loadEstimate() * 4 / 5);
+  bool IsUsual = !HadBefore;
   while (Clock.now() - Start < LongestLoad) {
     const order_outcome Outcome =
         order(Engine, order_action::Load, Adapter, true);
     if (Outcome == order_outcome::Done) {
-      if (!First)
+      if (IsUsual)
         noteLoadTook(Clock.now() - Start);
       const std::lock_guard<std::mutex> Lock(Mutex);
       noteLoaded(Engine.Places, Adapter, Clock.now());
@@ -211,9 +223,8 @@
     if (Outcome == order_outcome::Fenced ||
         Outcome == order_outcome::OtherUpstream)
       break;
-    const milliseconds Usual = loadEstimate() - FirstLook;
-    sleepFor(First ? std::max(LoadedPause, Usual) : LoadedPause);
-    First = false;
+    IsUsual = IsUsual && Outcome == order_outcome::Started;
+    sleepFor(LoadedPause);
   }
   const std::lock_guard<std::mutex> Lock(Mutex);
   Engine.CountKnown = false;
@@ -293,7 +304,7 @@
 
 loaded_adapter adapter_keeper::hold(upstream_id Id,
                                     const loaded_adapter &Wanted,
-                                    time_point Until) {
+                                    time_point Until, bool WaitForRoom) {
   while (true) {
     const upstream_pointer Entry = Fleet.find(Id);
     if (!Entry || Entry->Leaving)
@@ -302,12 +313,14 @@
       throw spindle_error(result_code::NotOwner,
                           "this host gives no orders in zone " + Entry->Zone);
     const engine_pointer Engine = engineFor(Entry);
+    bool NoRoom = false;
     if (!makeKnown(*Engine))
       throw spindle_error(result_code::AdapterNotLoaded,
                           "the engine does not answer");
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
       const hold_plan Plan = planHold(Engine->Places, Wanted, Clock.now());
+      NoRoom = Plan.Action == hold_action::NoRoom;
       if (Plan.Action == hold_action::Held)
         return findPlace(Engine->Places, Wanted.Name)->Adapter;
       if (isSilent(*Engine))
@@ -318,6 +331,9 @@
       if (Plan.Action == hold_action::Unload)
         startUnload(Engine, *Plan.Victim);
     }
+    if (NoRoom && !WaitForRoom)
+      throw spindle_error(result_code::AdapterNotLoaded,
+                          "every adapter of the engine is in use");
     if (Clock.now() >= Until)
       throw spindle_error(result_code::AdapterNotLoaded,
                           "the adapter was not loaded in time");
@@ -325,6 +341,15 @@
   }
 }
 
+std::vector<engine_room> adapter_keeper::rooms() const {
+  std::vector<engine_room> Rooms;
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  for (const auto &[Id, Engine] : Engines)
+    if (Ports.Fence(Engine->Entry->Zone))
+      Rooms.push_back({Id, roomOf(Engine->Places, Clock.now())});
+  return Rooms;
+}
+
 void adapter_keeper::noteMissing(upstream_id Id, const adapter_name &Name) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Engines.find(Id);
--- a/Libraries/LibGateway/adapter_keeper.h
+++ b/Libraries/LibGateway/adapter_keeper.h
@@ -51,9 +51,12 @@
 
   /// Sees to it that the engine has the adapter for HoldTerm from now, at
   /// \p Wanted's version or a newer one, and returns which. Blocks the fiber
-  /// until \p Until. \throws spindle_error NotOwner, AdapterNotLoaded.
+  /// until \p Until; if every adapter there is in use, only with
+  /// \p WaitForRoom. \throws spindle_error NotOwner, AdapterNotLoaded.
   loaded_adapter hold(upstream_id Engine, const loaded_adapter &Wanted,
-                      time_point Until);
+                      time_point Until, bool WaitForRoom);
+  /// How many adapters each engine that this host orders could load now.
+  std::vector<engine_room> rooms() const;
   /// Notes that the engine has refused a request because the adapter is not
   /// there.
   void noteMissing(upstream_id Engine, const adapter_name &Name);
--- a/Libraries/LibGateway/engine_places.cpp
+++ b/Libraries/LibGateway/engine_places.cpp
@@ -140,6 +140,16 @@
     Place->Ordered = false;
 }
 
+std::size_t roomOf(const engine_places &Engine, time_point Now) {
+  const auto InUse = std::count_if(
+      Engine.Places.begin(), Engine.Places.end(),
+      [Now](const adapter_place &Place) {
+        return Place.State != place_state::Loaded || Place.HeldUntil > Now;
+      });
+  const std::size_t Taken = static_cast<std::size_t>(InUse);
+  return Engine.Capacity > Taken ? Engine.Capacity - Taken : 0;
+}
+
 static bool contains(const std::vector<loaded_adapter> &Adapters,
                      const adapter_name &Name) {
   return std::any_of(
--- a/Libraries/LibGateway/engine_places.h
+++ b/Libraries/LibGateway/engine_places.h
@@ -55,7 +55,7 @@
 };
 
 /// How long a host may rely on an adapter that it was told is held.
-inline constexpr milliseconds HoldTerm{1'500};
+inline constexpr milliseconds HoldTerm{800};
 /// Loads that an engine carries out at the same time.
 inline constexpr std::size_t MostLoadsAtOnce = 4;
 
@@ -83,6 +83,8 @@
 /// until \p Until at least. Not thread-safe.
 void noteInUse(engine_places &Engine, const adapter_name &Name,
                time_point Until);
+/// How many adapters could be loaded now. Not thread-safe.
+std::size_t roomOf(const engine_places &Engine, time_point Now);
 /// Takes over what the engine reports, but for places that are ordered.
 /// Not thread-safe.
 void reconcile(engine_places &Engine, const std::vector<loaded_adapter> &Loaded,
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -173,6 +173,7 @@
   if (!Query.Model)
     return Candidate;
   Candidate.Adapter = presenceOf(Known.Adapters, Query);
+  Candidate.HasRoom = Known.Room > 0 || Known.RoomUntil <= Clock.now();
   Candidate.CachedTokens = Known.Prompts.keptTokens(*Query.Model);
   return Candidate;
 }
@@ -275,15 +276,40 @@
                                                   : std::string()}});
 }
 
+// Leads tell of rooms more often than this.
+static constexpr milliseconds RoomTerm{900};
+
+void fleet_table::noteRoom(const engine_room &Room) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Upstreams.find(Room.Engine);
+  if (Found == Upstreams.end())
+    return;
+  Found->second.Room = Room.Room;
+  Found->second.RoomUntil = Clock.now() + RoomTerm;
+}
+
+std::vector<engine_room>
+fleet_table::roomsOutside(std::string_view Zone) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::vector<engine_room> Rooms;
+  for (const auto &[Id, Known] : Upstreams)
+    if (Known.Entry->Zone != Zone && Known.RoomUntil > Clock.now())
+      Rooms.push_back({Id, Known.Room});
+  return Rooms;
+}
+
 void fleet_table::noteAdapter(upstream_id Id, const loaded_adapter &Adapter,
                               bool Present) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Upstreams.find(Id);
   if (Found == Upstreams.end())
     return;
-  if (Present)
+  if (Present) {
+    const bool IsNew = !Found->second.Adapters.contains(Adapter.Name);
     Found->second.Adapters[Adapter.Name] = Adapter.Version;
-  else
+    if (IsNew && Found->second.Room > 0)
+      --Found->second.Room;
+  } else
     Found->second.Adapters.erase(Adapter.Name);
 }
 
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -47,6 +47,12 @@
   adapter_name Adapter;
 };
 
+/// How many adapters an engine could load now.
+struct engine_room {
+  upstream_id Engine;
+  std::size_t Room = 0;
+};
+
 /// What this host knows of upstreams: who is there, what is under way, what
 /// prompts were read where, who fails. Thread-safe in every method; no method
 /// blocks.
@@ -82,6 +88,10 @@
   /// Notes which adapter an engine has, before its registration tells.
   void noteAdapter(upstream_id Id, const loaded_adapter &Adapter, bool Present);
 
+  /// Notes how many adapters an engine could load now.
+  void noteRoom(const engine_room &Room);
+  /// The rooms that were told lately of engines outside \p Zone.
+  std::vector<engine_room> roomsOutside(std::string_view Zone) const;
   /// What this host has under way.
   std::vector<host_link::UpstreamLoad> ownLoads() const;
   /// The adapters that requests of this host use at present.
@@ -102,6 +112,9 @@
     /// When a request was sent after which nothing was heard; none if
     /// something was heard since the last send.
     std::optional<time_point> SilentSince;
+    std::size_t Room = 0;
+    /// Until when Room is believed; unknown room counts as some.
+    time_point RoomUntil;
   };
 
   upstream_candidate candidate(const known_upstream &Known,
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds DefaultTimeout{30'000};
 /// Upstreams that are tried without a byte of the request having left.
 constexpr std::size_t MostUnreachable = 4;
+/// Engines whose adapters are all in use are passed over, so many at most.
+constexpr std::size_t EnginesWithoutWait = 2;
 /// An attempt that has less time than this can't succeed.
 constexpr milliseconds LeastTime{5};
 /// What an answer adds to the bytes that cross a zone's border.
@@ -148,8 +150,10 @@
   const loaded_adapter Wanted{Name, Request.Services.Releases.newest(Name)};
   const time_point Until =
       std::min(Request.Deadline, Request.Services.Clock.now() + LongestHold);
+  // The last engine that is tried is waited for.
+  const bool WaitForRoom = Request.Avoid.size() >= EnginesWithoutWait;
   const std::uint64_t Version =
-      Request.Services.Holds.hold(Upstream, Wanted, Until);
+      Request.Services.Holds.hold(Upstream, Wanted, Until, WaitForRoom);
   return Version > 0 ? std::optional(Version) : std::nullopt;
 }
 
@@ -253,6 +257,13 @@
   try {
     Version = holdAdapter(Request, *Chosen->Upstream);
   } catch (const spindle_error &Error) {
+    logEvent(log_event::AdapterHoldFailed,
+             {{"request", Request.Description.AttemptId},
+              {"upstream", Chosen->Upstream->Name},
+              {"adapter", Request.Description.Adapter},
+              {"expected_ms", std::to_string(Chosen->ExpectedMilliseconds)},
+              {"left_ms", std::to_string(Request.timeLeft().count())},
+              {"cause", Error.what()}});
     Request.Avoid.push_back(Chosen->Upstream->Id);
     if (Target.Only || Request.Avoid.size() > MostUnreachable) {
       endWithoutAnother(Error.what());
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -134,7 +134,8 @@
            {&Configurations, &Upstreams, &ReleaseObjects, &Members},
            [this](const adapter_use &Use) {
              Keeper.noteInUse(Use.Engine, Use.Adapter);
-           }}),
+           },
+           [this] { return Keeper.rooms(); }}),
       Keeper(Clock, Fleet, keeperPorts()),
       Holds(Clock, Fleet, Hub, Keeper, Link, Self),
       Services{Clock, Ports.Wire, Metrics, Client,   Configuration, Fleet,
@@ -304,6 +305,8 @@
   Tasks.repeat("exchange", ExchangePause, [this] {
     for (const adapter_use &Use : Fleet.adaptersInUse())
       Keeper.noteInUse(Use.Engine, Use.Adapter);
+    for (const engine_room &Room : Keeper.rooms())
+      Fleet.noteRoom(Room);
     Hub.exchange(Settings.Seeds);
     Repeats.setHosts(Hub.fleetHosts());
   });
--- a/Libraries/LibGateway/sync_message.cpp
+++ b/Libraries/LibGateway/sync_message.cpp
@@ -51,6 +51,16 @@
           {Message.model(), Message.adapter()}};
 }
 
+void writeRooms(
+    const std::vector<engine_room> &Rooms,
+    google::protobuf::RepeatedPtrField<host_link::EngineRoom> &Messages) {
+  for (const engine_room &Room : Rooms) {
+    host_link::EngineRoom &Message = *Messages.Add();
+    Message.set_upstream(Room.Engine.Value);
+    Message.set_room(static_cast<std::uint32_t>(Room.Room));
+  }
+}
+
 std::vector<host_link::UpstreamLoad>
 sumLoads(std::span<const host_link::UpstreamLoad> Loads) {
   std::map<std::uint64_t, host_link::UpstreamLoad> Sums;
--- a/Libraries/LibGateway/sync_message.h
+++ b/Libraries/LibGateway/sync_message.h
@@ -22,6 +22,9 @@
 suspect_record readSuspect(const host_link::Suspect &Message);
 void writeAdapterUse(const adapter_use &Use, host_link::AdapterUse &Message);
 adapter_use readAdapterUse(const host_link::AdapterUse &Message);
+void writeRooms(
+    const std::vector<engine_room> &Rooms,
+    google::protobuf::RepeatedPtrField<host_link::EngineRoom> &Messages);
 /// Adds up the loads of each upstream.
 std::vector<host_link::UpstreamLoad>
 sumLoads(std::span<const host_link::UpstreamLoad> Loads);
--- a/Libraries/LibGateway/upstream_choice.cpp
+++ b/Libraries/LibGateway/upstream_choice.cpp
@@ -14,8 +14,9 @@
                                const choice_costs &Costs) {
   if (Candidate.Adapter != adapter_presence::Absent)
     return 0;
-  return Candidate.IsAdapterHome ? Costs.HomeLoadMilliseconds
-                                 : Costs.LoadMilliseconds;
+  const double Room = Candidate.HasRoom ? 0 : Costs.NoRoomMilliseconds;
+  return Room + (Candidate.IsAdapterHome ? Costs.HomeLoadMilliseconds
+                                         : Costs.LoadMilliseconds);
 }
 
 static double loadCost(const upstream_candidate &Candidate,
--- a/Libraries/LibGateway/upstream_choice.h
+++ b/Libraries/LibGateway/upstream_choice.h
@@ -18,6 +18,8 @@
   upstream_id Id;
   bool InOwnZone = false;
   adapter_presence Adapter = adapter_presence::NotNeeded;
+  /// Whether the engine could load another adapter now.
+  bool HasRoom = true;
   /// The engine that all hosts prefer for this adapter while it is absent, so
   /// that copies in an engine's memory are found again.
   bool IsAdapterHome = false;
@@ -63,6 +65,8 @@
   double PerRequestMilliseconds = 0.5;
   double LoadMilliseconds = 270;
   double HomeLoadMilliseconds = 150;
+  /// Until an adapter can be unloaded, if all are in use.
+  double NoRoomMilliseconds = 700;
   double OtherZoneMilliseconds = 4;
 };
 
--- a/Libraries/LibGateway/zone_hub.cpp
+++ b/Libraries/LibGateway/zone_hub.cpp
@@ -308,6 +308,8 @@
   }
   for (const adapter_use &Use : Parts.Fleet.adaptersInUse())
     writeAdapterUse(Use, *Request.add_adapters());
+  if (FromLead)
+    writeRooms(Parts.Rooms(), *Request.mutable_rooms());
   writeUses(Uses, *Request.mutable_uses());
   for (const host_link::UpstreamLoad &Load : sumLoads(Loads))
     *Request.add_loads() = Load;
@@ -351,6 +353,8 @@
   if (FromOwnLead)
     for (const std::string &Zone : Reply.silent_zones())
       Parts.Fleet.noteZoneSilent(Zone);
+  for (const host_link::EngineRoom &Room : Reply.rooms())
+    Parts.Fleet.noteRoom({upstream_id{Room.upstream()}, Room.room()});
   const customer_uses Uses = readUses(Reply.uses());
   customer_uses Grown;
   std::vector<host_link::UpstreamLoad> Loads(Reply.loads().begin(),
@@ -475,7 +479,12 @@
     AdapterUses.push_back(readAdapterUse(Use));
     Parts.OnAdapterUse(AdapterUses.back());
   }
+  for (const host_link::EngineRoom &Room : Request.rooms())
+    Parts.Fleet.noteRoom({upstream_id{Room.upstream()}, Room.room()});
   host_link::SyncReply Reply;
+  writeRooms(Parts.Rooms(), *Reply.mutable_rooms());
+  if (!Request.from_lead())
+    writeRooms(Parts.Fleet.roomsOutside(Self.Zone), *Reply.mutable_rooms());
   Reply.set_incarnation(Self.Incarnation);
   customer_uses Uses = Parts.Quota.ownUses();
   std::vector<host_link::UpstreamLoad> Loads = Parts.Fleet.ownLoads();
--- a/Libraries/LibGateway/zone_hub.h
+++ b/Libraries/LibGateway/zone_hub.h
@@ -43,6 +43,8 @@
   std::vector<object_mirror *> Mirrors;
   /// Told of the adapters that other hosts use.
   std::function<void(const adapter_use &)> OnAdapterUse;
+  /// The rooms of the engines that this host orders.
+  std::function<std::vector<engine_room>()> Rooms;
 };
 
 /// Keeps the zone's hosts in step. One host of each zone is its lead: it holds
--- a/Tests/LibGateway/fake_engine.cpp
+++ b/Tests/LibGateway/fake_engine.cpp
@@ -4,7 +4,6 @@
 
 namespace spindle {
 
-static constexpr milliseconds LoadTime{40};
 static constexpr milliseconds ReportLag{60};
 
 fake_engine::fake_engine(const runtime_clock &Clock, std::string Name,
@@ -156,7 +155,7 @@
     const bool IsReplacement = Loaded.contains(Adapter);
     Overfilled = Overfilled ||
                  (!IsReplacement && Loaded.size() + Loading.size() >= Capacity);
-    Loading[Adapter] = {Order.Adapter.Version, Clock.now() + LoadTime};
+    Loading[Adapter] = {Order.Adapter.Version, Clock.now() + Faults.LoadTime};
     return order_outcome::Started;
   }
   if (Running.contains(Adapter)) {
--- a/Tests/LibGateway/fake_engine.h
+++ b/Tests/LibGateway/fake_engine.h
@@ -19,6 +19,7 @@
   /// How much later these are carried out.
   milliseconds AppliedLate{0};
   bool Dark = false;
+  milliseconds LoadTime{40};
 };
 
 /// A model engine that takes orders as the platform's engines do: it counts
--- a/Tests/LibGateway/test_adapter_keeper.cpp
+++ b/Tests/LibGateway/test_adapter_keeper.cpp
@@ -54,7 +54,7 @@
     std::optional<result_code> Failure;
     Runtime.runBlocking([&] {
       try {
-        Keeper.hold(Id, Wanted, Clock.now() + Limit);
+        Keeper.hold(Id, Wanted, Clock.now() + Limit, true);
       } catch (const spindle_error &Error) {
         Failure = Error.code();
       }
@@ -125,7 +125,10 @@
 TEST_CASE("orders without an answer, also those carried out late, overfill no "
           "engine") {
   kept Test;
-  Test.Engine.setFaults({0.4, milliseconds(300), false});
+  fake_engine_faults Faults;
+  Faults.LoseAnswers = 0.4;
+  Faults.AppliedLate = milliseconds(300);
+  Test.Engine.setFaults(Faults);
   for (int Number = 0; Number < 12; ++Number)
     Test.hold(adapter(Number % 5), milliseconds(900));
   Test.Engine.setFaults({});
@@ -135,11 +138,29 @@
   REQUIRE(Test.Engine.has(adapter(9).Name));
 }
 
+TEST_CASE("holds are quick again after a time in which loads were slow") {
+  kept Test;
+  fake_engine_faults Faults;
+  Faults.LoadTime = milliseconds(500);
+  Test.Engine.setFaults(Faults);
+  for (int Number = 0; Number < 8; ++Number)
+    Test.hold(adapter(Number), milliseconds(2'000));
+  Test.Engine.setFaults({});
+  for (int Number = 20; Number < 40; ++Number)
+    Test.hold(adapter(Number), milliseconds(2'000));
+  sleepFor(HoldTerm + milliseconds(100));
+  const time_point Start = Test.Clock.now();
+  REQUIRE_FALSE(Test.hold(adapter(50)));
+  REQUIRE(Test.Clock.now() - Start < milliseconds(250));
+}
+
 TEST_CASE("an engine that does not answer is given up at once") {
   kept Test;
   REQUIRE_FALSE(Test.hold(adapter(1)));
-  Test.Engine.setFaults({0, milliseconds(0), true});
-  Test.hold(adapter(2), milliseconds(100));
+  fake_engine_faults Faults;
+  Faults.Dark = true;
+  Test.Engine.setFaults(Faults);
+  Test.hold(adapter(2), milliseconds(600));
   const time_point Start = Test.Clock.now();
   REQUIRE(Test.hold(adapter(3)) == result_code::AdapterNotLoaded);
   REQUIRE(Test.Clock.now() - Start < milliseconds(200));
@@ -170,8 +191,8 @@
   Test.Runtime.runBlocking([&] { Test.Keeper.renewVersions(); });
   loaded_adapter There;
   Test.Runtime.runBlocking([&] {
-    There =
-        Test.Keeper.hold(Test.Id, adapter(1, 2), Test.Clock.now() + seconds(5));
+    There = Test.Keeper.hold(Test.Id, adapter(1, 2),
+                             Test.Clock.now() + seconds(5), true);
   });
   REQUIRE(There.Version == 2);
 }
--- a/Tests/LibGateway/test_zone_hub.cpp
+++ b/Tests/LibGateway/test_zone_hub.cpp
@@ -43,7 +43,8 @@
              Quota,
              Members,
              {&Things, &Members},
-             [this](const adapter_use &Use) { Uses.push_back(Use); }}) {
+             [this](const adapter_use &Use) { Uses.push_back(Use); },
+             [this] { return Rooms; }}) {
     Fleet.Hosts[Link] = this;
     gateway_configuration Configuration;
     gateway_customer Customer;
@@ -79,6 +80,7 @@
   customer_quota Quota;
   const endpoint Link;
   std::vector<adapter_use> Uses;
+  std::vector<engine_room> Rooms;
   bool PlatformCut = false;
   zone_hub Hub;
 };
