LibGateway: Give the share of a host that is gone to the others

Change: a zone's lead removes a host that told it nothing for 8 s. Conclusion: a cut that lasts longer than 8 s lets both sides have the share of the cut host, one part of the fleet, which the bound on quotas allows.

--- a/Libraries/LibGateway/zone_hub.cpp
+++ b/Libraries/LibGateway/zone_hub.cpp
@@ -23,7 +23,7 @@
 // engines take the turns of two holders that are further apart.
 static constexpr milliseconds WaitAfterTakeover{3'000};
 // A host that was not heard of for so long is removed from the register.
-static constexpr milliseconds ForgetHost{15'000};
+static constexpr milliseconds ForgetHost{8'000};
 
 zone_hub::zone_hub(hub_identity Self, hub_parts Parts)
     : Self(std::move(Self)), Parts(std::move(Parts)) {}
@@ -190,10 +190,45 @@
   if (Token == Lead->Revision)
     return;
   Token = Lead->Revision;
+  LeadSince = Parts.Clock.now();
   logEvent(log_event::ZoneLeadTaken,
            {{"zone", Self.Zone}, {"token", std::to_string(*Token)}});
 }
 
+/// The registered hosts of the zone that have told this lead nothing for long.
+std::vector<platform_object> zone_hub::lostHosts() const {
+  const std::vector<platform_object> Members = Parts.Members.objects();
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::vector<platform_object> Lost;
+  const time_point Before = Parts.Clock.now() - ForgetHost;
+  if (!Token || LeadSince > Before)
+    return Lost;
+  for (const platform_object &Object : Members) {
+    if (!Object.Name.starts_with(HostPrefix))
+      continue;
+    const nlohmann::json Body =
+        nlohmann::json::parse(Object.Body, nullptr, false);
+    const std::string Name = Object.Name.substr(HostPrefix.size());
+    if (!Body.is_object() || Body.value("zone", "") != Self.Zone ||
+        Name == Self.Name)
+      continue;
+    const auto Account = Ledger.Peers.find("host " + Name);
+    if (Account == Ledger.Peers.end() || Account->second.HeardAt < Before)
+      Lost.push_back(Object);
+  }
+  return Lost;
+}
+
+/// Removes hosts that are gone from the register, so that their shares of the
+/// customers' rates are used by the others. One that was only cut off
+/// registers again.
+void zone_hub::removeLostHosts() {
+  for (const platform_object &Lost : lostHosts()) {
+    Parts.Platform.Remove(Parts.Members.kind(), Lost.Name, Lost.Version);
+    logEvent(log_event::HostLost, {{"host", Lost.Name}});
+  }
+}
+
 void zone_hub::keepMembership() {
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -207,7 +242,9 @@
   try {
     registerHost();
     const bool IsSelf = isLead();
-    if (!IsSelf && mayTakeLead(Lead))
+    if (IsSelf)
+      removeLostHosts();
+    else if (mayTakeLead(Lead))
       takeLead(Lead);
   } catch (const spindle_error &Error) {
     // Another host was faster, or the platform is away: the next look tells.
--- a/Libraries/LibGateway/zone_hub.h
+++ b/Libraries/LibGateway/zone_hub.h
@@ -104,6 +104,8 @@
   std::optional<lead_record> readLead(std::string_view Zone) const;
   std::map<std::string, endpoint> otherLeads() const;
   void registerHost();
+  std::vector<platform_object> lostHosts() const;
+  void removeLostHosts();
   bool mayTakeLead(const std::optional<lead_record> &Lead) const;
   void takeLead(const std::optional<lead_record> &Lead);
   void noteLead(const std::optional<lead_record> &Lead);
@@ -129,6 +131,7 @@
   bool Leaving = false;
   /// Set while this host is its zone's lead.
   std::optional<std::uint64_t> Token;
+  time_point LeadSince;
   time_point MayOrderFrom;
   std::uint64_t FencedToken = 0;
   time_point LeadHeardAt;
--- a/Tests/LibGateway/test_zone_hub.cpp
+++ b/Tests/LibGateway/test_zone_hub.cpp
@@ -248,6 +248,23 @@
   }
 }
 
+TEST_CASE("the share of a host that is gone is used by the others") {
+  two_hosts Test;
+  run(Test.Fleet, {Test.One.get(), Test.Two.get()}, seconds(3));
+  hub_host &Lead = Test.One->Hub.isLead() ? *Test.One : *Test.Two;
+  REQUIRE(Lead.Hub.fleetHosts() == 2);
+  (Test.One->Hub.isLead() ? Test.Two : Test.One).reset();
+  run(Test.Fleet, {&Lead}, seconds(5));
+  gateway_customer Customer;
+  Customer.Name = "aalst";
+  Lead.Quota.charge(Customer, 500);
+  REQUIRE_THROWS_AS(Lead.Quota.charge(Customer, 400), spindle_error);
+  run(Test.Fleet, {&Lead}, seconds(8));
+  REQUIRE(Lead.Hub.fleetHosts() == 1);
+  Lead.Quota.charge(Customer, 500);
+  Lead.Quota.charge(Customer, 400);
+}
+
 TEST_CASE("adapters in use are told to the lead") {
   two_hosts Test;
   run(Test.Fleet, {Test.One.get(), Test.Two.get()}, seconds(3));
