LibGateway: Keep the lead until the platform takes it back

Engines without a lead were still chosen for absent adapters. Change: the stop asks again until the platform has taken the release, and the host orders its engines until then; an engine that nobody may order counts as without room.

--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -25,6 +25,7 @@
   for (const loaded_adapter &Adapter : Engine.Adapters)
     if (Adapter.Name == Wanted.Name && Adapter.Version >= Wanted.Version)
       return Adapter.Version;
+  Fleet.noteRoom({Engine.Id, 0});
   throw spindle_error(result_code::NotOwner,
                       "the lead of zone " + Engine.Zone +
                           " can't be asked to load the adapter");
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -33,6 +33,7 @@
 // The lead of the zone stops giving orders so long before the process ends,
 // and the platform is told in this time.
 constexpr milliseconds LeaveTime{700};
+constexpr milliseconds LeavePause{300};
 // Registrations that lapsed while the platform was away are back within two
 // seconds of its return.
 constexpr milliseconds RegistrationsReturn{2'200};
@@ -371,7 +372,10 @@
 void gateway_host::state::runDrain() {
   logEvent(log_event::DrainStarted, {});
   const time_point Until = Clock.now() + Settings.DrainLimit - LeaveTime;
-  Hub.leave();
+  Runtime.spawn([this, Until] {
+    while (!Hub.leave() && Clock.now() < Until)
+      sleepFor(LeavePause);
+  });
   CallerServer->startDrain();
   sleepFor(Settings.DrainDelay);
   // A request that came later on a kept connection might not end in time.
--- a/Libraries/LibGateway/zone_hub.cpp
+++ b/Libraries/LibGateway/zone_hub.cpp
@@ -253,31 +253,43 @@
   }
 }
 
-void zone_hub::leave() {
+/// Gives the lead to whoever takes it first.
+void zone_hub::releaseLead() {
   std::optional<std::uint64_t> Held;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
-    Leaving = true;
     Held = Token;
-    Token.reset();
   }
-  const std::string &Kind = Parts.Members.kind();
+  if (!Held)
+    return;
+  nlohmann::json Body;
+  Body["host"] = Self.Name;
+  Body["link"] = toText(Self.Link);
+  Body["incarnation"] = Self.Incarnation;
+  Body["released"] = true;
+  Parts.Platform.Update(Parts.Members.kind(),
+                        std::string(LeadPrefix) + Self.Zone, *Held,
+                        Body.dump());
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Token.reset();
+}
+
+bool zone_hub::leave() {
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Leaving = true;
+  }
   try {
-    if (Held) {
-      nlohmann::json Body;
-      Body["host"] = Self.Name;
-      Body["link"] = toText(Self.Link);
-      Body["incarnation"] = Self.Incarnation;
-      Body["released"] = true;
-      Parts.Platform.Update(Kind, std::string(LeadPrefix) + Self.Zone, *Held,
-                            Body.dump());
-    }
+    releaseLead();
     const std::string Name = std::string(HostPrefix) + Self.Name;
     if (const std::optional<platform_object> Known = Parts.Members.find(Name))
-      Parts.Platform.Remove(Kind, Name, Known->Version);
+      Parts.Platform.Remove(Parts.Members.kind(), Name, Known->Version);
+    return true;
   } catch (const spindle_error &Error) {
-    // The others find out by themselves that this host is gone.
     logEvent(log_event::MembershipFailed, {{"reason", Error.what()}});
+    // What is not there any more needs no leaving.
+    return Error.code() == result_code::PlatformNotFound ||
+           Error.code() == result_code::PlatformConflict;
   }
 }
 
--- a/Libraries/LibGateway/zone_hub.h
+++ b/Libraries/LibGateway/zone_hub.h
@@ -69,8 +69,10 @@
   void exchange(std::span<const endpoint> Seeds);
   /// How many hosts are registered, at least 1.
   std::size_t fleetHosts() const;
-  /// Gives the lead back, and the registration. Blocks the fiber.
-  void leave();
+  /// Gives the lead back, and the registration. Returns whether the platform
+  /// took it; until then this host stays the lead, as nobody else could become
+  /// it. Blocks the fiber.
+  bool leave();
 
   /// The fencing token for orders in \p Zone, if this host may order there.
   std::optional<std::uint64_t> fence(std::string_view Zone) const;
@@ -104,6 +106,7 @@
   std::optional<lead_record> readLead(std::string_view Zone) const;
   std::map<std::string, endpoint> otherLeads() const;
   void registerHost();
+  void releaseLead();
   std::vector<platform_object> lostHosts() const;
   void removeLostHosts();
   bool mayTakeLead(const std::optional<lead_record> &Lead) const;
--- a/Tests/LibGateway/test_zone_hub.cpp
+++ b/Tests/LibGateway/test_zone_hub.cpp
@@ -138,6 +138,18 @@
   REQUIRE_FALSE(Lead.Hub.fence("a"));
 }
 
+TEST_CASE("a lead that can't give its lead back stays the lead") {
+  two_hosts Test;
+  run(Test.Fleet, {Test.One.get(), Test.Two.get()}, seconds(3));
+  hub_host &Lead = Test.One->Hub.isLead() ? *Test.One : *Test.Two;
+  Test.Fleet.Fake.setFaults({.Down = true});
+  REQUIRE_FALSE(Lead.Hub.leave());
+  REQUIRE(Lead.Hub.fence("a"));
+  Test.Fleet.Fake.setFaults({});
+  REQUIRE(Lead.Hub.leave());
+  REQUIRE_FALSE(Lead.Hub.fence("a"));
+}
+
 TEST_CASE("a silent lead is replaced, and its successor waits out its turn") {
   two_hosts Test;
   run(Test.Fleet, {Test.One.get(), Test.Two.get()}, seconds(3));
