--- a/Benchmarks/benchmark_configuration.cpp
+++ b/Benchmarks/benchmark_configuration.cpp
@@ -19,19 +19,19 @@
   intent Intent;
   Intent.Zones = {{"zone-a", "region", 1}};
   for (int Number = 1; Number <= 50; ++Number)
-    Intent.Tenants.push_back(
-        {"tenant-" + std::to_string(Number), {100}, {1000}});
+    Intent.Customers.push_back(
+        {"customer-" + std::to_string(Number), {100}, {1000}});
   for (int Number = 1; Number <= 1'000; ++Number) {
     const std::string Name = "key-" + std::to_string(Number);
     Intent.Keys.push_back(
-        {Name, "tenant-" + std::to_string(Number % 50 + 1), sha256Hex(Name)});
+        {Name, "customer-" + std::to_string(Number % 50 + 1), sha256Hex(Name)});
   }
   for (std::int64_t Number = 1; Number <= Adapters / 2; ++Number) {
     const std::string Name = "customer-adapter-" + std::to_string(Number);
-    const std::string Tenant = "tenant-" + std::to_string(Number % 50 + 1);
+    const std::string Customer = "customer-" + std::to_string(Number % 50 + 1);
     const std::string Model = "model-" + std::to_string(Number % 7);
-    Intent.Adapters.push_back({Name, "1", Model, Tenant, false});
-    Intent.Adapters.push_back({Name, "2", Model, Tenant, true});
+    Intent.Adapters.push_back({Name, "1", Model, Customer, false});
+    Intent.Adapters.push_back({Name, "2", Model, Customer, true});
   }
   const std::int64_t Engines =
       std::max<std::int64_t>(7, Adapters * 1'100 / DesignedAdapters);
--- a/Benchmarks/benchmark_limits.cpp
+++ b/Benchmarks/benchmark_limits.cpp
@@ -16,9 +16,9 @@
 
 constexpr int PeerCount = 369;
 
-/// A host among 370 with \p TenantCount tenants whose shares are full.
+/// A host among 370 with \p CustomerCount customers whose shares are full.
 struct limited_host {
-  explicit limited_host(std::int64_t TenantCount) {
+  explicit limited_host(std::int64_t CustomerCount) {
     startLogging({log_severity::Error, false});
     Clock.pause();
     host_link_port Link;
@@ -32,16 +32,16 @@
     Settings.AdmissionWait = milliseconds(0);
     Limiter =
         std::make_unique<rate_limiter>(Clock, Link, Self, nullptr, Settings);
-    std::vector<tenant_declaration> Tenants;
-    for (std::int64_t Index = 0; Index < TenantCount; ++Index) {
-      tenant_declaration Tenant;
-      Tenant.Name = "tenant" + std::to_string(Index);
-      Tenant.Rate = {1e9};
-      Tenant.Burst = {1'000'000'000};
-      Tenants.push_back(Tenant);
-      Ids.push_back(tenant_id::ofName(Tenant.Name));
+    std::vector<customer_declaration> Customers;
+    for (std::int64_t Index = 0; Index < CustomerCount; ++Index) {
+      customer_declaration Customer;
+      Customer.Name = "customer" + std::to_string(Index);
+      Customer.Rate = {1e9};
+      Customer.Burst = {1'000'000'000};
+      Customers.push_back(Customer);
+      Ids.push_back(customer_id::ofName(Customer.Name));
     }
-    Limiter->applyTenants(Tenants);
+    Limiter->applyCustomers(Customers);
     host_view View;
     for (std::uint64_t Peer = 0; Peer < PeerCount; ++Peer)
       View.Peers.push_back({host_id{Peer + 2}, "", zone_id{Peer % 10}, {}});
@@ -53,7 +53,7 @@
   }
 
   runtime_clock Clock;
-  std::vector<tenant_id> Ids;
+  std::vector<customer_id> Ids;
   std::unique_ptr<rate_limiter> Limiter;
 };
 
@@ -61,9 +61,9 @@
   limited_host Host(State.range(0));
   std::size_t Index = 0;
   for (auto _ : State) {
-    const tenant_id Tenant = Host.Ids[Index++ % Host.Ids.size()];
+    const customer_id Customer = Host.Ids[Index++ % Host.Ids.size()];
     rate_reservation Reservation =
-        Host.Limiter->reserve(Tenant, {400}, Host.Clock.now());
+        Host.Limiter->reserve(Customer, {400}, Host.Clock.now());
     Host.Limiter->settle(std::move(Reservation), {300});
     Host.Clock.advance(nanoseconds(10'000));
   }
@@ -99,7 +99,7 @@
   limited_host Host(5);
   host_link::BorrowRequest Request;
   Request.mutable_sender()->set_host(2);
-  Request.set_tenant(Host.Ids[0].Value);
+  Request.set_customer(Host.Ids[0].Value);
   Request.set_wanted_tokens(100);
   Request.set_term_ms(100);
   std::uint64_t Nonce = 0;
@@ -109,7 +109,7 @@
     const host_link::BorrowReply Reply = Host.Limiter->handleBorrow(Request);
     host_link::RepayRequest Repay;
     *Repay.mutable_sender() = Request.sender();
-    Repay.set_tenant(Request.tenant());
+    Repay.set_customer(Request.customer());
     Repay.set_nonce(Nonce);
     Repay.set_level_tokens(Reply.level_tokens());
     Host.Limiter->handleRepay(Repay);
@@ -120,11 +120,11 @@
 }
 BENCHMARK(lendAndTakeBack);
 
-/// The memory of a tenant's share at its largest.
+/// The memory of a customer's share at its largest.
 void shareMemory(benchmark::State &State) {
   std::size_t Bytes = 0;
   for (auto _ : State) {
-    tenant_share Share;
+    customer_share Share;
     Share.Lent.resize(10);
     Share.Borrowed.resize(10);
     for (int Mark = 0; Mark < 100; ++Mark)
--- a/Benchmarks/benchmark_scheduling.cpp
+++ b/Benchmarks/benchmark_scheduling.cpp
@@ -11,12 +11,12 @@
 
 using namespace spindle;
 
-static constexpr int TenantCount = 50;
+static constexpr int CustomerCount = 50;
 
 static waiting_request makeRequest(std::uint64_t Index, time_point Now) {
-  const std::uint64_t Tenant = Index * 7 % TenantCount;
+  const std::uint64_t Customer = Index * 7 % CustomerCount;
   const priority_class Class = static_cast<priority_class>(Index * 13 % 4);
-  return {0,     {Tenant + 1},
+  return {0,     {Customer + 1},
           Class, {static_cast<std::int64_t>(100 + Index * 37 % 900)},
           Now,   Now + seconds(3'600)};
 }
--- a/Benchmarks/experiment_limits.cpp
+++ b/Benchmarks/experiment_limits.cpp
@@ -1,4 +1,4 @@
-// Drives seven hosts' rate limiters with seeded arrivals of one tenant on a
+// Drives seven hosts' rate limiters with seeded arrivals of one customer on a
 // paused clock and compares them with an oracle, a single bucket for the whole
 // fleet, with a static division by the number of hosts, and with hosts that
 // don't coordinate. Messages between hosts take no time. A request that a host
@@ -43,7 +43,7 @@
   double Rate = 10'000;
   std::int64_t Burst = 20'000;
   double Load = 0.9;
-  /// The part of the tenant's traffic that reaches host 0.
+  /// The part of the customer's traffic that reaches host 0.
   double FirstHostPart = 1.0 / HostCount;
   double HostLostAt = NeverSeconds;
   double ZoneCutAt = NeverSeconds;
@@ -52,7 +52,7 @@
   std::int64_t LargestAnswer = 300;
 };
 
-/// One way of limiting the tenant over the fleet.
+/// One way of limiting the customer over the fleet.
 struct contender {
   std::string Name;
   std::function<bool(std::size_t Host, std::size_t Request, tokens Amount)>
@@ -88,12 +88,12 @@
     micro_tokens Charged;
   };
   struct state {
-    std::vector<tenant_share> Shares;
+    std::vector<customer_share> Shares;
     std::map<std::size_t, ticket> Tickets;
   };
   const std::shared_ptr<state> State = std::make_shared<state>();
   State->Shares.resize(Count);
-  for (tenant_share &Share : State->Shares) {
+  for (customer_share &Share : State->Shares) {
     Share.LastRefill = Clock.now();
     setBase(Share, toMicro(token_rate{Scenario.Rate * Part}),
             toMicro(tokens{std::int64_t(double(Scenario.Burst) * Part)}),
@@ -127,10 +127,10 @@
 public:
   escrow_fleet(const scenario &Scenario, const runtime_clock &Clock)
       : Clock(Clock) {
-    tenant_declaration Tenant;
-    Tenant.Name = "tenant";
-    Tenant.Rate = {Scenario.Rate};
-    Tenant.Burst = {Scenario.Burst};
+    customer_declaration Customer;
+    Customer.Name = "customer";
+    Customer.Rate = {Scenario.Rate};
+    Customer.Burst = {Scenario.Burst};
     for (std::size_t Host = 0; Host < HostCount; ++Host) {
       host_link::Sender Self;
       Self.set_host(Host + 1);
@@ -140,7 +140,7 @@
       Settings.AdmissionWait = milliseconds(0);
       Limiters.push_back(std::make_unique<rate_limiter>(
           Clock, linkOf(Host), Self, nullptr, Settings));
-      Limiters.back()->applyTenants({&Tenant, 1});
+      Limiters.back()->applyCustomers({&Customer, 1});
     }
     for (std::size_t Host = 0; Host < HostCount; ++Host)
       applyView(Host, EvenParts);
@@ -176,8 +176,8 @@
                                tokens Amount) {
       try {
         Reservations[Id] = {
-            Host, Limiters[Host]->reserve(tenant_id::ofName("tenant"), Amount,
-                                          Clock.now() + seconds(10))};
+            Host, Limiters[Host]->reserve(customer_id::ofName("customer"),
+                                          Amount, Clock.now() + seconds(10))};
         return true;
       } catch (const spindle_error &) {
         return false;
--- a/Benchmarks/experiment_scheduling.cpp
+++ b/Benchmarks/experiment_scheduling.cpp
@@ -13,14 +13,14 @@
 
 namespace {
 
-constexpr int TenantCount = 5;
+constexpr int CustomerCount = 5;
 /// Nine engines with sixteen batch slots each, shared by seven hosts.
 constexpr int Slots = 9 * 16 / 7;
 constexpr double RunSeconds = 1'800;
 /// Waits before this are left out, as the queue is filling.
 constexpr double WarmUpSeconds = 120;
-/// Each tenant's part of the load, which also is its weight in percent.
-constexpr std::array<int, TenantCount> Parts{40, 30, 15, 10, 5};
+/// Each customer's part of the load, which also is its weight in percent.
+constexpr std::array<int, CustomerCount> Parts{40, 30, 15, 10, 5};
 
 struct class_mix {
   priority_class Class;
@@ -39,7 +39,7 @@
 struct scenario {
   std::string Name;
   double Load = 0.8;
-  /// The tenant that sends more than its part, and how many times its part.
+  /// The customer that sends more than its part, and how many times its part.
   int Heavy = 2;
   double HeavyTimes = 1;
   queueing_policy Policy = queueing_policy::Fair;
@@ -49,7 +49,7 @@
 
 struct arrival {
   double Time = 0;
-  int Tenant = 0;
+  int Customer = 0;
   priority_class Class = priority_class::Plain;
   std::int64_t Prompt = 0;
   std::int64_t Answer = 0;
@@ -61,9 +61,9 @@
 };
 
 struct result {
-  std::array<outcome, TenantCount> Tenants;
+  std::array<outcome, CustomerCount> Customers;
   std::array<outcome, PriorityClassCount> Classes;
-  /// The classes of the tenant that may send more than its part.
+  /// The classes of the customer that may send more than its part.
   std::array<outcome, PriorityClassCount> HeavyClasses;
 };
 
@@ -80,15 +80,15 @@
   return Mean;
 }
 
-/// Each tenant has its own generator, so that one tenant's rate changes
+/// Each customer has its own generator, so that one customer's rate changes
 /// nothing in the arrivals of the others.
 std::vector<arrival> makeArrivals(const scenario &Scenario) {
   const double Total = Scenario.Load * Slots / meanServiceSeconds();
   std::vector<arrival> Arrivals;
-  for (int Tenant = 0; Tenant < TenantCount; ++Tenant) {
-    std::mt19937_64 Random(Scenario.Seed * 16 + Tenant);
-    const double Times = Tenant == Scenario.Heavy ? Scenario.HeavyTimes : 1;
-    std::exponential_distribution<double> Gap(Total * Parts[Tenant] / 100 *
+  for (int Customer = 0; Customer < CustomerCount; ++Customer) {
+    std::mt19937_64 Random(Scenario.Seed * 16 + Customer);
+    const double Times = Customer == Scenario.Heavy ? Scenario.HeavyTimes : 1;
+    std::exponential_distribution<double> Gap(Total * Parts[Customer] / 100 *
                                               Times);
     std::discrete_distribution<int> Class(
         {Mix[0].Part, Mix[1].Part, Mix[2].Part, Mix[3].Part});
@@ -96,7 +96,7 @@
       const class_mix &Chosen = Mix[Class(Random)];
       std::gamma_distribution<double> Prompt(2, Chosen.MeanPrompt / 2);
       std::gamma_distribution<double> Answer(2, Chosen.MeanAnswer / 2);
-      Arrivals.push_back({Time, Tenant, Chosen.Class,
+      Arrivals.push_back({Time, Customer, Chosen.Class,
                           1 + static_cast<std::int64_t>(Prompt(Random)),
                           1 + static_cast<std::int64_t>(Answer(Random))});
     }
@@ -120,11 +120,11 @@
     queue_settings Settings;
     Settings.Policy = Scenario.Policy;
     Settings.CreditTime = Scenario.CreditTime;
-    std::vector<tenant_weight> Weights;
-    Weights.reserve(TenantCount);
-    for (int Tenant = 0; Tenant < TenantCount; ++Tenant)
+    std::vector<customer_weight> Weights;
+    Weights.reserve(CustomerCount);
+    for (int Customer = 0; Customer < CustomerCount; ++Customer)
       Weights.push_back(
-          {idOf(Tenant), static_cast<std::uint32_t>(Parts[Tenant])});
+          {idOf(Customer), static_cast<std::uint32_t>(Parts[Customer])});
     configureQueue(Queue, Settings, Weights);
   }
 
@@ -138,27 +138,27 @@
   }
 
 private:
-  static tenant_id idOf(int Tenant) {
-    return tenant_id::ofName("tenant" + std::to_string(Tenant));
+  static customer_id idOf(int Customer) {
+    return customer_id::ofName("customer" + std::to_string(Customer));
   }
 
   void note(const arrival &Arrival, double Wait) {
     if (Arrival.Time < WarmUpSeconds)
       return;
-    Result.Tenants[Arrival.Tenant].Waits.push_back(Wait);
+    Result.Customers[Arrival.Customer].Waits.push_back(Wait);
     const int Class = static_cast<int>(Arrival.Class);
     Result.Classes[Class].Waits.push_back(Wait);
-    if (Arrival.Tenant == Heavy)
+    if (Arrival.Customer == Heavy)
       Result.HeavyClasses[Class].Waits.push_back(Wait);
   }
 
   void refuse(const arrival &Arrival) {
     if (Arrival.Time < WarmUpSeconds)
       return;
-    ++Result.Tenants[Arrival.Tenant].Refused;
+    ++Result.Customers[Arrival.Customer].Refused;
     const int Class = static_cast<int>(Arrival.Class);
     ++Result.Classes[Class].Refused;
-    if (Arrival.Tenant == Heavy)
+    if (Arrival.Customer == Heavy)
       ++Result.HeavyClasses[Class].Refused;
   }
 
@@ -166,14 +166,14 @@
     const time_point Now = at(Arrival.Time);
     const tokens Cost{Arrival.Prompt + Arrival.Answer};
     if (static_cast<int>(Ends.size()) < Slots && waitingCount(Queue) == 0) {
-      chargeStart(Queue, idOf(Arrival.Tenant), Cost, Now);
+      chargeStart(Queue, idOf(Arrival.Customer), Cost, Now);
       Ends.push(Arrival.Time + serviceSeconds(Arrival));
       note(Arrival, 0);
       return;
     }
     const waiting_request Request{
         0,
-        idOf(Arrival.Tenant),
+        idOf(Arrival.Customer),
         Arrival.Class,
         Cost,
         Now,
@@ -237,16 +237,16 @@
   std::vector<double> Tails;
   std::vector<double> Others;
   double WorstOther = 0;
-  for (int Tenant = 0; Tenant < TenantCount; ++Tenant) {
-    const std::vector<double> &Waits = Result.Tenants[Tenant].Waits;
+  for (int Customer = 0; Customer < CustomerCount; ++Customer) {
+    const std::vector<double> &Waits = Result.Customers[Customer].Waits;
     Tails.push_back(percentile(Waits, 0.99));
-    if (Tenant == Heavy)
+    if (Customer == Heavy)
       continue;
     WorstOther = std::max(WorstOther, Tails.back());
     Others.insert(Others.end(), Waits.begin(), Waits.end());
   }
   std::sort(Tails.begin(), Tails.end());
-  const double Median = Tails[TenantCount / 2];
+  const double Median = Tails[CustomerCount / 2];
   return {percentile(Others, 0.99), Tails.back() / Median, WorstOther / Median};
 }
 
@@ -274,22 +274,22 @@
   }
 }
 
-void printTenants(const scenario &Scenario, const result &Result) {
+void printCustomers(const scenario &Scenario, const result &Result) {
   std::printf("\n### %s\n\n", Scenario.Name.c_str());
-  std::printf("| tenant | part %% | p50 wait s | p99 wait s | refused %% |\n"
+  std::printf("| customer | part %% | p50 wait s | p99 wait s | refused %% |\n"
               "| --- | ---: | ---: | ---: | ---: |\n");
-  for (int Tenant = 0; Tenant < TenantCount; ++Tenant) {
-    const outcome &Outcome = Result.Tenants[Tenant];
-    std::printf("| %d%s | %d | %.3f | %.3f | %.2f |\n", Tenant,
-                Tenant == Scenario.Heavy && Scenario.HeavyTimes > 1
+  for (int Customer = 0; Customer < CustomerCount; ++Customer) {
+    const outcome &Outcome = Result.Customers[Customer];
+    std::printf("| %d%s | %d | %.3f | %.3f | %.2f |\n", Customer,
+                Customer == Scenario.Heavy && Scenario.HeavyTimes > 1
                     ? " (over its rate)"
                     : "",
-                Parts[Tenant], percentile(Outcome.Waits, 0.5),
+                Parts[Customer], percentile(Outcome.Waits, 0.5),
                 percentile(Outcome.Waits, 0.99), refusedPercent(Outcome));
   }
   printClasses("class", Result.Classes);
   if (Scenario.HeavyTimes > 1)
-    printClasses("class of the tenant over its rate", Result.HeavyClasses);
+    printClasses("class of the customer over its rate", Result.HeavyClasses);
 }
 
 void comparePolicy(const char *Name, queueing_policy Policy,
@@ -316,10 +316,11 @@
 int main() {
   std::printf("%d slots, mean service %.2f s, %.0f s a run\n\n", Slots,
               meanServiceSeconds(), RunSeconds);
-  std::printf("| policy | part of the tenant at 4x %% | others' p99 wait "
-              "without s | with s | ratio | worst tenant p99 / median, without "
-              "| worst other p99 / median, with |\n"
-              "| --- | ---: | ---: | ---: | ---: | ---: | ---: |\n");
+  std::printf(
+      "| policy | part of the customer at 4x %% | others' p99 wait "
+      "without s | with s | ratio | worst customer p99 / median, without "
+      "| worst other p99 / median, with |\n"
+      "| --- | ---: | ---: | ---: | ---: | ---: | ---: |\n");
   comparePolicy("fair, no credit", queueing_policy::Fair, milliseconds(0));
   comparePolicy("fair, 10 s", queueing_policy::Fair, seconds(10));
   comparePolicy("fair, 20 s", queueing_policy::Fair, seconds(20));
@@ -331,9 +332,10 @@
     const std::string Name = Policy == queueing_policy::Fair ? "fair" : "fifo";
     for (const scenario &Scenario :
          {scenario{Name + ", 80% load", 0.8, 2, 1, Policy},
-          scenario{Name + ", 80% load and one tenant at 4x", 0.8, 2, 4, Policy},
+          scenario{Name + ", 80% load and one customer at 4x", 0.8, 2, 4,
+                   Policy},
           scenario{Name + ", 130% load", 1.3, 2, 1, Policy}})
-      printTenants(Scenario, runScenario(Scenario));
+      printCustomers(Scenario, runScenario(Scenario));
   }
   return 0;
 }
--- a/Benchmarks/experiment_window.cpp
+++ b/Benchmarks/experiment_window.cpp
@@ -32,7 +32,7 @@
 
 struct load_shape {
   const char *Name;
-  /// Load of the small and the heavy tenant, relative to all slots.
+  /// Load of the small and the heavy customer, relative to all slots.
   double Small;
   double Heavy;
   /// The part of all arrivals that comes to the first host.
@@ -42,7 +42,7 @@
 struct job {
   double Arrived = 0;
   double Seconds = 0;
-  int Tenant = 0;
+  int Customer = 0;
   int Host = 0;
   int Engine = 0;
   double Dispatched = 0;
@@ -86,8 +86,8 @@
   }
 
   figures run() {
-    for (const int Tenant : {0, 1})
-      scheduleArrival(Tenant);
+    for (const int Customer : {0, 1})
+      scheduleArrival(Customer);
     Events.push({ReportSeconds, event_kind::Report, 0, {}});
     while (Events.top().Time < RunSeconds) {
       const event Next = Events.top();
@@ -123,24 +123,24 @@
     return std::exponential_distribution<double>(1 / Mean)(Random);
   }
 
-  void scheduleArrival(int Tenant) {
-    const double Load = Tenant == 0 ? Shape.Small : Shape.Heavy;
+  void scheduleArrival(int Customer) {
+    const double Load = Customer == 0 ? Shape.Small : Shape.Heavy;
     const double PerSecond = Load * Slots / MeanServiceSeconds;
-    Events.push({Now + draw(1 / PerSecond), event_kind::Arrive, Tenant, {}});
+    Events.push({Now + draw(1 / PerSecond), event_kind::Arrive, Customer, {}});
   }
 
-  void arrive(int Tenant) {
-    scheduleArrival(Tenant);
+  void arrive(int Customer) {
+    scheduleArrival(Customer);
     const bool First =
         std::uniform_real_distribution<double>()(Random) < Shape.FirstHostPart;
     const int Host =
         First ? 0 : std::uniform_int_distribution<int>(0, Hosts - 1)(Random);
     const int Engine =
         std::uniform_int_distribution<int>(0, Engines - 1)(Random);
-    const job Job{Now, draw(MeanServiceSeconds), Tenant, Host, Engine};
+    const job Job{Now, draw(MeanServiceSeconds), Customer, Host, Engine};
     const std::uint64_t Sequence = pushRequest(
         Queues[Host], {0,
-                       {static_cast<std::uint64_t>(Tenant) + 1},
+                       {static_cast<std::uint64_t>(Customer) + 1},
                        priority_class::Plain,
                        {static_cast<std::int64_t>(Job.Seconds * 1'000) + 1},
                        at(Now),
@@ -184,7 +184,7 @@
       if (Job.Arrived < WarmUpSeconds)
         continue;
       std::vector<double> &Waits =
-          Job.Tenant == 0 ? Figures.SmallWaits : Figures.HeavyWaits;
+          Job.Customer == 0 ? Figures.SmallWaits : Figures.HeavyWaits;
       Waits.push_back(Now - Job.Arrived);
       Figures.EngineWaitSeconds += Now - Job.Dispatched;
       ++Figures.Started;
@@ -268,10 +268,11 @@
       {{"equal share", window_policy::EqualShare},
        {"unbounded", window_policy::Unbounded},
        {"adaptive window", window_policy::Adaptive}}};
-  std::printf("| load | bound | small tenant p50 s | p99 s | heavy tenant p99 "
-              "s | mean wait inside engines s | slots busy %% | slots idle "
-              "though requests wait %% |\n"
-              "| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: |\n");
+  std::printf(
+      "| load | bound | small customer p50 s | p99 s | heavy customer p99 "
+      "s | mean wait inside engines s | slots busy %% | slots idle "
+      "though requests wait %% |\n"
+      "| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: |\n");
   for (const load_shape &Shape : Shapes)
     for (const auto &[Name, Policy] : Policies) {
       const figures Figures = window_run(Policy, Shape).run();
--- a/Libraries/LibConfiguration/adapter_table.cpp
+++ b/Libraries/LibConfiguration/adapter_table.cpp
@@ -59,22 +59,22 @@
 
 adapter_table::adapter_table(const std::vector<adapter_declaration> &Adapters) {
   word_interner WordNumbers(Words);
-  word_interner TenantNumbers(Tenants);
+  word_interner CustomerNumbers(Customers);
   name_interner NameOffsets(Names);
-  TenantNumbers.number("");
+  CustomerNumbers.number("");
   Ids.reserve(Adapters.size());
   Rows.reserve(Adapters.size());
   for (const auto &[Id, Adapter] : sortById(Adapters)) {
     if (Adapter->IsDefault)
       Defaults.push_back(
           {hashName(Adapter->Name), static_cast<std::uint32_t>(Rows.size())});
-    const std::uint32_t Tenant = TenantNumbers.number(Adapter->Tenant);
-    if (Tenant > std::numeric_limits<std::uint16_t>::max())
-      throw std::length_error("more tenants with adapters than 65,535");
+    const std::uint32_t Customer = CustomerNumbers.number(Adapter->Customer);
+    if (Customer > std::numeric_limits<std::uint16_t>::max())
+      throw std::length_error("more customers with adapters than 65,535");
     Ids.push_back(Id);
     Rows.push_back({NameOffsets.offset(Adapter->Name),
                     static_cast<std::uint16_t>(Adapter->Name.size()),
-                    static_cast<std::uint16_t>(Tenant),
+                    static_cast<std::uint16_t>(Customer),
                     WordNumbers.number(Adapter->Version),
                     WordNumbers.number(Adapter->Model)});
   }
@@ -90,10 +90,11 @@
   const row &Row = Rows[Index];
   const std::string_view Name =
       std::string_view(Names).substr(Row.NameOffset, Row.NameLength);
-  const tenant_id Tenant =
-      Row.Tenant == 0 ? tenant_id{} : tenant_id::ofName(Tenants[Row.Tenant]);
+  const customer_id Customer =
+      Row.Customer == 0 ? customer_id{}
+                        : customer_id::ofName(Customers[Row.Customer]);
   return {adapter_id{Ids[Index]}, Name, Words[Row.Version], Words[Row.Model],
-          Tenant};
+          Customer};
 }
 
 std::optional<adapter_view> adapter_table::find(adapter_id Id) const {
@@ -133,7 +134,7 @@
   return Ids.capacity() * sizeof(std::uint64_t) +
          Rows.capacity() * sizeof(row) +
          Defaults.capacity() * sizeof(default_row) + Names.capacity() +
-         bytesOf(Words) + bytesOf(Tenants);
+         bytesOf(Words) + bytesOf(Customers);
 }
 
 } // namespace spindle
--- a/Libraries/LibConfiguration/adapter_table.h
+++ b/Libraries/LibConfiguration/adapter_table.h
@@ -13,7 +13,7 @@
 namespace spindle {
 
 /// Every declared adapter version in flat arrays, sorted by id, with each
-/// name, version, model and tenant kept once. Immutable and thread-safe.
+/// name, version, model and customer kept once. Immutable and thread-safe.
 class adapter_table {
 public:
   explicit adapter_table(const std::vector<adapter_declaration> &Adapters);
@@ -30,7 +30,7 @@
   struct row {
     std::uint32_t NameOffset;
     std::uint16_t NameLength;
-    std::uint16_t Tenant;
+    std::uint16_t Customer;
     std::uint32_t Version;
     std::uint32_t Model;
   };
@@ -46,8 +46,8 @@
   std::vector<default_row> Defaults;
   std::string Names;
   std::vector<std::string> Words;
-  /// The tenants' names; the first stands for "every tenant".
-  std::vector<std::string> Tenants;
+  /// The customers' names; the first stands for "every customer".
+  std::vector<std::string> Customers;
 };
 
 } // namespace spindle
--- a/Libraries/LibConfiguration/configuration_codec.cpp
+++ b/Libraries/LibConfiguration/configuration_codec.cpp
@@ -19,7 +19,7 @@
 static constexpr std::size_t AdaptersInPart = 1'000;
 static constexpr std::size_t KeysInPart = 256;
 static constexpr std::size_t UpstreamsInPart = 1'024;
-static constexpr std::size_t TenantsInPart = 1'024;
+static constexpr std::size_t CustomersInPart = 1'024;
 
 static void addPart(encoded_intent &Encoded, json &Digests,
                     const std::string &Text) {
@@ -58,7 +58,8 @@
   Frame.Routes = Intent.Routes;
   Frame.Policy = Intent.Policy;
   addPart(Encoded, Digests, writeIntent(std::move(Frame)));
-  addList(Encoded, Digests, Intent.Tenants, &intent::Tenants, TenantsInPart);
+  addList(Encoded, Digests, Intent.Customers, &intent::Customers,
+          CustomersInPart);
   addList(Encoded, Digests, Intent.Keys, &intent::Keys, KeysInPart);
   addList(Encoded, Digests, Intent.Upstreams, &intent::Upstreams,
           UpstreamsInPart);
@@ -122,7 +123,7 @@
     HasFrame = true;
     append(Whole.Zones, Part.Zones);
     append(Whole.Routes, Part.Routes);
-    append(Whole.Tenants, Part.Tenants);
+    append(Whole.Customers, Part.Customers);
     append(Whole.Keys, Part.Keys);
     append(Whole.Upstreams, Part.Upstreams);
     append(Whole.Adapters, Part.Adapters);
--- a/Libraries/LibConfiguration/configuration_snapshot.cpp
+++ b/Libraries/LibConfiguration/configuration_snapshot.cpp
@@ -22,8 +22,8 @@
   void indexNames() {
     for (const key_grant &Key : Intent.Keys)
       Keys.emplace(Key.Digest, &Key);
-    for (const tenant_declaration &Tenant : Intent.Tenants)
-      Tenants.emplace(tenant_id::ofName(Tenant.Name), &Tenant);
+    for (const customer_declaration &Customer : Intent.Customers)
+      Customers.emplace(customer_id::ofName(Customer.Name), &Customer);
     for (const upstream_declaration &Upstream : Intent.Upstreams) {
       Upstreams.emplace(upstream_id::ofName(Upstream.Name), &Upstream);
       if (Upstream.Kind != upstream_kind::Engine)
@@ -52,7 +52,7 @@
   adapter_table Adapters;
   intent Intent;
   std::unordered_map<std::string_view, const key_grant *> Keys;
-  std::unordered_map<tenant_id, const tenant_declaration *> Tenants;
+  std::unordered_map<customer_id, const customer_declaration *> Customers;
   std::unordered_map<upstream_id, const upstream_declaration *> Upstreams;
   upstream_list Engines;
   std::map<std::string, upstream_list, std::less<>> EnginesOfModel;
@@ -88,9 +88,9 @@
   return findIn(State->Keys, Digest);
 }
 
-const tenant_declaration *
-configuration_snapshot::findTenant(tenant_id Id) const {
-  return findIn(State->Tenants, Id);
+const customer_declaration *
+configuration_snapshot::findCustomer(customer_id Id) const {
+  return findIn(State->Customers, Id);
 }
 
 std::optional<adapter_view>
@@ -144,8 +144,9 @@
   return findList(State->UpstreamsOfRoute, RouteName);
 }
 
-std::span<const tenant_declaration> configuration_snapshot::tenants() const {
-  return State->Intent.Tenants;
+std::span<const customer_declaration>
+configuration_snapshot::customers() const {
+  return State->Intent.Customers;
 }
 
 std::span<const upstream_declaration>
@@ -162,10 +163,10 @@
 }
 
 std::vector<std::string>
-configuration_snapshot::adapterNamesFor(tenant_id Tenant) const {
+configuration_snapshot::adapterNamesFor(customer_id Customer) const {
   std::vector<std::string> Names;
   State->Adapters.visit([&](const adapter_view &Adapter) {
-    if (Adapter.Tenant && Adapter.Tenant != Tenant)
+    if (Adapter.Customer && Adapter.Customer != Customer)
       return;
     Names.push_back(std::string(Adapter.Name) + "@" +
                     std::string(Adapter.Version));
--- a/Libraries/LibConfiguration/configuration_snapshot.h
+++ b/Libraries/LibConfiguration/configuration_snapshot.h
@@ -17,8 +17,8 @@
   std::string_view Name;
   std::string_view Version;
   std::string_view Model;
-  /// None: every tenant may use it.
-  tenant_id Tenant;
+  /// None: every customer may use it.
+  customer_id Customer;
 };
 
 /// One configuration as it is in force on a host. Immutable, so that every
@@ -34,7 +34,7 @@
   std::uint64_t version() const;
   /// Finds the grant for a key's SHA-256 digest in hexadecimal.
   const key_grant *findKey(std::string_view Digest) const;
-  const tenant_declaration *findTenant(tenant_id Id) const;
+  const customer_declaration *findCustomer(customer_id Id) const;
   /// Finds an adapter by "name@version" or, where the operator declared a
   /// default version, by "name".
   std::optional<adapter_view> findAdapter(std::string_view ModelName) const;
@@ -47,12 +47,12 @@
   enginesOfModel(std::string_view Model) const;
   std::span<const upstream_declaration *const>
   upstreamsOfRoute(std::string_view RouteName) const;
-  std::span<const tenant_declaration> tenants() const;
+  std::span<const customer_declaration> customers() const;
   std::span<const upstream_declaration> upstreams() const;
   std::span<const zone_declaration> zones() const;
   const policy_declaration &policy() const;
-  /// The "name@version" of every adapter that \p Tenant may use, in order.
-  std::vector<std::string> adapterNamesFor(tenant_id Tenant) const;
+  /// The "name@version" of every adapter that \p Customer may use, in order.
+  std::vector<std::string> adapterNamesFor(customer_id Customer) const;
   /// The number of adapter versions, and the memory their table takes.
   std::size_t adapterCount() const;
   std::size_t adapterTableBytes() const;
--- a/Libraries/LibConfiguration/intent.h
+++ b/Libraries/LibConfiguration/intent.h
@@ -13,19 +13,20 @@
 
 namespace spindle {
 
-/// The order in which a tenant's own requests are served, first to last.
+/// The order in which a customer's own requests are served, first to last.
 enum class priority_class : std::uint8_t { Rush, Chat, Plain, Batch };
 
-/// What a host that can't confirm its configuration does with a tenant's keys.
+/// What a host that can't confirm its configuration does with a customer's
+/// keys.
 enum class isolated_key_policy { Serve, Refuse };
 
-struct tenant_declaration {
+struct customer_declaration {
   std::string Name;
   token_rate Rate;
   tokens Burst;
-  /// The tenant's part of contended engines, relative to others.
+  /// The customer's part of contended engines, relative to others.
   std::uint32_t Weight = 1;
-  /// The highest class that the tenant's requests may claim.
+  /// The highest class that the customer's requests may claim.
   priority_class HighestPriority = priority_class::Rush;
   isolated_key_policy WhenIsolated = isolated_key_policy::Serve;
   /// How long an unconfirmed configuration is trusted under Refuse.
@@ -35,7 +36,7 @@
 /// A granted key. The key itself is never stored.
 struct key_grant {
   std::string Name;
-  std::string Tenant;
+  std::string Customer;
   /// SHA-256 of the key, in hexadecimal.
   std::string Digest;
 };
@@ -45,8 +46,8 @@
   std::string Name;
   std::string Version;
   std::string Model;
-  /// The tenant that may use it; empty: every tenant.
-  std::string Tenant;
+  /// The customer that may use it; empty: every customer.
+  std::string Customer;
   /// Whether the bare name, without "@version", means this version.
   bool IsDefault = false;
 };
@@ -100,7 +101,7 @@
 struct zone_declaration {
   std::string Name;
   std::string Region;
-  /// The zone's part of every tenant's rate, relative to other zones. The
+  /// The zone's part of every customer's rate, relative to other zones. The
   /// zone keeps it when it is cut off.
   std::uint32_t Weight = 1;
 };
@@ -117,13 +118,13 @@
   double WeightStoreLoadsPerSecond = 2;
   /// Loads in flight at full speed in the whole fleet.
   std::uint32_t WeightStoreLoadsInFlight = 8;
-  /// Requests of one tenant that wait on one host.
+  /// Requests of one customer that wait on one host.
   std::uint32_t QueueLimit = 256;
   /// The longest that a request waits on a host.
   milliseconds QueueTimeout{10'000};
   /// A waiting request rises by one class each time this passes.
   milliseconds AgeingStep{4'000};
-  /// Retries allowed for each hundred calls of a tenant.
+  /// Retries allowed for each hundred calls of a customer.
   std::uint32_t RetryPercent = 10;
   /// How long a request that crashes upstreams is held back.
   seconds QuarantineTime{300};
@@ -132,7 +133,7 @@
 /// Everything an operator declares.
 struct intent {
   std::vector<zone_declaration> Zones;
-  std::vector<tenant_declaration> Tenants;
+  std::vector<customer_declaration> Customers;
   std::vector<key_grant> Keys;
   std::vector<adapter_declaration> Adapters;
   std::vector<upstream_declaration> Upstreams;
--- a/Libraries/LibConfiguration/intent_change.cpp
+++ b/Libraries/LibConfiguration/intent_change.cpp
@@ -70,7 +70,7 @@
                 Old + "\" -> \"" + New + "\"";
   };
   Note("model", Before.Model, After.Model);
-  Note("tenant", Before.Tenant, After.Tenant);
+  Note("customer", Before.Customer, After.Customer);
   Note("default", Before.IsDefault ? "yes" : "no",
        After.IsDefault ? "yes" : "no");
   return Detail;
@@ -99,7 +99,7 @@
                                           const intent &After) {
   std::vector<intent_change> Changes;
   compareLists("zone", Before.Zones, After.Zones, zoneFields(), Changes);
-  compareLists("tenant", Before.Tenants, After.Tenants, tenantFields(),
+  compareLists("customer", Before.Customers, After.Customers, customerFields(),
                Changes);
   compareLists("key", Before.Keys, After.Keys, keyFields(), Changes);
   compareAdapters(Before, After, Changes);
--- a/Libraries/LibConfiguration/intent_change.h
+++ b/Libraries/LibConfiguration/intent_change.h
@@ -13,7 +13,7 @@
 /// One difference between two intents.
 struct intent_change {
   change_kind Kind = change_kind::Changed;
-  /// "tenant", "key", "adapter", ...
+  /// "customer", "key", "adapter", ...
   std::string Subject;
   std::string Name;
   /// Changed: "field: before -> after", one for each field.
--- a/Libraries/LibConfiguration/intent_fields.cpp
+++ b/Libraries/LibConfiguration/intent_fields.cpp
@@ -23,34 +23,34 @@
       nameField<record>("name", &record::Name, "The availability zone."),
       nameField<record>("region", &record::Region, "The zone's region.", false),
       integerField<record>("weight", &record::Weight, "", 1, 1'000'000,
-                           "The zone's part of every tenant's rate, relative "
+                           "The zone's part of every customer's rate, relative "
                            "to other zones; kept when it is cut off."),
   };
   return Table;
 }
 
-static field<tenant_declaration> rateField() {
-  return makeField<tenant_declaration>(
+static field<customer_declaration> rateField() {
+  return makeField<customer_declaration>(
       {"ratePerSecond", "number", "tokens/s", "0.001..1e9",
-       "The tenant's rate over the whole fleet.", true},
-      &tenant_declaration::Rate,
+       "The customer's rate over the whole fleet.", true},
+      &customer_declaration::Rate,
       [](const nlohmann::json &Value) {
         return token_rate{readNumber(Value, 0.001, 1e9)};
       },
       [](token_rate Rate) { return Rate.PerSecond; });
 }
 
-const field_table<tenant_declaration> &tenantFields() {
-  using record = tenant_declaration;
+const field_table<customer_declaration> &customerFields() {
+  using record = customer_declaration;
   static const field_table<record> Table = {
-      nameField<record>("name", &record::Name, "The tenant."),
+      nameField<record>("name", &record::Name, "The customer."),
       rateField(),
       tokensField<record>("burst", &record::Burst, 1,
-                          "Tokens that the tenant may use at once, over the "
+                          "Tokens that the customer may use at once, over the "
                           "whole fleet.",
                           true),
       integerField<record>("weight", &record::Weight, "", 1, 1'000'000,
-                           "The tenant's part of contended engines, relative "
+                           "The customer's part of contended engines, relative "
                            "to others."),
       choiceField<record>("highestPriority", &record::HighestPriority,
                           {{"rush", priority_class::Rush},
@@ -62,7 +62,7 @@
                           {{"serve", isolated_key_policy::Serve},
                            {"refuse", isolated_key_policy::Refuse}},
                           "What a host that can't confirm its configuration "
-                          "does with the tenant's keys."),
+                          "does with the customer's keys."),
       durationField<record>("isolationLimitSeconds", &record::IsolationLimit, 1,
                             86'400,
                             "How long an unconfirmed configuration is trusted "
@@ -86,7 +86,7 @@
   using record = key_grant;
   static const field_table<record> Table = {
       nameField<record>("name", &record::Name, "The grant's name."),
-      nameField<record>("tenant", &record::Tenant, "Whose key it is."),
+      nameField<record>("customer", &record::Customer, "Whose key it is."),
       makeField<record>({"digest", "text", "", "64 hexadecimal digits",
                          "The SHA-256 digest of the key.", true},
                         &record::Digest, readDigest,
@@ -124,8 +124,8 @@
       nameField<record>("default", &record::DefaultVersion,
                         "The version that the bare name means.", false),
       nameField<record>("model", &record::Model, "The base model."),
-      nameField<record>("tenant", &record::Tenant,
-                        "The tenant that may use it; none: every tenant.",
+      nameField<record>("customer", &record::Customer,
+                        "The customer that may use it; none: every customer.",
                         false),
   };
   return Table;
@@ -232,7 +232,7 @@
                            "Loads in flight at full speed in the whole "
                            "fleet."),
       integerField<record>("queueLimit", &record::QueueLimit, "", 1, 1'000'000,
-                           "Requests of one tenant that wait on one host."),
+                           "Requests of one customer that wait on one host."),
       durationField<record>("queueTimeoutMs", &record::QueueTimeout, 1,
                             3'600'000,
                             "The longest that a request waits on a host."),
@@ -241,7 +241,7 @@
                             "this passes."),
       integerField<record>("retryPercent", &record::RetryPercent, "", 0, 100,
                            "Retries allowed for each hundred calls of a "
-                           "tenant."),
+                           "customer."),
       durationField<record>("quarantineSeconds", &record::QuarantineTime, 1,
                             86'400,
                             "How long a request that crashes upstreams is "
@@ -253,7 +253,7 @@
 static void expandName(const adapter_group &Group, const std::string &Name,
                        std::vector<adapter_declaration> &Adapters) {
   for (const std::string &Version : Group.Versions)
-    Adapters.push_back({Name, Version, Group.Model, Group.Tenant,
+    Adapters.push_back({Name, Version, Group.Model, Group.Customer,
                         Version == Group.DefaultVersion});
 }
 
@@ -272,10 +272,10 @@
   for (const adapter_declaration &Adapter : Adapters) {
     const bool Joins = !Groups.empty() && Groups.back().Name == Adapter.Name &&
                        Groups.back().Model == Adapter.Model &&
-                       Groups.back().Tenant == Adapter.Tenant;
+                       Groups.back().Customer == Adapter.Customer;
     if (!Joins)
       Groups.push_back(
-          {Adapter.Name, "", 0, {}, "", Adapter.Model, Adapter.Tenant});
+          {Adapter.Name, "", 0, {}, "", Adapter.Model, Adapter.Customer});
     Groups.back().Versions.push_back(Adapter.Version);
     if (Adapter.IsDefault)
       Groups.back().DefaultVersion = Adapter.Version;
--- a/Libraries/LibConfiguration/intent_fields.h
+++ b/Libraries/LibConfiguration/intent_fields.h
@@ -16,12 +16,12 @@
   std::vector<std::string> Versions;
   std::string DefaultVersion;
   std::string Model;
-  std::string Tenant;
+  std::string Customer;
 };
 
 /// The tables by which an intent is read, written and compared.
 const field_table<zone_declaration> &zoneFields();
-const field_table<tenant_declaration> &tenantFields();
+const field_table<customer_declaration> &customerFields();
 const field_table<key_grant> &keyFields();
 const field_table<adapter_group> &adapterGroupFields();
 const field_table<upstream_declaration> &upstreamFields();
--- a/Libraries/LibConfiguration/intent_text.cpp
+++ b/Libraries/LibConfiguration/intent_text.cpp
@@ -12,7 +12,7 @@
 /// An intent as an operator writes it, with adapters in groups.
 struct written_intent {
   std::vector<zone_declaration> Zones;
-  std::vector<tenant_declaration> Tenants;
+  std::vector<customer_declaration> Customers;
   std::vector<key_grant> Keys;
   std::vector<adapter_group> Groups;
   std::vector<upstream_declaration> Upstreams;
@@ -27,8 +27,8 @@
   static const field_table<record> Table = {
       recordListField<record>("zones", &record::Zones, zoneFields(),
                               "The availability zones."),
-      recordListField<record>("tenants", &record::Tenants, tenantFields(),
-                              "The tenants."),
+      recordListField<record>("customers", &record::Customers, customerFields(),
+                              "The customers."),
       recordListField<record>("keys", &record::Keys, keyFields(),
                               "The granted keys; left out: those in force."),
       recordListField<record>("adapters", &record::Groups, adapterGroupFields(),
@@ -63,7 +63,7 @@
                      std::vector<std::size_t> &GroupOf) {
   intent Intent;
   Intent.Zones = std::move(Written.Zones);
-  Intent.Tenants = std::move(Written.Tenants);
+  Intent.Customers = std::move(Written.Customers);
   Intent.Keys = std::move(Written.Keys);
   Intent.Upstreams = std::move(Written.Upstreams);
   Intent.Routes = std::move(Written.Routes);
@@ -132,7 +132,7 @@
 
 std::string writeIntent(intent Intent) {
   sortByName(Intent.Zones);
-  sortByName(Intent.Tenants);
+  sortByName(Intent.Customers);
   sortByName(Intent.Keys);
   sortByName(Intent.Upstreams);
   sortByName(Intent.Routes);
@@ -142,7 +142,7 @@
             });
   written_intent Written;
   Written.Zones = std::move(Intent.Zones);
-  Written.Tenants = std::move(Intent.Tenants);
+  Written.Customers = std::move(Intent.Customers);
   Written.Keys = std::move(Intent.Keys);
   Written.Groups = joinAdapters(Intent.Adapters);
   Written.Upstreams = std::move(Intent.Upstreams);
--- a/Libraries/LibConfiguration/key_decision.cpp
+++ b/Libraries/LibConfiguration/key_decision.cpp
@@ -8,13 +8,13 @@
   const key_grant *Grant = Snapshot.findKey(Digest);
   if (Grant == nullptr)
     return {};
-  const tenant_id Id = tenant_id::ofName(Grant->Tenant);
-  const tenant_declaration *Tenant = Snapshot.findTenant(Id);
-  if (Tenant == nullptr)
+  const customer_id Id = customer_id::ofName(Grant->Customer);
+  const customer_declaration *Customer = Snapshot.findCustomer(Id);
+  if (Customer == nullptr)
     return {};
   const bool MustBeConfirmed =
-      Tenant->WhenIsolated == isolated_key_policy::Refuse;
-  if (MustBeConfirmed && Now - LastConfirmed > Tenant->IsolationLimit)
+      Customer->WhenIsolated == isolated_key_policy::Refuse;
+  if (MustBeConfirmed && Now - LastConfirmed > Customer->IsolationLimit)
     return {key_verdict::NotConfirmed, Grant, Id};
   return {key_verdict::Granted, Grant, Id};
 }
--- a/Libraries/LibConfiguration/key_decision.h
+++ b/Libraries/LibConfiguration/key_decision.h
@@ -11,12 +11,12 @@
 struct key_decision {
   key_verdict Verdict = key_verdict::Unknown;
   const key_grant *Grant = nullptr;
-  tenant_id Tenant;
+  customer_id Customer;
 };
 
 /// Decides on the key with the SHA-256 digest \p Digest. \p LastConfirmed is
 /// when the platform or a peer last confirmed that \p Snapshot is the newest
-/// configuration; a tenant that declared "refuse" is served only for its
+/// configuration; a customer that declared "refuse" is served only for its
 /// isolation limit after that. The result's grant lives as long as the
 /// snapshot. Thread-safe.
 key_decision decideKey(const configuration_snapshot &Snapshot,
--- a/Libraries/LibConfiguration/validate_intent.cpp
+++ b/Libraries/LibConfiguration/validate_intent.cpp
@@ -42,7 +42,7 @@
   std::vector<input_problem> run() {
     collectNames();
     checkNames("zones", Intent.Zones);
-    checkNames("tenants", Intent.Tenants);
+    checkNames("customers", Intent.Customers);
     checkNames("keys", Intent.Keys);
     checkNames("upstreams", Intent.Upstreams);
     checkNames("routes", Intent.Routes);
@@ -63,8 +63,8 @@
   void collectNames() {
     for (const zone_declaration &Zone : Intent.Zones)
       Zones.insert(Zone.Name);
-    for (const tenant_declaration &Tenant : Intent.Tenants)
-      Tenants.insert(Tenant.Name);
+    for (const customer_declaration &Customer : Intent.Customers)
+      Customers.insert(Customer.Name);
     for (const upstream_declaration &Upstream : Intent.Upstreams) {
       const bool IsEngine = Upstream.Kind == upstream_kind::Engine;
       (IsEngine ? Engines : Services).insert(Upstream.Name);
@@ -91,8 +91,8 @@
     name_set Digests;
     for (std::size_t Index = 0; Index < Intent.Keys.size(); ++Index) {
       const key_grant &Key = Intent.Keys[Index];
-      requireDeclared(Tenants, "tenant", Key.Tenant,
-                      path("keys", Index, "tenant"));
+      requireDeclared(Customers, "customer", Key.Customer,
+                      path("keys", Index, "customer"));
       if (!Digests.insert(Key.Digest).second)
         Problems.push_back({path("keys", Index, "digest"),
                             "another grant has the same digest"});
@@ -109,9 +109,9 @@
       if (Models.count(Adapter.Model) == 0)
         Problems.push_back({path("adapters", Index, "model"),
                             "no engine serves \"" + Adapter.Model + "\""});
-      if (!Adapter.Tenant.empty())
-        requireDeclared(Tenants, "tenant", Adapter.Tenant,
-                        path("adapters", Index, "tenant"));
+      if (!Adapter.Customer.empty())
+        requireDeclared(Customers, "customer", Adapter.Customer,
+                        path("adapters", Index, "customer"));
       if (Adapter.IsDefault && !Defaults.insert(Adapter.Name).second)
         Problems.push_back({path("adapters", Index, "default"),
                             "\"" + Adapter.Name + "\" has two defaults"});
@@ -174,7 +174,7 @@
   name_hash Hash;
   std::vector<input_problem> Problems;
   name_set Zones;
-  name_set Tenants;
+  name_set Customers;
   name_set Engines;
   name_set Services;
   name_set Models;
--- a/Libraries/LibCore/strong_id.h
+++ b/Libraries/LibCore/strong_id.h
@@ -27,7 +27,7 @@
   auto operator<=>(const strong_id &) const = default;
 };
 
-struct tenant_tag {};
+struct customer_tag {};
 struct host_tag {};
 struct zone_tag {};
 struct upstream_tag {};
@@ -35,7 +35,7 @@
 struct route_tag {};
 struct key_tag {};
 
-using tenant_id = strong_id<tenant_tag>;
+using customer_id = strong_id<customer_tag>;
 using host_id = strong_id<host_tag>;
 using zone_id = strong_id<zone_tag>;
 using upstream_id = strong_id<upstream_tag>;
--- a/Libraries/LibCore/tokens.h
+++ b/Libraries/LibCore/tokens.h
@@ -6,7 +6,7 @@
 
 namespace spindle {
 
-/// A count of model tokens, the unit of a tenant's rate and burst.
+/// A count of model tokens, the unit of a customer's rate and burst.
 struct tokens {
   std::int64_t Count = 0;
 
--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -216,7 +216,7 @@
         Upstream.Address, Head, Request.Body, limitsOf(Request, LastTry),
         connection_use::PooledOnce);
     Request.MayHaveRun = MayHaveRunBefore;
-    const attempt_report Report =
+    attempt_report Report =
         passAnswer(Request, Upstream, *Call, Booking, LastTry);
     const bool IsFailure = Report.Status >= FirstServerError;
     if (Report.End == attempt_end::Answered && !IsFailure)
--- a/Libraries/LibGateway/customer_quota.cpp
+++ b/Libraries/LibGateway/customer_quota.cpp
@@ -9,11 +9,11 @@
 void customer_quota::applyConfiguration(
     const gateway_configuration &Configuration) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  std::map<tenant_id, usage_bucket> Next;
+  std::map<customer_id, usage_bucket> Next;
   for (const gateway_customer &Customer : Configuration.Customers) {
     if (Customer.RatePerSecond <= 0)
       continue;
-    const tenant_id Id = tenant_id::ofName(Customer.Name);
+    const customer_id Id = customer_id::ofName(Customer.Name);
     usage_bucket &Bucket = Next[Id];
     const auto Found = Buckets.find(Id);
     if (Found != Buckets.end())
@@ -46,7 +46,7 @@
 void customer_quota::charge(const gateway_customer &Customer,
                             std::int64_t Units) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  const tenant_id Id = tenant_id::ofName(Customer.Name);
+  const customer_id Id = customer_id::ofName(Customer.Name);
   const auto Found = Buckets.find(Id);
   const double Wanted = static_cast<double>(Units);
   if (Found != Buckets.end() && !takeUnits(Found->second, Wanted, Clock.now()))
@@ -59,7 +59,7 @@
 void customer_quota::refund(const gateway_customer &Customer,
                             std::int64_t Units) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  const tenant_id Id = tenant_id::ofName(Customer.Name);
+  const customer_id Id = customer_id::ofName(Customer.Name);
   const auto Found = Buckets.find(Id);
   if (Found != Buckets.end())
     putBack(Found->second, static_cast<double>(Units), Clock.now());
--- a/Libraries/LibGateway/customer_quota.h
+++ b/Libraries/LibGateway/customer_quota.h
@@ -12,7 +12,7 @@
 namespace spindle {
 
 /// Units by customer.
-using customer_uses = std::map<tenant_id, std::int64_t>;
+using customer_uses = std::map<customer_id, std::int64_t>;
 
 /// What the customers may still use, as this host knows it. Thread-safe in
 /// every method.
@@ -39,7 +39,7 @@
   const runtime_clock &Clock;
   mutable std::mutex Mutex;
   double Share = 1;
-  std::map<tenant_id, usage_bucket> Buckets;
+  std::map<customer_id, usage_bucket> Buckets;
   customer_uses Own;
 };
 
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -35,8 +35,9 @@
 
 /// Spreads the returns of callers that are turned away together.
 milliseconds spread(milliseconds Pause) {
-  return milliseconds(
-      static_cast<std::int64_t>(Pause.count() * (0.75 + 0.5 * draw())));
+  const double Milliseconds =
+      static_cast<double>(Pause.count()) * (0.75 + 0.5 * draw());
+  return milliseconds(static_cast<std::int64_t>(Milliseconds));
 }
 
 const gateway_customer *identify(const gateway_configuration &Configuration,
@@ -347,7 +348,7 @@
   const gateway_service &Service = serviceOf(*Configuration, Route);
   std::string Body = Exchange.readBody(Configuration->Limits.BodyBytes);
   const request_fingerprint Fingerprint = fingerprintOf(
-      tenant_id::ofName(Customer ? Customer->Name : ""), Head.Target, Body);
+      customer_id::ofName(Customer ? Customer->Name : ""), Head.Target, Body);
   const time_point Deadline = deadlineOf(Route, Description, Start);
   forwarded_request Request{Services,
                             Exchange,
--- a/Libraries/LibGateway/sync_message.cpp
+++ b/Libraries/LibGateway/sync_message.cpp
@@ -19,7 +19,7 @@
              &Messages) {
   customer_uses Uses;
   for (const host_link::CustomerUse &Message : Messages)
-    Uses[tenant_id{Message.customer()}] = Message.tokens();
+    Uses[customer_id{Message.customer()}] = Message.tokens();
   return Uses;
 }
 
@@ -71,6 +71,7 @@
     Sum.set_unread_tokens(Sum.unread_tokens() + Load.unread_tokens());
   }
   std::vector<host_link::UpstreamLoad> Result;
+  Result.reserve(Sums.size());
   for (auto &[Upstream, Sum] : Sums)
     Result.push_back(std::move(Sum));
   return Result;
--- a/Libraries/LibHost/caller_identity.cpp
+++ b/Libraries/LibHost/caller_identity.cpp
@@ -48,7 +48,7 @@
     throw spindle_error(
         result_code::KeyNotConfirmed,
         "this host can't confirm at present that the key is still granted");
-  Caller.Tenant = Decision.Tenant;
+  Caller.Customer = Decision.Customer;
   return Caller;
 }
 
--- a/Libraries/LibHost/caller_identity.h
+++ b/Libraries/LibHost/caller_identity.h
@@ -11,7 +11,7 @@
 
 /// Whose request it is. On a route open to all, everything may be empty.
 struct caller_identity {
-  tenant_id Tenant;
+  customer_id Customer;
   /// As presented; never logged and never sent on.
   std::string Key;
   /// SHA-256 of the key in hexadecimal.
--- a/Libraries/LibHost/dispatch_queue.cpp
+++ b/Libraries/LibHost/dispatch_queue.cpp
@@ -81,7 +81,7 @@
 queue_ticket::~queue_ticket() { release(); }
 
 queue_ticket::queue_ticket(queue_ticket &&Other) noexcept
-    : Queue(std::move(Other.Queue)), Tenant(Other.Tenant),
+    : Queue(std::move(Other.Queue)), Customer(Other.Customer),
       Charged(Other.Charged), Waited(Other.Waited) {}
 
 queue_ticket &queue_ticket::operator=(queue_ticket &&Other) noexcept {
@@ -89,7 +89,7 @@
     return *this;
   release();
   Queue = std::move(Other.Queue);
-  Tenant = Other.Tenant;
+  Customer = Other.Customer;
   Charged = Other.Charged;
   Waited = Other.Waited;
   return *this;
@@ -99,7 +99,7 @@
   if (!Queue)
     return;
   const lock Lock(Queue->Mutex);
-  settleCharge(Queue->Queue, Tenant, Charged, Actual);
+  settleCharge(Queue->Queue, Customer, Charged, Actual);
 }
 
 void queue_ticket::release() noexcept {
@@ -123,9 +123,9 @@
 
 void dispatch_queue::applyConfiguration(
     const configuration_snapshot &Snapshot) {
-  std::vector<tenant_weight> Weights;
-  for (const tenant_declaration &Tenant : Snapshot.tenants())
-    Weights.push_back({tenant_id::ofName(Tenant.Name), Tenant.Weight});
+  std::vector<customer_weight> Weights;
+  for (const customer_declaration &Customer : Snapshot.customers())
+    Weights.push_back({customer_id::ofName(Customer.Name), Customer.Weight});
   const lock Lock(State->Mutex);
   queue_settings Settings = queueSettingsOf(Snapshot.policy());
   Settings.RefuseEarly = State->Queue.Settings.RefuseEarly;
@@ -161,19 +161,20 @@
   return queueDeadline(State->Queue.Settings, Priority, State->Clock.now());
 }
 
-queue_ticket dispatch_queue::enter(tenant_id Tenant, priority_class Priority,
-                                   tokens Cost, time_point Deadline) {
+queue_ticket dispatch_queue::enter(customer_id Customer,
+                                   priority_class Priority, tokens Cost,
+                                   time_point Deadline) {
   const time_point Enqueued = State->Clock.now();
-  waiting_request Request{0, Tenant, Priority, Cost, Enqueued, Deadline};
+  waiting_request Request{0, Customer, Priority, Cost, Enqueued, Deadline};
   queue_ticket Ticket;
-  Ticket.Tenant = Tenant;
+  Ticket.Customer = Customer;
   Ticket.Charged = Cost;
   completion<wait_result> Turn;
   std::uint64_t Sequence = 0;
   {
     const lock Lock(State->Mutex);
     if (State->Running < State->Capacity && waitingCount(State->Queue) == 0) {
-      chargeStart(State->Queue, Tenant, Cost, Enqueued);
+      chargeStart(State->Queue, Customer, Cost, Enqueued);
       ++State->Running;
       Ticket.Queue = State;
       return Ticket;
--- a/Libraries/LibHost/dispatch_queue.h
+++ b/Libraries/LibHost/dispatch_queue.h
@@ -21,7 +21,7 @@
   queue_ticket(queue_ticket &&Other) noexcept;
   queue_ticket &operator=(queue_ticket &&Other) noexcept;
 
-  /// Corrects what the tenant was charged for the request, once its true cost
+  /// Corrects what the customer was charged for the request, once its true cost
   /// is known. Precondition: called at most once.
   void settle(tokens Actual);
   /// How long the request waited in the queue.
@@ -36,7 +36,7 @@
   struct origin;
 
   std::shared_ptr<origin> Queue;
-  tenant_id Tenant;
+  customer_id Customer;
   tokens Charged;
   nanoseconds Waited{0};
 };
@@ -60,7 +60,7 @@
   dispatch_queue(const dispatch_queue &) = delete;
   dispatch_queue &operator=(const dispatch_queue &) = delete;
 
-  /// Takes policy, limits and the tenants' weights.
+  /// Takes policy, limits and the customers' weights.
   void applyConfiguration(const configuration_snapshot &Snapshot);
   /// Sets how many requests run at once.
   void setCapacity(std::uint32_t Concurrent);
@@ -74,7 +74,7 @@
   /// Waits for the right to run a request; blocks the calling fiber.
   /// \throws spindle_error QueueFull or DeadlineUnreachable; the request has
   /// not run.
-  queue_ticket enter(tenant_id Tenant, priority_class Priority, tokens Cost,
+  queue_ticket enter(customer_id Customer, priority_class Priority, tokens Cost,
                      time_point Deadline);
   /// Refuses requests whose deadline has passed by the clock. Waiting fibers
   /// do so by themselves in real time; tests with a paused clock call it.
--- a/Libraries/LibHost/model_handler.cpp
+++ b/Libraries/LibHost/model_handler.cpp
@@ -33,7 +33,7 @@
   Body["object"] = "list";
   Body["data"] = nlohmann::ordered_json::array();
   for (const std::string &Name :
-       Context.Snapshot->adapterNamesFor(Context.Caller.Tenant))
+       Context.Snapshot->adapterNamesFor(Context.Caller.Customer))
     Body["data"].push_back({{"id", Name}, {"object", "model"}});
   Context.Exchange.respond({HttpOk, {{"Content-Type", "application/json"}}},
                            Body.dump());
@@ -127,7 +127,7 @@
   const bool Begun = Context.Exchange.started();
   noteFailedAttempt(Run.Progress, Failure, Begun);
   const retry_decision Decision = Context.Services.Health.mayRetry(
-      Context.Caller.Tenant, Run.Progress, Failure, Run.Deadline);
+      Context.Caller.Customer, Run.Progress, Failure, Run.Deadline);
   if (Decision.Action == retry_action::Retry && !Begun)
     return;
   const bool Crossed = Cause.code() == result_code::WrongAdapterAnswered;
@@ -211,13 +211,13 @@
   request_services &Services = Context.Services;
   model_run Run = prepareModelRun(Context, *Endpoint);
   Services.Suspects.check(Run.Fingerprint);
-  rate_charge Charge(Services.Limiter, Context.Caller.Tenant, Run.Estimate,
+  rate_charge Charge(Services.Limiter, Context.Caller.Customer, Run.Estimate,
                      Run.Deadline);
-  Services.Health.noteCall(Context.Caller.Tenant);
+  Services.Health.noteCall(Context.Caller.Customer);
   Context.Exchange.watchCaller(Context.Cancellation);
   pin_lease Pin = nextPin(Context, Run);
   queue_ticket Ticket = Services.Queue.enter(
-      Context.Caller.Tenant, Run.Priority, Run.Estimate, Run.Deadline);
+      Context.Caller.Customer, Run.Priority, Run.Estimate, Run.Deadline);
   throwIfCancelled(Context);
   while (!attempt(Context, Run, Charge, Ticket, Pin))
     Pin = nextPin(Context, Run);
--- a/Libraries/LibHost/model_pin.cpp
+++ b/Libraries/LibHost/model_pin.cpp
@@ -40,11 +40,11 @@
   Wanted.Prompt = Run.Request.PromptTokens;
   Wanted.Deadline = Run.Deadline;
   Wanted.Avoid = Run.Avoid;
-  const tenant_declaration *const Tenant =
-      Context.Snapshot->findTenant(Context.Caller.Tenant);
+  const customer_declaration *const Customer =
+      Context.Snapshot->findCustomer(Context.Caller.Customer);
   const load_fairness::waiting_request Waiting =
-      Context.Services.LoadFairness.enter(Context.Caller.Tenant,
-                                          Tenant ? Tenant->Weight : 1);
+      Context.Services.LoadFairness.enter(Context.Caller.Customer,
+                                          Customer ? Customer->Weight : 1);
   Wanted.Weight = Waiting.Weight * loadWeightOf(Run.Priority);
   if (!avoidLostEngines(Context, Run, Wanted))
     return Context.Services.Residency.acquire(Wanted);
--- a/Libraries/LibHost/model_request.cpp
+++ b/Libraries/LibHost/model_request.cpp
@@ -9,25 +9,26 @@
   const std::optional<adapter_view> Adapter =
       Context.Snapshot->findAdapter(Model);
   const bool Allowed =
-      Adapter && (!Adapter->Tenant || Adapter->Tenant == Context.Caller.Tenant);
+      Adapter &&
+      (!Adapter->Customer || Adapter->Customer == Context.Caller.Customer);
   if (!Allowed)
     throw spindle_error(result_code::UnknownModel,
                         "no adapter \"" + std::string(Model) +
-                            "\" is declared for this key's tenant");
+                            "\" is declared for this key's customer");
   return *Adapter;
 }
 
 static priority_class allowedPriority(const request_context &Context,
                                       std::optional<priority_class> Wanted) {
-  const tenant_declaration *const Tenant =
-      Context.Snapshot->findTenant(Context.Caller.Tenant);
+  const customer_declaration *const Customer =
+      Context.Snapshot->findCustomer(Context.Caller.Customer);
   const priority_class Highest =
-      Tenant ? Tenant->HighestPriority : priority_class::Plain;
+      Customer ? Customer->HighestPriority : priority_class::Plain;
   if (!Wanted)
     return std::max(Highest, priority_class::Plain);
   if (*Wanted < Highest)
     throw spindle_error(result_code::PriorityNotAllowed,
-                        "field \"priority\": the tenant may not claim this "
+                        "field \"priority\": the customer may not claim this "
                         "class");
   return *Wanted;
 }
@@ -44,7 +45,7 @@
       std::string(Run.Adapter.Name) + "@" + std::string(Run.Adapter.Version);
   Run.MaxTokens = Run.Request.MaxTokens.value_or(DefaultMaxTokens);
   Run.Priority = allowedPriority(Context, Run.Request.Priority);
-  Run.Fingerprint = fingerprintOf(Context.Caller.Tenant, Run.AdapterName,
+  Run.Fingerprint = fingerprintOf(Context.Caller.Customer, Run.AdapterName,
                                   std::to_string(Run.Request.Fingerprint));
   Run.Estimate = Run.Request.PromptTokens + tokens{Run.MaxTokens};
   Run.Deadline = Context.Services.Queue.deadlineFor(Run.Priority);
--- a/Libraries/LibHost/order_desk.cpp
+++ b/Libraries/LibHost/order_desk.cpp
@@ -132,10 +132,10 @@
                                       time_point SentAt) {
   const order_attempt Attempt{NoncePrefix + std::to_string(NextNonce++),
                               Order.BodyDigest};
-  held_claim Wanted{orderObjectName(Order.Tenant, Order.Route, Order.OrderKey),
-                    0,
-                    makeClaim(Attempt, Order.CallTimeout,
-                              Settings.DispatchWindow, Clock.wallNow())};
+  held_claim Wanted{
+      orderObjectName(Order.Customer, Order.Route, Order.OrderKey), 0,
+      makeClaim(Attempt, Order.CallTimeout, Settings.DispatchWindow,
+                Clock.wallNow())};
   std::optional<std::uint64_t> OldVersion;
   while (Clock.now() < SentAt + Settings.ClaimTimeout) {
     bool Decided = false;
--- a/Libraries/LibHost/order_desk.h
+++ b/Libraries/LibHost/order_desk.h
@@ -16,7 +16,7 @@
 
 /// An order as it reaches the host.
 struct order_request {
-  tenant_id Tenant;
+  customer_id Customer;
   std::string Route;
   /// The caller's Idempotency-Key.
   std::string OrderKey;
--- a/Libraries/LibHost/rate_limiter.cpp
+++ b/Libraries/LibHost/rate_limiter.cpp
@@ -23,12 +23,12 @@
 static constexpr int LargestRoundCount = 32;
 static constexpr milliseconds ShortestRetryAfter{10};
 
-static bucket_id tenantBucket(tenant_id Tenant) {
-  return {Tenant, bucket_kind::TenantTokens};
+static bucket_id customerBucket(customer_id Customer) {
+  return {Customer, bucket_kind::CustomerTokens};
 }
 
 static bucket_id loadBucket(bucket_kind Kind) {
-  return {tenant_id::ofName("weight-store"), Kind};
+  return {customer_id::ofName("weight-store"), Kind};
 }
 
 struct rate_limiter::state {
@@ -108,20 +108,21 @@
   });
 }
 
-void rate_limiter::applyTenants(std::span<const tenant_declaration> Tenants) {
+void rate_limiter::applyCustomers(
+    std::span<const customer_declaration> Customers) {
   const lock Lock(State->ReshareMutex);
-  std::set<tenant_id> Declared;
-  for (const tenant_declaration &Tenant : Tenants) {
-    const tenant_id Id = tenant_id::ofName(Tenant.Name);
+  std::set<customer_id> Declared;
+  for (const customer_declaration &Customer : Customers) {
+    const customer_id Id = customer_id::ofName(Customer.Name);
     Declared.insert(Id);
-    State->defineBucket(tenantBucket(Id), Tenant.Name, toMicro(Tenant.Rate),
-                        toMicro(Tenant.Burst));
+    State->defineBucket(customerBucket(Id), Customer.Name,
+                        toMicro(Customer.Rate), toMicro(Customer.Burst));
   }
   // A share whose loans are out stays, so that they are still counted if the
-  // tenant comes back.
+  // customer comes back.
   const auto IsDropped = [&](const bucket_id &Id) {
-    return Id.Kind == bucket_kind::TenantTokens &&
-           !Declared.contains(Id.Tenant);
+    return Id.Kind == bucket_kind::CustomerTokens &&
+           !Declared.contains(Id.Customer);
   };
   State->Table.forEach([&](const bucket_id &Id, share_entry &Entry) {
     if (!IsDropped(Id))
@@ -174,12 +175,12 @@
   State->reshare(Prolonged);
 }
 
-rate_reservation rate_limiter::reserve(tenant_id Tenant, tokens Estimate,
+rate_reservation rate_limiter::reserve(customer_id Customer, tokens Estimate,
                                        time_point Deadline) {
-  const bucket_id Id = tenantBucket(Tenant);
+  const bucket_id Id = customerBucket(Customer);
   const micro_tokens Amount = toMicro(Estimate);
   const time_point Now = State->Clock.now();
-  rate_reservation Reservation{Tenant, Estimate};
+  rate_reservation Reservation{Customer, Estimate};
   bool Admitted = false;
   bool Known = false;
   State->Table.with(Id, [&](share_entry &Entry) {
@@ -188,14 +189,14 @@
       throw spindle_error(result_code::RequestExceedsBurst,
                           "the request reserves " +
                               std::to_string(Estimate.Count) +
-                              " tokens, more than the tenant's burst of " +
+                              " tokens, more than the customer's burst of " +
                               std::to_string(toTokens(Entry.FleetBurst).Count));
     noteDemand(Entry.Share.Demand, Amount);
     Admitted = tryReserve(Entry, Amount, State->Clock.now(), Reservation);
   });
   if (!Known)
     throw spindle_error(result_code::ShareUnavailable,
-                        "the tenant has no rate in this configuration");
+                        "the customer has no rate in this configuration");
   const time_point End =
       std::min(Deadline, Now + State->Settings.AdmissionWait);
   if (!Admitted && !State->waitForShare(Id, Amount, End, Reservation))
@@ -248,7 +249,7 @@
   if (!HasShare)
     Wait = ShareGrowthDelay;
   count("spindle_rate_refusals_total",
-        {{"tenant", Name}, {"result", std::string(describe(Code).Name)}});
+        {{"customer", Name}, {"result", std::string(describe(Code).Name)}});
   const milliseconds RetryAfter =
       std::max(std::chrono::ceil<milliseconds>(Wait), ShortestRetryAfter);
   throw retry_after_error(Code,
@@ -263,13 +264,14 @@
   const micro_tokens UsedMicros = toMicro(Used);
   if (Used > Reservation.Reserved)
     State->count("spindle_rate_overruns_total", {});
-  State->Table.with(tenantBucket(Reservation.Tenant), [&](share_entry &Entry) {
-    if (Entry.Epoch != Reservation.ShareEpoch)
-      return;
-    settleCharge(Entry.Share, Reservation.Mark, Charged, UsedMicros,
-                 State->Clock.now());
-    noteUnused(Entry.Share.Demand, Charged - UsedMicros);
-  });
+  State->Table.with(customerBucket(Reservation.Customer),
+                    [&](share_entry &Entry) {
+                      if (Entry.Epoch != Reservation.ShareEpoch)
+                        return;
+                      settleCharge(Entry.Share, Reservation.Mark, Charged,
+                                   UsedMicros, State->Clock.now());
+                      noteUnused(Entry.Share.Demand, Charged - UsedMicros);
+                    });
 }
 
 bool rate_limiter::tryReserveLoad(time_point Now) {
--- a/Libraries/LibHost/rate_limiter.h
+++ b/Libraries/LibHost/rate_limiter.h
@@ -19,12 +19,12 @@
 
 namespace spindle {
 
-/// Tokens charged to a tenant at admission, to be settled at the end of the
+/// Tokens charged to a customer at admission, to be settled at the end of the
 /// request. One that is never settled counts as used whole.
 struct rate_reservation {
   rate_reservation() = default;
-  rate_reservation(tenant_id Tenant, tokens Reserved)
-      : Tenant(Tenant), Reserved(Reserved) {}
+  rate_reservation(customer_id Customer, tokens Reserved)
+      : Customer(Customer), Reserved(Reserved) {}
   ~rate_reservation() = default;
   // A copy could be settled a second time.
   rate_reservation(const rate_reservation &) = delete;
@@ -32,9 +32,9 @@
   rate_reservation(rate_reservation &&) = default;
   rate_reservation &operator=(rate_reservation &&) = default;
 
-  tenant_id Tenant;
+  customer_id Customer;
   tokens Reserved;
-  /// Places the charge in the history of the tenant's share.
+  /// Places the charge in the history of the customer's share.
   std::uint64_t Mark = 0;
   std::uint64_t ShareEpoch = 0;
 };
@@ -51,7 +51,7 @@
   std::function<void(nanoseconds)> Sleep = sleepFor;
 };
 
-/// Admits each tenant's requests from this host's share of its rate and burst
+/// Admits each customer's requests from this host's share of its rate and burst
 /// and moves shares between hosts by loans of limited term. For every
 /// interval, the fleet admits at most rate x time + burst.
 ///
@@ -67,21 +67,21 @@
   rate_limiter(const rate_limiter &) = delete;
   rate_limiter &operator=(const rate_limiter &) = delete;
 
-  /// Takes over the tenants' rates and bursts.
+  /// Takes over the customers' rates and bursts.
   void applyConfiguration(const configuration_snapshot &Snapshot) {
-    applyTenants(Snapshot.tenants());
+    applyCustomers(Snapshot.customers());
   }
-  void applyTenants(std::span<const tenant_declaration> Tenants);
+  void applyCustomers(std::span<const customer_declaration> Customers);
   /// Takes over the peers and this host's base share. A share that shrinks is
   /// used no more when this returns.
   void applyView(const host_view &View);
 
-  /// Charges \p Estimate to \p Tenant. Blocks the calling fiber until
+  /// Charges \p Estimate to \p Customer. Blocks the calling fiber until
   /// \p Deadline, or for AdmissionWait if that is shorter.
   /// Precondition: \p Estimate is not negative.
   /// \throws retry_after_error RateExceeded or ShareUnavailable;
   /// spindle_error RequestExceedsBurst.
-  rate_reservation reserve(tenant_id Tenant, tokens Estimate,
+  rate_reservation reserve(customer_id Customer, tokens Estimate,
                            time_point Deadline);
   /// Replaces the charge of a reservation by what was used. What is used above
   /// the reservation is charged as well, and counted in a metric, because the
--- a/Libraries/LibHost/request_context.cpp
+++ b/Libraries/LibHost/request_context.cpp
@@ -11,10 +11,10 @@
                                    : "the caller has gone");
 }
 
-rate_charge::rate_charge(rate_limiter &Limiter, tenant_id Tenant,
+rate_charge::rate_charge(rate_limiter &Limiter, customer_id Customer,
                          tokens Estimate, time_point Deadline)
     : Limiter(Limiter),
-      Reservation(Limiter.reserve(Tenant, Estimate, Deadline)) {}
+      Reservation(Limiter.reserve(Customer, Estimate, Deadline)) {}
 
 rate_charge::~rate_charge() {
   if (!Settled)
--- a/Libraries/LibHost/request_context.h
+++ b/Libraries/LibHost/request_context.h
@@ -57,7 +57,7 @@
 class rate_charge {
 public:
   /// \throws as rate_limiter::reserve().
-  rate_charge(rate_limiter &Limiter, tenant_id Tenant, tokens Estimate,
+  rate_charge(rate_limiter &Limiter, customer_id Customer, tokens Estimate,
               time_point Deadline);
   ~rate_charge();
   rate_charge(const rate_charge &) = delete;
--- a/Libraries/LibHost/service_handler.cpp
+++ b/Libraries/LibHost/service_handler.cpp
@@ -36,7 +36,7 @@
   Run.Body = Context.Exchange.readBody(Context.Route.BodyLimitBytes);
   refuseKeyInBody(Run.Body, Key);
   Run.Fingerprint =
-      fingerprintOf(Context.Caller.Tenant, Context.Route.Name,
+      fingerprintOf(Context.Caller.Customer, Context.Route.Name,
                     Run.Head.Method + " " + Run.Head.Target + "\n" + Run.Body);
   Run.Deadline = Context.Services.Clock.now() + Context.Route.FirstByteTimeout;
   Run.Progress.Idempotent = Context.Route.Idempotent;
@@ -92,7 +92,7 @@
   const bool Begun = Context.Exchange.started();
   noteFailedAttempt(Run.Progress, Failure, Begun);
   const retry_decision Decision = Context.Services.Health.mayRetry(
-      Context.Caller.Tenant, Run.Progress, Failure, Run.Deadline);
+      Context.Caller.Customer, Run.Progress, Failure, Run.Deadline);
   if (Decision.Action == retry_action::Retry && !Begun)
     return;
   throw spindle_error(Decision.Code, Decision.State, Cause.what());
@@ -182,7 +182,7 @@
     Response = dispatchOrder(Context, Run);
   } else {
     order_request Order;
-    Order.Tenant = Context.Caller.Tenant;
+    Order.Customer = Context.Caller.Customer;
     Order.Route = Context.Route.Name;
     Order.OrderKey = OrderKey;
     Order.BodyDigest =
@@ -220,10 +220,10 @@
       Context.Route.Idempotent ? std::string() : orderKeyOf(Context);
   Services.Suspects.check(Run.Fingerprint);
   std::optional<rate_charge> Charge;
-  if (Context.Caller.Tenant)
-    Charge.emplace(Services.Limiter, Context.Caller.Tenant, Context.Route.Cost,
-                   Run.Deadline);
-  Services.Health.noteCall(Context.Caller.Tenant);
+  if (Context.Caller.Customer)
+    Charge.emplace(Services.Limiter, Context.Caller.Customer,
+                   Context.Route.Cost, Run.Deadline);
+  Services.Health.noteCall(Context.Caller.Customer);
   if (Charge)
     Charge->noteStarted();
   if (!Context.Route.Idempotent)
--- a/Libraries/LibHost/share_lender.cpp
+++ b/Libraries/LibHost/share_lender.cpp
@@ -74,7 +74,7 @@
             std::uint64_t Nonce, const loan_wish &Wish, milliseconds Term) {
   host_link::BorrowRequest Request;
   *Request.mutable_sender() = Self;
-  Request.set_tenant(Id.Tenant.Value);
+  Request.set_customer(Id.Customer.Value);
   Request.set_bucket(static_cast<std::uint32_t>(Id.Kind));
   Request.set_nonce(Nonce);
   Request.set_wanted_rate_per_second(static_cast<double>(Wish.Rate.PerSecond) /
@@ -183,8 +183,8 @@
   return borrow_outcome::Asked;
 }
 
-static bucket_id bucketOf(std::uint64_t Tenant, std::uint32_t Bucket) {
-  return {tenant_id{Tenant}, static_cast<bucket_kind>(Bucket)};
+static bucket_id bucketOf(std::uint64_t Customer, std::uint32_t Bucket) {
+  return {customer_id{Customer}, static_cast<bucket_kind>(Bucket)};
 }
 
 static loan_key keyOf(const host_link::Sender &Sender, std::uint64_t Nonce) {
@@ -218,9 +218,9 @@
       toMicro(token_rate{Request.wanted_rate_per_second()}),
       toMicro(tokens{std::max<std::int64_t>(Request.wanted_tokens(), 0)})};
   host_link::BorrowReply Reply;
-  const bucket_id Id = bucketOf(Request.tenant(), Request.bucket());
+  const bucket_id Id = bucketOf(Request.customer(), Request.bucket());
   Table.with(Id, [&](share_entry &Entry) {
-    tenant_share &Share = Entry.Share;
+    customer_share &Share = Entry.Share;
     const time_point Now = Clock.now();
     advanceShare(Share, Now);
     updateDemand(Share.Demand, Now);
@@ -248,7 +248,7 @@
 share_lender::handleRepay(const host_link::RepayRequest &Request) {
   const loan_key Key = keyOf(Request.sender(), Request.nonce());
   Table.with(
-      bucketOf(Request.tenant(), Request.bucket()), [&](share_entry &Entry) {
+      bucketOf(Request.customer(), Request.bucket()), [&](share_entry &Entry) {
         takeRepayment(Entry.Share, Key, toMicro(tokens{Request.level_tokens()}),
                       Clock.now());
       });
@@ -257,7 +257,7 @@
 
 /// Tells whether requests wait for loans, which loads don't.
 static bool requestsWait(const bucket_id &Id) {
-  return Id.Kind == bucket_kind::TenantTokens;
+  return Id.Kind == bucket_kind::CustomerTokens;
 }
 
 share_lender::chores share_lender::findChores() {
@@ -265,7 +265,7 @@
   const bool Drains = Draining;
   Table.forEach([&](const bucket_id &Id, share_entry &Entry) {
     const time_point Now = Clock.now();
-    tenant_share &Share = Entry.Share;
+    customer_share &Share = Entry.Share;
     advanceShare(Share, Now);
     updateDemand(Share.Demand, Now);
     for (const borrowed_loan &Loan : Share.Borrowed) {
@@ -349,7 +349,7 @@
     return;
   host_link::RepayRequest Request;
   *Request.mutable_sender() = Self;
-  Request.set_tenant(Held.Bucket.Tenant.Value);
+  Request.set_customer(Held.Bucket.Customer.Value);
   Request.set_bucket(static_cast<std::uint32_t>(Held.Bucket.Kind));
   Request.set_nonce(Held.Loan.Nonce);
   Request.set_level_tokens(toTokens(*Level).Count);
--- a/Libraries/LibHost/share_table.h
+++ b/Libraries/LibHost/share_table.h
@@ -1,8 +1,8 @@
 #ifndef PARSLEYSPINDLE_LIBHOST_SHARE_TABLE_H
 #define PARSLEYSPINDLE_LIBHOST_SHARE_TABLE_H
 
+#include "LibLimits/customer_share.h"
 #include "LibLimits/peer_choice.h"
-#include "LibLimits/tenant_share.h"
 
 #include <array>
 #include <cstddef>
@@ -15,14 +15,14 @@
 
 /// What a share limits. The numbers travel between hosts.
 enum class bucket_kind : std::uint32_t {
-  TenantTokens = 0,
+  CustomerTokens = 0,
   LoadRate = 1,
   LoadsInFlight = 2
 };
 
 struct bucket_id {
-  tenant_id Tenant;
-  bucket_kind Kind = bucket_kind::TenantTokens;
+  customer_id Customer;
+  bucket_kind Kind = bucket_kind::CustomerTokens;
 
   auto operator<=>(const bucket_id &) const = default;
 };
@@ -31,17 +31,17 @@
   std::size_t operator()(const bucket_id &Id) const noexcept {
     constexpr std::uint64_t OddMultiplier = 0x9E3779B97F4A7C15;
     const std::uint64_t Kind = static_cast<std::uint32_t>(Id.Kind);
-    return static_cast<std::size_t>(Id.Tenant.Value ^ (Kind * OddMultiplier));
+    return static_cast<std::size_t>(Id.Customer.Value ^ (Kind * OddMultiplier));
   }
 };
 
 /// This host's share of one bucket, and what the fleet's whole is.
 struct share_entry {
-  tenant_share Share;
+  customer_share Share;
   std::string Name;
   micro_rate FleetRate;
   micro_tokens FleetBurst;
-  /// Tells reservations of an earlier entry of the same tenant apart.
+  /// Tells reservations of an earlier entry of the same customer apart.
   std::uint64_t Epoch = 0;
   std::unordered_map<host_id, lender_hint> Hints;
   /// After a round in which the peers together had too little, nobody is asked
@@ -54,7 +54,7 @@
   bool Borrowing = false;
 };
 
-/// The shares of all tenants, divided into shards that have a lock each.
+/// The shares of all customers, divided into shards that have a lock each.
 /// Thread-safe in every method; \p Work runs under its shard's lock, must not
 /// wait and must not call the table.
 class share_table {
--- a/Libraries/LibHost/upstream_health.cpp
+++ b/Libraries/LibHost/upstream_health.cpp
@@ -22,20 +22,20 @@
   outlier_detector Detector;
   retry_budget_settings BudgetSettings;
   retry_budget HostBudget;
-  std::unordered_map<tenant_id, retry_budget> TenantBudgets;
+  std::unordered_map<customer_id, retry_budget> CustomerBudgets;
   std::unordered_map<upstream_id, peer_health> Peers;
 
-  retry_budget &budgetOf(tenant_id Tenant);
+  retry_budget &budgetOf(customer_id Customer);
   peer_health *findPeer(upstream_id Upstream);
 };
 
-/// Finds a tenant's budget. Undeclared tenants, and callers of open routes,
-/// share the one of no tenant, so that the map stays bounded.
-retry_budget &upstream_health::state::budgetOf(tenant_id Tenant) {
-  const auto Found = TenantBudgets.find(Tenant);
-  if (Found != TenantBudgets.end())
+/// Finds a customer's budget. Undeclared customers, and callers of open routes,
+/// share the one of no customer, so that the map stays bounded.
+retry_budget &upstream_health::state::budgetOf(customer_id Customer) {
+  const auto Found = CustomerBudgets.find(Customer);
+  if (Found != CustomerBudgets.end())
     return Found->second;
-  retry_budget &Shared = TenantBudgets[tenant_id{}];
+  retry_budget &Shared = CustomerBudgets[customer_id{}];
   Shared.Settings = BudgetSettings;
   return Shared;
 }
@@ -57,7 +57,7 @@
     const configuration_snapshot &Snapshot) {
   std::vector<upstream_place> Places;
   std::unordered_map<upstream_id, peer_health> Peers;
-  std::unordered_map<tenant_id, retry_budget> Budgets;
+  std::unordered_map<customer_id, retry_budget> Budgets;
   const lock Lock(State->Mutex);
   const time_point Now = State->Clock.now();
   for (const upstream_declaration &Upstream : Snapshot.upstreams()) {
@@ -70,17 +70,17 @@
       Peers[Id].LastHeard = Now;
   }
   State->BudgetSettings.RetryPercent = Snapshot.policy().RetryPercent;
-  for (const tenant_declaration &Tenant : Snapshot.tenants()) {
-    const tenant_id Id = tenant_id::ofName(Tenant.Name);
-    const auto Known = State->TenantBudgets.find(Id);
-    if (Known != State->TenantBudgets.end())
+  for (const customer_declaration &Customer : Snapshot.customers()) {
+    const customer_id Id = customer_id::ofName(Customer.Name);
+    const auto Known = State->CustomerBudgets.find(Id);
+    if (Known != State->CustomerBudgets.end())
       Budgets[Id] = Known->second;
     Budgets[Id].Settings = State->BudgetSettings;
   }
   State->HostBudget.Settings = State->BudgetSettings;
   setUpstreams(State->Detector, Places, Now);
   State->Peers = std::move(Peers);
-  State->TenantBudgets = std::move(Budgets);
+  State->CustomerBudgets = std::move(Budgets);
 }
 
 double upstream_health::weightOf(upstream_id Upstream) const {
@@ -108,20 +108,20 @@
                            State->Clock.now());
 }
 
-void upstream_health::noteCall(tenant_id Tenant) {
+void upstream_health::noteCall(customer_id Customer) {
   const lock Lock(State->Mutex);
   const time_point Now = State->Clock.now();
-  earnRetry(State->budgetOf(Tenant), Now);
+  earnRetry(State->budgetOf(Customer), Now);
   earnRetry(State->HostBudget, Now);
 }
 
-retry_decision upstream_health::mayRetry(tenant_id Tenant,
+retry_decision upstream_health::mayRetry(customer_id Customer,
                                          const call_progress &Progress,
                                          attempt_failure LastFailure,
                                          time_point Deadline) {
   const lock Lock(State->Mutex);
   const time_point Now = State->Clock.now();
-  retry_budget &Budget = State->budgetOf(Tenant);
+  retry_budget &Budget = State->budgetOf(Customer);
   retry_circumstances Circumstances;
   Circumstances.TimeLeft = Now < Deadline;
   Circumstances.BudgetLeft =
--- a/Libraries/LibHost/upstream_health.h
+++ b/Libraries/LibHost/upstream_health.h
@@ -33,11 +33,11 @@
   void noteIncarnation(upstream_id Upstream, std::uint64_t Incarnation);
 
   /// Notes a caller's call, once, however often it is retried.
-  void noteCall(tenant_id Tenant);
-  /// Decides what follows a failed attempt of a tenant's call; a retry or a
+  void noteCall(customer_id Customer);
+  /// Decides what follows a failed attempt of a customer's call; a retry or a
   /// resumption that it allows is taken from the budgets.
   /// Precondition: noteFailedAttempt() has added \p LastFailure.
-  retry_decision mayRetry(tenant_id Tenant, const call_progress &Progress,
+  retry_decision mayRetry(customer_id Customer, const call_progress &Progress,
                           attempt_failure LastFailure, time_point Deadline);
 
   /// The deadlines for a call, adapted to the upstream's measured latency.
--- a/Libraries/LibLimits/tenant_share.cpp
+++ b/Libraries/LibLimits/customer_share.cpp
@@ -1,10 +1,10 @@
-#include "LibLimits/tenant_share.h"
+#include "LibLimits/customer_share.h"
 
 #include <algorithm>
 
 namespace spindle {
 
-static micro_rate lentRate(const tenant_share &Share) {
+static micro_rate lentRate(const customer_share &Share) {
   micro_rate Sum;
   for (const lent_loan &Loan : Share.Lent)
     Sum += Loan.Amount.Rate;
@@ -16,47 +16,47 @@
   return std::max(Amount.Capacity, Amount.Level);
 }
 
-static micro_tokens lentCapacity(const tenant_share &Share) {
+static micro_tokens lentCapacity(const customer_share &Share) {
   micro_tokens Sum;
   for (const lent_loan &Loan : Share.Lent)
     Sum += heldCapacity(Loan.Amount);
   return Sum;
 }
 
-micro_rate lendableRate(const tenant_share &Share) {
+micro_rate lendableRate(const customer_share &Share) {
   return std::max(Share.BaseRate - lentRate(Share), micro_rate{});
 }
 
-micro_tokens lendableCapacity(const tenant_share &Share) {
+micro_tokens lendableCapacity(const customer_share &Share) {
   return std::max(Share.BaseCapacity - lentCapacity(Share), micro_tokens{});
 }
 
-micro_rate rateOf(const tenant_share &Share) {
+micro_rate rateOf(const customer_share &Share) {
   micro_rate Rate = lendableRate(Share);
   for (const borrowed_loan &Loan : Share.Borrowed)
     Rate += Loan.Amount.Rate;
   return Rate;
 }
 
-micro_tokens capacityOf(const tenant_share &Share) {
+micro_tokens capacityOf(const customer_share &Share) {
   micro_tokens Capacity = lendableCapacity(Share);
   for (const borrowed_loan &Loan : Share.Borrowed)
     Capacity += Loan.Amount.Capacity;
   return Capacity;
 }
 
-static micro_tokens slackOf(const tenant_share &Share) {
+static micro_tokens slackOf(const customer_share &Share) {
   return capacityOf(Share) - Share.Level;
 }
 
 /// The highest level allowed at present.
-static micro_tokens ceilingOf(const tenant_share &Share) {
+static micro_tokens ceilingOf(const customer_share &Share) {
   if (Share.Kind == refill_kind::BySettlement)
     return capacityOf(Share) - Share.Outstanding;
   return capacityOf(Share);
 }
 
-static void updateNextEnd(tenant_share &Share) {
+static void updateNextEnd(customer_share &Share) {
   Share.NextEnd = time_point::max();
   if (Share.BaseCapacity.Count > 0 || Share.BaseRate.PerSecond > 0)
     Share.NextEnd = Share.ValidUntil;
@@ -69,7 +69,7 @@
 }
 
 /// Drops what this host may no longer use.
-static void endBorrowedAndBase(tenant_share &Share, time_point Now) {
+static void endBorrowedAndBase(customer_share &Share, time_point Now) {
   std::erase_if(Share.Borrowed,
                 [Now](const borrowed_loan &Loan) { return Now >= Loan.End; });
   if (Now < Share.ValidUntil)
@@ -79,7 +79,7 @@
 }
 
 /// Counts as own again what was lent until now; its level starts at zero.
-static void regainLent(tenant_share &Share, time_point Now) {
+static void regainLent(customer_share &Share, time_point Now) {
   const auto Ended = [Now](const lent_loan &Loan) { return Now >= Loan.End; };
   std::erase_if(Share.Repaid, Ended);
   if (std::none_of(Share.Lent.begin(), Share.Lent.end(), Ended))
@@ -88,7 +88,7 @@
   std::erase_if(Share.Lent, Ended);
 }
 
-static void refill(tenant_share &Share, time_point Now) {
+static void refill(customer_share &Share, time_point Now) {
   if (Share.Kind == refill_kind::BySettlement) {
     Share.Level = ceilingOf(Share);
     return;
@@ -100,7 +100,7 @@
   Share.Level = std::min(Share.Level, ceilingOf(Share));
 }
 
-void advanceShare(tenant_share &Share, time_point Now) {
+void advanceShare(customer_share &Share, time_point Now) {
   if (Now < Share.NextEnd) {
     refill(Share, Now);
     return;
@@ -113,7 +113,7 @@
   updateNextEnd(Share);
 }
 
-void setBase(tenant_share &Share, micro_rate Rate, micro_tokens Capacity,
+void setBase(customer_share &Share, micro_rate Rate, micro_tokens Capacity,
              time_point ValidUntil, time_point Now) {
   advanceShare(Share, Now);
   noteSlack(Share.History, slackOf(Share));
@@ -125,8 +125,8 @@
   updateNextEnd(Share);
 }
 
-std::optional<std::uint64_t> tryCharge(tenant_share &Share, micro_tokens Amount,
-                                       time_point Now) {
+std::optional<std::uint64_t> tryCharge(customer_share &Share,
+                                       micro_tokens Amount, time_point Now) {
   advanceShare(Share, Now);
   if (Share.Level < Amount)
     return std::nullopt;
@@ -136,8 +136,8 @@
   return Mark;
 }
 
-void settleCharge(tenant_share &Share, std::uint64_t Mark, micro_tokens Charged,
-                  micro_tokens Used, time_point Now) {
+void settleCharge(customer_share &Share, std::uint64_t Mark,
+                  micro_tokens Charged, micro_tokens Used, time_point Now) {
   advanceShare(Share, Now);
   Share.Outstanding -= Charged;
   if (Used > Charged) {
@@ -152,14 +152,14 @@
   creditSince(Share.History, Mark, Credit);
 }
 
-static std::vector<lent_loan>::iterator findLent(tenant_share &Share,
+static std::vector<lent_loan>::iterator findLent(customer_share &Share,
                                                  const loan_key &Key) {
   return std::find_if(
       Share.Lent.begin(), Share.Lent.end(),
       [&Key](const lent_loan &Loan) { return Loan.Key == Key; });
 }
 
-std::optional<lent_loan> lend(tenant_share &Share, const loan_key &Key,
+std::optional<lent_loan> lend(customer_share &Share, const loan_key &Key,
                               const loan_amount &Amount, milliseconds Term,
                               time_point Now) {
   advanceShare(Share, Now);
@@ -178,7 +178,7 @@
   return Share.Lent.back();
 }
 
-std::optional<lent_loan> renewLent(tenant_share &Share, const loan_key &Key,
+std::optional<lent_loan> renewLent(customer_share &Share, const loan_key &Key,
                                    time_point Now) {
   advanceShare(Share, Now);
   const auto Found = findLent(Share, Key);
@@ -193,13 +193,13 @@
   return *Found;
 }
 
-bool wasRepaid(const tenant_share &Share, const loan_key &Key) {
+bool wasRepaid(const customer_share &Share, const loan_key &Key) {
   return std::any_of(Share.Repaid.begin(), Share.Repaid.end(),
                      [&Key](const lent_loan &Loan) { return Loan.Key == Key; });
 }
 
-bool takeRepayment(tenant_share &Share, const loan_key &Key, micro_tokens Level,
-                   time_point Now) {
+bool takeRepayment(customer_share &Share, const loan_key &Key,
+                   micro_tokens Level, time_point Now) {
   advanceShare(Share, Now);
   const auto Found = findLent(Share, Key);
   if (Found == Share.Lent.end())
@@ -214,7 +214,7 @@
   return true;
 }
 
-bool acceptLoan(tenant_share &Share, const borrowed_loan &Loan,
+bool acceptLoan(customer_share &Share, const borrowed_loan &Loan,
                 milliseconds Term, time_point SentAt, time_point Now) {
   advanceShare(Share, Now);
   if (Now >= SentAt + Term)
@@ -231,14 +231,14 @@
   return true;
 }
 
-static std::vector<borrowed_loan>::iterator findBorrowed(tenant_share &Share,
+static std::vector<borrowed_loan>::iterator findBorrowed(customer_share &Share,
                                                          std::uint64_t Nonce) {
   return std::find_if(
       Share.Borrowed.begin(), Share.Borrowed.end(),
       [Nonce](const borrowed_loan &Loan) { return Loan.Nonce == Nonce; });
 }
 
-bool prolongLoan(tenant_share &Share, std::uint64_t Nonce, milliseconds Term,
+bool prolongLoan(customer_share &Share, std::uint64_t Nonce, milliseconds Term,
                  time_point SentAt, time_point Now) {
   advanceShare(Share, Now);
   const auto Found = findBorrowed(Share, Nonce);
@@ -250,7 +250,7 @@
 }
 
 std::optional<micro_tokens>
-dropForRepayment(tenant_share &Share, std::uint64_t Nonce, time_point Now) {
+dropForRepayment(customer_share &Share, std::uint64_t Nonce, time_point Now) {
   advanceShare(Share, Now);
   const auto Found = findBorrowed(Share, Nonce);
   if (Found == Share.Borrowed.end())
--- a/Libraries/LibLimits/tenant_share.h
+++ b/Libraries/LibLimits/customer_share.h
@@ -1,5 +1,5 @@
-#ifndef PARSLEYSPINDLE_LIBLIMITS_TENANT_SHARE_H
-#define PARSLEYSPINDLE_LIBLIMITS_TENANT_SHARE_H
+#ifndef PARSLEYSPINDLE_LIBLIMITS_CUSTOMER_SHARE_H
+#define PARSLEYSPINDLE_LIBLIMITS_CUSTOMER_SHARE_H
 
 #include "LibLimits/demand_meter.h"
 #include "LibLimits/loan.h"
@@ -20,18 +20,18 @@
   BySettlement
 };
 
-/// One host's share of one tenant's rate and burst: a token bucket whose rate
+/// One host's share of one customer's rate and burst: a token bucket whose rate
 /// and capacity are the host's base share, less what it has lent, plus what it
 /// has borrowed.
 ///
-/// Over the fleet the rates sum to at most the tenant's rate and the
+/// Over the fleet the rates sum to at most the customer's rate and the
 /// capacities, those on their way included, to at most its burst. A level is
 /// never above its capacity. Hence the fleet admits at most rate x time +
 /// burst in any interval.
 ///
 /// Every function below first brings the share up to \p Now, so that a host
 /// that was paused finds ended what ended meanwhile. Not thread-safe.
-struct tenant_share {
+struct customer_share {
   refill_kind Kind = refill_kind::ByRate;
   micro_rate BaseRate;
   micro_tokens BaseCapacity;
@@ -52,58 +52,58 @@
 };
 
 /// The present rate and capacity.
-micro_rate rateOf(const tenant_share &Share);
-micro_tokens capacityOf(const tenant_share &Share);
+micro_rate rateOf(const customer_share &Share);
+micro_tokens capacityOf(const customer_share &Share);
 /// What the base share has left to lend; zero while more is lent than the base
 /// share now holds.
-micro_rate lendableRate(const tenant_share &Share);
-micro_tokens lendableCapacity(const tenant_share &Share);
+micro_rate lendableRate(const customer_share &Share);
+micro_tokens lendableCapacity(const customer_share &Share);
 
 /// Ends what has ended by \p Now and refills the bucket.
-void advanceShare(tenant_share &Share, time_point Now);
+void advanceShare(customer_share &Share, time_point Now);
 /// Replaces the base share. What it grows by starts empty.
-void setBase(tenant_share &Share, micro_rate Rate, micro_tokens Capacity,
+void setBase(customer_share &Share, micro_rate Rate, micro_tokens Capacity,
              time_point ValidUntil, time_point Now);
 /// Charges \p Amount if the level suffices; returns the charge's place in the
 /// history. Precondition: \p Amount is not negative.
-std::optional<std::uint64_t> tryCharge(tenant_share &Share, micro_tokens Amount,
-                                       time_point Now);
+std::optional<std::uint64_t> tryCharge(customer_share &Share,
+                                       micro_tokens Amount, time_point Now);
 /// Replaces the charge of \p Charged, made at \p Mark, by \p Used.
-void settleCharge(tenant_share &Share, std::uint64_t Mark, micro_tokens Charged,
-                  micro_tokens Used, time_point Now);
+void settleCharge(customer_share &Share, std::uint64_t Mark,
+                  micro_tokens Charged, micro_tokens Used, time_point Now);
 
 /// Gives a loan. Debits first, so that a lost reply loses the part until the
 /// loan's end. \returns the loan, or nothing if the share can't afford it.
 /// Precondition: no loan with \p Key is out.
-std::optional<lent_loan> lend(tenant_share &Share, const loan_key &Key,
+std::optional<lent_loan> lend(customer_share &Share, const loan_key &Key,
                               const loan_amount &Amount, milliseconds Term,
                               time_point Now);
 /// Answers a repeated request for a loan that is out: the same loan, whose
 /// term starts anew. \returns nothing if there is no such loan, or if the base
 /// share has meanwhile shrunk below what is lent.
-std::optional<lent_loan> renewLent(tenant_share &Share, const loan_key &Key,
+std::optional<lent_loan> renewLent(customer_share &Share, const loan_key &Key,
                                    time_point Now);
 /// Tells whether the loan was repaid not long ago.
-bool wasRepaid(const tenant_share &Share, const loan_key &Key);
+bool wasRepaid(const customer_share &Share, const loan_key &Key);
 /// Takes back a loan before its end with the unused \p Level; returns false,
 /// without effect, if it is not out.
-bool takeRepayment(tenant_share &Share, const loan_key &Key, micro_tokens Level,
-                   time_point Now);
+bool takeRepayment(customer_share &Share, const loan_key &Key,
+                   micro_tokens Level, time_point Now);
 
 /// Adds a loan granted to a request sent at \p SentAt. Tokens that the capacity
 /// can't hold vanish. Returns false, without effect, if the term is over.
 /// Precondition: called at most once for each nonce.
-bool acceptLoan(tenant_share &Share, const borrowed_loan &Loan,
+bool acceptLoan(customer_share &Share, const borrowed_loan &Loan,
                 milliseconds Term, time_point SentAt, time_point Now);
 /// Prolongs a loan by the answer to a repeated request sent at \p SentAt.
 /// Returns false, without effect, if the loan is no longer held.
-bool prolongLoan(tenant_share &Share, std::uint64_t Nonce, milliseconds Term,
+bool prolongLoan(customer_share &Share, std::uint64_t Nonce, milliseconds Term,
                  time_point SentAt, time_point Now);
 /// Drops a loan in order to repay it; returns the level to give back with it.
 /// Returns nothing if the loan is no longer held.
 std::optional<micro_tokens>
-dropForRepayment(tenant_share &Share, std::uint64_t Nonce, time_point Now);
+dropForRepayment(customer_share &Share, std::uint64_t Nonce, time_point Now);
 
 } // namespace spindle
 
-#endif // PARSLEYSPINDLE_LIBLIMITS_TENANT_SHARE_H
+#endif // PARSLEYSPINDLE_LIBLIMITS_CUSTOMER_SHARE_H
--- a/Libraries/LibLimits/demand_meter.h
+++ b/Libraries/LibLimits/demand_meter.h
@@ -5,7 +5,7 @@
 
 namespace spindle {
 
-/// A moving average of what a tenant asks of this host, admitted or not. It
+/// A moving average of what a customer asks of this host, admitted or not. It
 /// guides lending; no bound depends on it.
 struct demand_meter {
   double MicrosPerSecond = 0;
--- a/Libraries/LibLimits/lending_policy.cpp
+++ b/Libraries/LibLimits/lending_policy.cpp
@@ -13,7 +13,7 @@
 static constexpr std::int64_t LeastTokensDivisor = 16;
 static constexpr double LargeRequestsWanted = 2.0;
 
-static double demandOf(const tenant_share &Share) {
+static double demandOf(const customer_share &Share) {
   return std::max(Share.Demand.MicrosPerSecond, 0.0);
 }
 
@@ -29,7 +29,7 @@
   return {static_cast<std::int64_t>(std::max(Micros, 0.0))};
 }
 
-static micro_rate wantedRate(const tenant_share &Share,
+static micro_rate wantedRate(const customer_share &Share,
                              const lending_settings &Settings) {
   if (Share.Kind == refill_kind::BySettlement)
     return {};
@@ -40,7 +40,7 @@
   return rateOfMicros(Demand - Rate);
 }
 
-static micro_tokens wantedLevel(const tenant_share &Share,
+static micro_tokens wantedLevel(const customer_share &Share,
                                 const lending_settings &Settings) {
   const double ForLarge = LargeRequestsWanted * Share.Demand.LargeMicros;
   const double ForTime = demandOf(Share) * inSeconds(Settings.WantedTime);
@@ -48,12 +48,12 @@
 }
 
 /// What is missing up to \p Wanted.
-static micro_tokens missingLevel(const tenant_share &Share,
+static micro_tokens missingLevel(const customer_share &Share,
                                  micro_tokens Wanted) {
   return std::max(Wanted - Share.Level, micro_tokens{});
 }
 
-std::optional<loan_wish> wishAhead(const tenant_share &Share,
+std::optional<loan_wish> wishAhead(const customer_share &Share,
                                    const lending_settings &Settings,
                                    bool RequestsWait) {
   const bool IsLow =
@@ -67,18 +67,18 @@
   return Wish;
 }
 
-loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount) {
+loan_wish wishForRequest(const customer_share &Share, micro_tokens Amount) {
   return {{}, missingLevel(Share, Amount)};
 }
 
-milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
+milliseconds termFor(const customer_share &Share, const loan_wish &Wish,
                      const lending_settings &Settings) {
   const bool SpentAtOnce =
       Share.Kind == refill_kind::ByRate && Wish.Rate.PerSecond == 0;
   return SpentAtOnce ? Settings.TransferTerm : Settings.LoanTerm;
 }
 
-static micro_rate spareRate(const tenant_share &Share,
+static micro_rate spareRate(const customer_share &Share,
                             const lending_settings &Settings, bool Draining) {
   const micro_rate Lendable = lendableRate(Share);
   if (Draining)
@@ -91,7 +91,7 @@
 }
 
 /// The part of the base capacity that goes with \p Rate.
-static micro_tokens capacityFor(const tenant_share &Share, micro_rate Rate) {
+static micro_tokens capacityFor(const customer_share &Share, micro_rate Rate) {
   if (Share.BaseRate.PerSecond == 0)
     return {};
   const double Part = static_cast<double>(Rate.PerSecond) /
@@ -100,7 +100,7 @@
 }
 
 /// Adds capacity to an offer that runs for longer than a transfer.
-static void addCapacity(loan_amount &Offer, const tenant_share &Share) {
+static void addCapacity(loan_amount &Offer, const customer_share &Share) {
   const micro_tokens Lendable = lendableCapacity(Share);
   const micro_tokens Wanted =
       std::max(Offer.Level, capacityFor(Share, Offer.Rate));
@@ -113,7 +113,7 @@
     Offer.Capacity = Offer.Level;
 }
 
-std::optional<loan_amount> offerFor(const tenant_share &Share,
+std::optional<loan_amount> offerFor(const customer_share &Share,
                                     const loan_wish &Wish, milliseconds Term,
                                     const lending_settings &Settings,
                                     bool Draining) {
@@ -136,7 +136,7 @@
   return Offer;
 }
 
-bool wantsRenewal(const tenant_share &Share, const borrowed_loan &Loan) {
+bool wantsRenewal(const customer_share &Share, const borrowed_loan &Loan) {
   const micro_tokens Capacity = capacityOf(Share) - Loan.Amount.Capacity;
   if (Share.Kind == refill_kind::BySettlement)
     return Share.Outstanding > Capacity;
@@ -144,7 +144,7 @@
   return Without < rateOfMicros(demandOf(Share));
 }
 
-bool affordsRenewal(const tenant_share &Share) {
+bool affordsRenewal(const customer_share &Share) {
   if (Share.Kind == refill_kind::BySettlement)
     return true;
   return rateOf(Share) >= rateOfMicros(demandOf(Share));
--- a/Libraries/LibLimits/lending_policy.h
+++ b/Libraries/LibLimits/lending_policy.h
@@ -1,7 +1,7 @@
 #ifndef PARSLEYSPINDLE_LIBLIMITS_LENDING_POLICY_H
 #define PARSLEYSPINDLE_LIBLIMITS_LENDING_POLICY_H
 
-#include "LibLimits/tenant_share.h"
+#include "LibLimits/customer_share.h"
 
 #include <optional>
 
@@ -34,24 +34,24 @@
 /// rate, and tokens only if a request can't wait for them, because tokens moved
 /// ahead of need leave less room for what reservations give back.
 /// Precondition: the share's demand is up to date.
-std::optional<loan_wish> wishAhead(const tenant_share &Share,
+std::optional<loan_wish> wishAhead(const customer_share &Share,
                                    const lending_settings &Settings,
                                    bool RequestsWait);
 /// What a share should borrow for a waiting request of \p Amount.
-loan_wish wishForRequest(const tenant_share &Share, micro_tokens Amount);
+loan_wish wishForRequest(const customer_share &Share, micro_tokens Amount);
 /// The term to ask for: a transfer unless rate or capacity is needed.
-milliseconds termFor(const tenant_share &Share, const loan_wish &Wish,
+milliseconds termFor(const customer_share &Share, const loan_wish &Wish,
                      const lending_settings &Settings);
 /// What a share can spare of \p Wish for \p Term, or nothing. A host that is
 /// \p Draining spares all it has.
-std::optional<loan_amount> offerFor(const tenant_share &Share,
+std::optional<loan_amount> offerFor(const customer_share &Share,
                                     const loan_wish &Wish, milliseconds Term,
                                     const lending_settings &Settings,
                                     bool Draining);
 /// Tells whether a borrower still needs a loan that will end soon.
-bool wantsRenewal(const tenant_share &Share, const borrowed_loan &Loan);
+bool wantsRenewal(const customer_share &Share, const borrowed_loan &Loan);
 /// Tells whether a giver can do without what it has lent.
-bool affordsRenewal(const tenant_share &Share);
+bool affordsRenewal(const customer_share &Share);
 
 } // namespace spindle
 
--- a/Libraries/LibLimits/loan.h
+++ b/Libraries/LibLimits/loan.h
@@ -28,9 +28,9 @@
 inline constexpr milliseconds ShareGrowthDelay =
     LongestLoanTerm + marginOf(LongestLoanTerm);
 
-/// What moves from one host's share of a tenant to another's. The giver counts
-/// the larger of Capacity and Level out of its capacity until the loan's end,
-/// so that tokens on their way still have room that nobody else fills.
+/// What moves from one host's share of a customer to another's. The giver
+/// counts the larger of Capacity and Level out of its capacity until the loan's
+/// end, so that tokens on their way still have room that nobody else fills.
 struct loan_amount {
   micro_rate Rate;
   micro_tokens Capacity;
--- a/Libraries/LibLoad/arrival_plan.cpp
+++ b/Libraries/LibLoad/arrival_plan.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-/// Where the arrivals of one tenant and kind come from.
+/// Where the arrivals of one customer and kind come from.
 struct arrival_stream {
   load_kind Kind;
-  std::uint32_t Tenant;
+  std::uint32_t Customer;
   double PerSecond;
 };
 
@@ -47,13 +47,13 @@
 static std::vector<arrival_stream> listStreams(const load_scenarios &Common,
                                                const load_scenario &Scenario) {
   double Parts = 0;
-  for (const load_tenant &Tenant : Common.Tenants)
-    Parts += Tenant.Part;
+  for (const load_customer &Customer : Common.Customers)
+    Parts += Customer.Part;
   std::vector<arrival_stream> Streams;
-  for (std::uint32_t Index = 0; Index < Common.Tenants.size(); ++Index) {
-    const bool Heavy = static_cast<int>(Index) == Scenario.HeavyTenant;
+  for (std::uint32_t Index = 0; Index < Common.Customers.size(); ++Index) {
+    const bool Heavy = static_cast<int>(Index) == Scenario.HeavyCustomer;
     const double Times = Heavy ? Scenario.HeavyTimes : 1;
-    const double Part = Common.Tenants[Index].Part / Parts;
+    const double Part = Common.Customers[Index].Part / Parts;
     Streams.push_back({load_kind::Completion, Index,
                        Scenario.RequestsPerSecond * Part * Times});
     Streams.push_back(
@@ -75,8 +75,9 @@
   std::discrete_distribution<std::uint32_t> Class(Parts.begin(), Parts.end());
   Request.Class = Class(Random);
   const load_class &Chosen = Common.Classes[Request.Class];
-  Request.Adapter = adapterAt(Scenario, Common.Tenants[Request.Tenant].Adapters,
-                              Popularity.draw(Random), Seconds);
+  Request.Adapter =
+      adapterAt(Scenario, Common.Customers[Request.Customer].Adapters,
+                Popularity.draw(Random), Seconds);
   Request.PromptTokens = drawLength(Chosen.PromptTokens, Random);
   Request.AnswerTokens = drawLength(Chosen.AnswerTokens, Random);
 }
@@ -87,9 +88,9 @@
                        const load_scenario &Scenario, std::uint32_t Hosts) {
   if (Stream.PerSecond <= 0)
     return;
-  std::mt19937_64 Random(Common.Seed * 1'000 + Stream.Tenant * 10 +
+  std::mt19937_64 Random(Common.Seed * 1'000 + Stream.Customer * 10 +
                          static_cast<std::uint64_t>(Stream.Kind));
-  const zipf_sampler Popularity(Common.Tenants[Stream.Tenant].Adapters,
+  const zipf_sampler Popularity(Common.Customers[Stream.Customer].Adapters,
                                 Scenario.ZipfExponent);
   std::exponential_distribution<double> Gap(Stream.PerSecond);
   for (double Seconds = Gap(Random);
@@ -98,7 +99,7 @@
     planned_request Request;
     Request.At = nanoseconds(static_cast<std::int64_t>(Seconds * 1e9));
     Request.Kind = Stream.Kind;
-    Request.Tenant = Stream.Tenant;
+    Request.Customer = Stream.Customer;
     Request.Host = drawHost(Scenario, Hosts, Random);
     if (Stream.Kind == load_kind::Completion)
       drawContent(Request, Common, Scenario, Popularity, Seconds, Random);
--- a/Libraries/LibLoad/arrival_plan.h
+++ b/Libraries/LibLoad/arrival_plan.h
@@ -15,7 +15,7 @@
   /// Since the run's start.
   nanoseconds At{0};
   load_kind Kind = load_kind::Completion;
-  std::uint32_t Tenant = 0;
+  std::uint32_t Customer = 0;
   std::uint32_t Host = 0;
   /// Index into the classes; completions only.
   std::uint32_t Class = 0;
@@ -31,7 +31,7 @@
 inline constexpr std::size_t MostPlannedRequests = 2'000'000;
 
 /// Plans all arrivals of a scenario, in order of time: a Poisson process for
-/// each tenant and kind, drawn from a generator of its own, so that a change
+/// each customer and kind, drawn from a generator of its own, so that a change
 /// of one leaves the others alone. The same arguments give the same plan.
 /// Precondition: \p Hosts is at least 1. Thread-safe.
 std::vector<planned_request> planArrivals(const load_scenarios &Common,
--- a/Libraries/LibLoad/load_record.h
+++ b/Libraries/LibLoad/load_record.h
@@ -30,7 +30,7 @@
   int Code = 0;
   std::string CodeName;
   std::string State;
-  /// Tokens that the tenant is charged at admission and in the end.
+  /// Tokens that the customer is charged at admission and in the end.
   double ReservedTokens = 0;
   double UsedTokens = 0;
 };
--- a/Libraries/LibLoad/load_scenario.cpp
+++ b/Libraries/LibLoad/load_scenario.cpp
@@ -19,10 +19,10 @@
       [](double Value) { return Value; });
 }
 
-static const field_table<load_tenant> &tenantFields() {
-  using record = load_tenant;
+static const field_table<load_customer> &customerFields() {
+  using record = load_customer;
   static const field_table<record> Table = {
-      textField<record>("name", &record::Name, "The tenant.", true),
+      textField<record>("name", &record::Name, "The customer.", true),
       textField<record>("key", &record::Key, "The callers' key.", true),
       textField<record>("adapterPrefix", &record::AdapterPrefix,
                         "The start of its adapters' names.", true),
@@ -100,8 +100,9 @@
                           "Time between changes of popularity; 0: never."),
       integerField<record>("driftRanks", &record::DriftRanks, "", 0, 100'000,
                            "How far popularity moves at a change."),
-      integerField<record>("heavyTenant", &record::HeavyTenant, "", -1, 1'000,
-                           "The tenant, from 0, that sends more; -1: none."),
+      integerField<record>("heavyCustomer", &record::HeavyCustomer, "", -1,
+                           1'000,
+                           "The customer, from 0, that sends more; -1: none."),
       numberField<record>("heavyTimes", &record::HeavyTimes, "", 0, 1'000,
                           "How many times its part it sends."),
       numberField<record>("firstHostPart", &record::FirstHostPart, "", 0, 1,
@@ -124,8 +125,8 @@
       textField<record>("orderPath", &record::OrderPath, "Where orders go."),
       textField<record>("stockPath", &record::StockPath,
                         "Where stock checks go."),
-      recordListField<record>("tenants", &record::Tenants, tenantFields(),
-                              "The tenants.", true),
+      recordListField<record>("customers", &record::Customers, customerFields(),
+                              "The customers.", true),
       recordListField<record>("classes", &record::Classes, classFields(),
                               "The classes.", true),
       recordListField<record>("scenarios", &record::Scenarios, scenarioFields(),
@@ -142,16 +143,16 @@
   std::vector<input_problem> Problems = Places.Duplicates;
   load_scenarios Scenarios =
       readRecord(Root, fileFields(), field_context{"", Problems});
-  if (Scenarios.Tenants.empty())
-    Problems.push_back({"tenants", "must not be empty"});
+  if (Scenarios.Customers.empty())
+    Problems.push_back({"customers", "must not be empty"});
   if (Scenarios.Classes.empty())
     Problems.push_back({"classes", "must not be empty"});
   for (std::size_t Index = 0; Index < Scenarios.Scenarios.size(); ++Index)
-    if (Scenarios.Scenarios[Index].HeavyTenant >=
-        static_cast<int>(Scenarios.Tenants.size()))
+    if (Scenarios.Scenarios[Index].HeavyCustomer >=
+        static_cast<int>(Scenarios.Customers.size()))
       Problems.push_back(
-          {"scenarios[" + std::to_string(Index) + "].heavyTenant",
-           "names no tenant"});
+          {"scenarios[" + std::to_string(Index) + "].heavyCustomer",
+           "names no customer"});
   if (!Problems.empty())
     throw spindle_error(result_code::InvalidSettings,
                         describeProblems(Problems, FileName, Text, Places));
--- a/Libraries/LibLoad/load_scenario.h
+++ b/Libraries/LibLoad/load_scenario.h
@@ -9,8 +9,8 @@
 
 namespace spindle {
 
-/// One tenant's part of the load.
-struct load_tenant {
+/// One customer's part of the load.
+struct load_customer {
   std::string Name;
   /// The key that its callers present.
   std::string Key;
@@ -18,14 +18,14 @@
   std::string AdapterPrefix;
   std::uint32_t Adapters = 1;
   std::string Version = "1";
-  /// The tenant's part of all arrivals, relative to the others'.
+  /// The customer's part of all arrivals, relative to the others'.
   double Part = 1;
   /// As declared in the intent; what wrongful refusals are judged by.
   double RatePerSecond = 1;
   double BurstTokens = 1;
 };
 
-/// One class's part of every tenant's arrivals.
+/// One class's part of every customer's arrivals.
 struct load_class {
   priority_class Class = priority_class::Plain;
   double Part = 1;
@@ -60,8 +60,8 @@
   /// Every so often, ranks move by DriftRanks adapters; 0: never.
   double DriftSeconds = 0;
   std::uint32_t DriftRanks = 10;
-  /// The tenant, by index, that sends more than its part; -1: none.
-  int HeavyTenant = -1;
+  /// The customer, by index, that sends more than its part; -1: none.
+  int HeavyCustomer = -1;
   double HeavyTimes = 1;
   /// The part of the arrivals that the balancer sends to the first host
   /// beyond an even split.
@@ -77,7 +77,7 @@
   std::string CrashMark = "crash-this-engine";
   std::string OrderPath = "/orders";
   std::string StockPath = "/stock";
-  std::vector<load_tenant> Tenants;
+  std::vector<load_customer> Customers;
   std::vector<load_class> Classes;
   std::vector<load_scenario> Scenarios;
 };
--- a/Libraries/LibLoad/load_summary.cpp
+++ b/Libraries/LibLoad/load_summary.cpp
@@ -61,8 +61,8 @@
   Summary.Scenario = Scenario.Name;
   Summary.Meaning = Scenario.Meaning;
   Summary.Seconds = Scenario.Seconds;
-  for (const load_tenant &Tenant : Common.Tenants)
-    Summary.Tenants.push_back({Tenant.Name, {}});
+  for (const load_customer &Customer : Common.Customers)
+    Summary.Customers.push_back({Customer.Name, {}});
   for (const load_class &Class : Common.Classes)
     Summary.Classes.push_back({nameOf(Class.Class), {}});
   for (const char *const Kind :
@@ -74,10 +74,10 @@
     if (Request.Kind != load_kind::Completion)
       continue;
     add(Summary.All, Record);
-    add(Summary.Tenants[Request.Tenant].second, Record);
+    add(Summary.Customers[Request.Customer].second, Record);
     add(Summary.Classes[Request.Class].second, Record);
   }
-  Summary.Oracle = judgeRefusals(Common.Tenants, Records);
+  Summary.Oracle = judgeRefusals(Common.Customers, Records);
   Summary.FirstByteP99BySecond = firstByteBySecond(Records, Scenario.Seconds);
   return Summary;
 }
--- a/Libraries/LibLoad/load_summary.h
+++ b/Libraries/LibLoad/load_summary.h
@@ -58,8 +58,8 @@
   std::string Meaning;
   double Seconds = 0;
   load_group All;
-  /// By tenant's name, by class's name, by kind's name.
-  std::vector<std::pair<std::string, load_group>> Tenants;
+  /// By customer's name, by class's name, by kind's name.
+  std::vector<std::pair<std::string, load_group>> Customers;
   std::vector<std::pair<std::string, load_group>> Classes;
   std::vector<std::pair<std::string, load_group>> Kinds;
   std::vector<oracle_verdict> Oracle;
--- a/Libraries/LibLoad/rate_oracle.cpp
+++ b/Libraries/LibLoad/rate_oracle.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-/// A change of a tenant's bucket, or a refusal to judge.
+/// A change of a customer's bucket, or a refusal to judge.
 struct bucket_event {
   nanoseconds At;
-  std::uint32_t Tenant;
+  std::uint32_t Customer;
   /// Added to the level; negative for a reservation.
   double Tokens = 0;
   /// Set for a refusal.
@@ -31,13 +31,14 @@
   for (const load_record &Record : Records) {
     if (Record.Request.Kind == load_kind::Crashing)
       continue;
-    const std::uint32_t Tenant = Record.Request.Tenant;
+    const std::uint32_t Customer = Record.Request.Customer;
     if (Record.Outcome == load_outcome::Refused) {
-      Events.push_back({Record.SentAt, Tenant, 0, &Record});
+      Events.push_back({Record.SentAt, Customer, 0, &Record});
       continue;
     }
-    Events.push_back({Record.SentAt, Tenant, -Record.ReservedTokens, nullptr});
-    Events.push_back({Record.EndedAt, Tenant,
+    Events.push_back(
+        {Record.SentAt, Customer, -Record.ReservedTokens, nullptr});
+    Events.push_back({Record.EndedAt, Customer,
                       Record.ReservedTokens - Record.UsedTokens, nullptr});
   }
   std::stable_sort(Events.begin(), Events.end(),
@@ -47,11 +48,13 @@
   return Events;
 }
 
-static void refill(bucket &Bucket, const load_tenant &Tenant, nanoseconds Now) {
+static void refill(bucket &Bucket, const load_customer &Customer,
+                   nanoseconds Now) {
   const std::chrono::duration<double> Passed = Now - Bucket.At;
   Bucket.At = Now;
-  Bucket.Level = std::min(Tenant.BurstTokens,
-                          Bucket.Level + Tenant.RatePerSecond * Passed.count());
+  Bucket.Level =
+      std::min(Customer.BurstTokens,
+               Bucket.Level + Customer.RatePerSecond * Passed.count());
 }
 
 static bool isRateRefusal(int Code) {
@@ -70,22 +73,22 @@
 }
 
 std::vector<oracle_verdict>
-judgeRefusals(std::span<const load_tenant> Tenants,
+judgeRefusals(std::span<const load_customer> Customers,
               std::span<const load_record> Records) {
-  std::vector<oracle_verdict> Verdicts(Tenants.size());
+  std::vector<oracle_verdict> Verdicts(Customers.size());
   std::vector<bucket> Buckets;
-  for (const load_tenant &Tenant : Tenants)
-    Buckets.push_back({Tenant.BurstTokens, nanoseconds(0)});
+  for (const load_customer &Customer : Customers)
+    Buckets.push_back({Customer.BurstTokens, nanoseconds(0)});
   for (const bucket_event &Event : listEvents(Records)) {
-    const load_tenant &Tenant = Tenants[Event.Tenant];
-    bucket &Bucket = Buckets[Event.Tenant];
-    refill(Bucket, Tenant, Event.At);
-    oracle_verdict &Verdict = Verdicts[Event.Tenant];
+    const load_customer &Customer = Customers[Event.Customer];
+    bucket &Bucket = Buckets[Event.Customer];
+    refill(Bucket, Customer, Event.At);
+    oracle_verdict &Verdict = Verdicts[Event.Customer];
     if (Event.Refusal != nullptr) {
       judge(Verdict, Bucket, *Event.Refusal);
       continue;
     }
-    Bucket.Level = std::min(Tenant.BurstTokens, Bucket.Level + Event.Tokens);
+    Bucket.Level = std::min(Customer.BurstTokens, Bucket.Level + Event.Tokens);
     Verdict.GreatestExcess = std::max(Verdict.GreatestExcess, -Bucket.Level);
   }
   return Verdicts;
--- a/Libraries/LibLoad/rate_oracle.h
+++ b/Libraries/LibLoad/rate_oracle.h
@@ -8,7 +8,7 @@
 
 namespace spindle {
 
-/// What one tenant's refusals come to when judged by one central bucket.
+/// What one customer's refusals come to when judged by one central bucket.
 struct oracle_verdict {
   std::size_t Refused = 0;
   /// Refusals of requests that the central bucket would have admitted.
@@ -20,12 +20,13 @@
   double GreatestExcess = 0;
 };
 
-/// Judges each tenant's refusals by a bucket of its rate and burst, kept over
+/// Judges each customer's refusals by a bucket of its rate and burst, kept over
 /// the client's own record of sends: a request that was answered is charged
 /// its reservation when it was sent and settled when it ended; a refused one
 /// is charged nothing. Thread-safe.
-std::vector<oracle_verdict> judgeRefusals(std::span<const load_tenant> Tenants,
-                                          std::span<const load_record> Records);
+std::vector<oracle_verdict>
+judgeRefusals(std::span<const load_customer> Customers,
+              std::span<const load_record> Records);
 
 } // namespace spindle
 
--- a/Libraries/LibLoad/summary_text.cpp
+++ b/Libraries/LibLoad/summary_text.cpp
@@ -48,7 +48,7 @@
   json Oracle = json::object();
   for (std::size_t Index = 0; Index < Summary.Oracle.size(); ++Index) {
     const oracle_verdict &Verdict = Summary.Oracle[Index];
-    Oracle[Summary.Tenants[Index].first] = {
+    Oracle[Summary.Customers[Index].first] = {
         {"refused", Verdict.Refused},
         {"wrongful", Verdict.Wrongful},
         {"wrongfulByRate", Verdict.WrongfulByRate},
@@ -59,7 +59,7 @@
           {"meaning", Summary.Meaning},
           {"seconds", Summary.Seconds},
           {"all", toJson(Summary.All)},
-          {"tenants", toJson(Summary.Tenants)},
+          {"customers", toJson(Summary.Customers)},
           {"classes", toJson(Summary.Classes)},
           {"kinds", toJson(Summary.Kinds)},
           {"oracle", Oracle},
@@ -127,7 +127,7 @@
     append(Text,
            "- oracle, %s: %zu refused, %zu of them within the rate (%zu by "
            "rate), greatest excess %.0f tokens\n",
-           Summary.Tenants[Index].first.c_str(), Verdict.Refused,
+           Summary.Customers[Index].first.c_str(), Verdict.Refused,
            Verdict.Wrongful, Verdict.WrongfulByRate, Verdict.GreatestExcess);
   }
 }
@@ -140,8 +140,8 @@
           "| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | "
           "---: | ---: |\n";
   appendGroup(Text, "all completions", Summary.All);
-  for (const auto &[Name, Group] : Summary.Tenants)
-    appendGroup(Text, "tenant " + Name, Group);
+  for (const auto &[Name, Group] : Summary.Customers)
+    appendGroup(Text, "customer " + Name, Group);
   for (const auto &[Name, Group] : Summary.Classes)
     appendGroup(Text, "class " + Name, Group);
   for (const auto &[Name, Group] : Summary.Kinds)
--- a/Libraries/LibMembership/host_view.h
+++ b/Libraries/LibMembership/host_view.h
@@ -30,7 +30,7 @@
   std::uint64_t Fence = 0;
 };
 
-/// A host's part of every tenant's rate and burst.
+/// A host's part of every customer's rate and burst.
 struct base_share {
   /// Parts of a million of the fleet's whole.
   std::uint32_t PartsPerMillion = 0;
@@ -66,7 +66,7 @@
   /// Upstreams that the platform's list calls leaving.
   std::vector<upstream_id> LeavingUpstreams;
   base_share Share;
-  /// Parts of the weight store's budget, as Share is of the tenants' rates.
+  /// Parts of the weight store's budget, as Share is of the customers' rates.
   std::uint32_t FleetHosts = 1;
   bool PlatformReachable = false;
 };
--- a/Libraries/LibMembership/zone_table.h
+++ b/Libraries/LibMembership/zone_table.h
@@ -11,7 +11,7 @@
 /// The whole fleet's rates, of which tables hold parts.
 inline constexpr std::uint32_t WholePartsPerMillion = 1'000'000;
 
-/// A host's part of every tenant's rate.
+/// A host's part of every customer's rate.
 struct host_share {
   std::uint32_t PartsPerMillion = 0;
   std::uint64_t Generation = 0;
--- a/Libraries/LibOrders/order_record.cpp
+++ b/Libraries/LibOrders/order_record.cpp
@@ -34,9 +34,9 @@
                       "unknown order state: " + std::string(Text));
 }
 
-std::string orderObjectName(tenant_id Tenant, std::string_view Route,
+std::string orderObjectName(customer_id Customer, std::string_view Route,
                             std::string_view OrderKey) {
-  std::string Text = std::to_string(Tenant.Value);
+  std::string Text = std::to_string(Customer.Value);
   Text.append("\n").append(Route).append("\n").append(OrderKey);
   return sha256Hex(Text);
 }
--- a/Libraries/LibOrders/order_record.h
+++ b/Libraries/LibOrders/order_record.h
@@ -40,7 +40,7 @@
 
 /// The object's name at the platform: a digest, because an order key is the
 /// caller's secret. Thread-safe.
-std::string orderObjectName(tenant_id Tenant, std::string_view Route,
+std::string orderObjectName(customer_id Customer, std::string_view Route,
                             std::string_view OrderKey);
 /// Writes a record as JSON. Bodies that aren't UTF-8 are kept byte for byte.
 /// Thread-safe.
--- a/Libraries/LibResilience/request_fingerprint.h
+++ b/Libraries/LibResilience/request_fingerprint.h
@@ -12,9 +12,9 @@
 using request_fingerprint = strong_id<fingerprint_tag>;
 
 /// Derives the fingerprint of a request. \p Target is the adapter or the route
-/// that it asks for; the tenant takes part, so that one tenant's request can't
-/// hold back another's. Thread-safe.
-request_fingerprint fingerprintOf(tenant_id Tenant, std::string_view Target,
+/// that it asks for; the customer takes part, so that one customer's request
+/// can't hold back another's. Thread-safe.
+request_fingerprint fingerprintOf(customer_id Customer, std::string_view Target,
                                   std::string_view Body);
 
 } // namespace spindle
--- a/Libraries/LibResilience/retry_decision.h
+++ b/Libraries/LibResilience/retry_decision.h
@@ -16,7 +16,7 @@
 
 /// What else bears on a retry.
 struct retry_circumstances {
-  /// Whether the tenant's and the host's budgets have a retry left.
+  /// Whether the customer's and the host's budgets have a retry left.
   bool BudgetLeft = false;
   /// Whether the caller's deadline leaves time for another attempt.
   bool TimeLeft = false;
--- a/Libraries/LibScheduling/concurrency_window.h
+++ b/Libraries/LibScheduling/concurrency_window.h
@@ -12,7 +12,7 @@
   /// Requests that fit into all engines' batches.
   std::uint32_t BatchSlots = 0;
   std::uint32_t Running = 0;
-  /// Requests that wait inside the engines, where no fairness between tenants
+  /// Requests that wait inside the engines, where no fairness between customers
   /// holds.
   std::uint32_t Waiting = 0;
 };
--- a/Libraries/LibScheduling/fair_queue.cpp
+++ b/Libraries/LibScheduling/fair_queue.cpp
@@ -17,19 +17,20 @@
   return static_cast<std::size_t>(Request.Priority);
 }
 
-/// Under Fifo all tenants share the lane of no tenant.
-static tenant_id laneOf(const fair_queue &Queue, tenant_id Tenant) {
-  return Queue.Settings.Policy == queueing_policy::Fair ? Tenant : tenant_id{};
+/// Under Fifo all customers share the lane of no customer.
+static customer_id laneOf(const fair_queue &Queue, customer_id Customer) {
+  return Queue.Settings.Policy == queueing_policy::Fair ? Customer
+                                                        : customer_id{};
 }
 
-static double weightOf(const fair_queue &Queue, tenant_id Lane) {
+static double weightOf(const fair_queue &Queue, customer_id Lane) {
   const auto Found = Queue.Weights.find(Lane);
   if (Found == Queue.Weights.end())
     return 1;
   return std::max<std::uint32_t>(Found->second, 1);
 }
 
-static queue_lane &findLane(fair_queue &Queue, tenant_id Id) {
+static queue_lane &findLane(fair_queue &Queue, customer_id Id) {
   queue_lane &Lane = Queue.Lanes[Id];
   if (Lane.Count == 0)
     Lane.Weight = weightOf(Queue, Id);
@@ -37,7 +38,7 @@
 }
 
 /// Moves a lane's virtual start, which also is its key among the backlogged.
-static void moveStart(fair_queue &Queue, tenant_id Id, queue_lane &Lane,
+static void moveStart(fair_queue &Queue, customer_id Id, queue_lane &Lane,
                       double NextStart) {
   if (Lane.Count > 0) {
     Queue.Backlogged.erase({Lane.NextStart, Id});
@@ -64,7 +65,7 @@
 }
 
 static void insertIntoLane(fair_queue &Queue, const waiting_request &Request) {
-  const tenant_id Id = laneOf(Queue, Request.Tenant);
+  const customer_id Id = laneOf(Queue, Request.Customer);
   queue_lane &Lane = findLane(Queue, Id);
   const std::size_t Class = classIndex(Queue, Request);
   Lane.Waiting[Class].insert({Request.Enqueued, Request.Sequence});
@@ -76,7 +77,7 @@
 }
 
 static void eraseFromLane(fair_queue &Queue, const waiting_request &Request) {
-  const tenant_id Id = laneOf(Queue, Request.Tenant);
+  const customer_id Id = laneOf(Queue, Request.Customer);
   queue_lane &Lane = Queue.Lanes[Id];
   const std::size_t Class = classIndex(Queue, Request);
   Lane.Waiting[Class].erase({Request.Enqueued, Request.Sequence});
@@ -94,7 +95,7 @@
   const waiting_request Request = Found->second;
   Queue.Requests.erase(Found);
   Queue.Deadlines.erase({Request.Deadline, Sequence});
-  --Queue.WaitingOfTenant[Request.Tenant];
+  --Queue.WaitingOfCustomer[Request.Customer];
   eraseFromLane(Queue, Request);
   if (Queue.Requests.empty())
     noteDrained(Queue.Meter);
@@ -102,20 +103,20 @@
 }
 
 void configureQueue(fair_queue &Queue, const queue_settings &Settings,
-                    std::span<const tenant_weight> Weights) {
+                    std::span<const customer_weight> Weights) {
   for (const auto &[Sequence, Request] : Queue.Requests)
     eraseFromLane(Queue, Request);
   Queue.Settings = Settings;
   Queue.Weights.clear();
-  for (const tenant_weight &Weight : Weights)
-    Queue.Weights[Weight.Tenant] = Weight.Weight;
+  for (const customer_weight &Weight : Weights)
+    Queue.Weights[Weight.Customer] = Weight.Weight;
   for (const auto &[Sequence, Request] : Queue.Requests)
     insertIntoLane(Queue, Request);
-  // Tenants that are no longer declared leave nothing behind.
+  // Customers that are no longer declared leave nothing behind.
   std::erase_if(Queue.Lanes, [&Queue](const auto &Entry) {
     return Entry.second.Count == 0 && Queue.Weights.count(Entry.first) == 0;
   });
-  std::erase_if(Queue.WaitingOfTenant,
+  std::erase_if(Queue.WaitingOfCustomer,
                 [](const auto &Entry) { return Entry.second == 0; });
 }
 
@@ -135,7 +136,7 @@
   const std::optional<token_rate> Rate = serviceRate(Queue.Meter, Now);
   if (!Rate || Rate->PerSecond <= 0)
     return std::nullopt;
-  const auto Found = Queue.Lanes.find(laneOf(Queue, Request.Tenant));
+  const auto Found = Queue.Lanes.find(laneOf(Queue, Request.Customer));
   if (Found == Queue.Lanes.end() || Found->second.Count == 0)
     return nanoseconds(0);
   const queue_lane &Lane = Found->second;
@@ -149,9 +150,9 @@
 std::optional<result_code> refusalOf(const fair_queue &Queue,
                                      const waiting_request &Request,
                                      time_point Now) {
-  const auto Waiting = Queue.WaitingOfTenant.find(Request.Tenant);
+  const auto Waiting = Queue.WaitingOfCustomer.find(Request.Customer);
   const std::uint32_t Count =
-      Waiting == Queue.WaitingOfTenant.end() ? 0 : Waiting->second;
+      Waiting == Queue.WaitingOfCustomer.end() ? 0 : Waiting->second;
   if (Count >= Queue.Settings.QueueLimit)
     return result_code::QueueFull;
   if (Request.Deadline <= Now)
@@ -169,8 +170,8 @@
   noteBacklogged(Queue.Meter, Request.Enqueued);
   Queue.Requests.insert({Request.Sequence, Request});
   Queue.Deadlines.insert({Request.Deadline, Request.Sequence});
-  ++Queue.WaitingOfTenant[Request.Tenant];
-  const tenant_id Id = laneOf(Queue, Request.Tenant);
+  ++Queue.WaitingOfCustomer[Request.Customer];
+  const customer_id Id = laneOf(Queue, Request.Customer);
   queue_lane &Lane = findLane(Queue, Id);
   const double Floor = creditFloor(Queue, Request.Enqueued);
   if (Lane.Count == 0)
@@ -180,7 +181,7 @@
 }
 
 /// Charges the lane for a start at its virtual start time.
-static void chargeLane(fair_queue &Queue, tenant_id Id, queue_lane &Lane,
+static void chargeLane(fair_queue &Queue, customer_id Id, queue_lane &Lane,
                        tokens Cost) {
   Queue.VirtualTime = std::max(Queue.VirtualTime, Lane.NextStart);
   const double Served = static_cast<double>(chargedTokens(Cost)) / Lane.Weight;
@@ -237,7 +238,7 @@
       continue;
     creditFloor(Queue, Now);
     noteStarted(Queue.Meter, {chargedTokens(Chosen->Cost)}, Now);
-    const tenant_id LaneId = Id;
+    const customer_id LaneId = Id;
     const waiting_request Request = eraseRequest(Queue, Chosen->Sequence);
     chargeLane(Queue, LaneId, Lane, Request.Cost);
     return Request;
@@ -258,9 +259,9 @@
   return true;
 }
 
-void chargeStart(fair_queue &Queue, tenant_id Tenant, tokens Cost,
+void chargeStart(fair_queue &Queue, customer_id Customer, tokens Cost,
                  time_point Now) {
-  const tenant_id Id = laneOf(Queue, Tenant);
+  const customer_id Id = laneOf(Queue, Customer);
   queue_lane &Lane = findLane(Queue, Id);
   const double Floor = creditFloor(Queue, Now);
   if (Lane.Count == 0)
@@ -268,9 +269,9 @@
   chargeLane(Queue, Id, Lane, Cost);
 }
 
-void settleCharge(fair_queue &Queue, tenant_id Tenant, tokens Charged,
+void settleCharge(fair_queue &Queue, customer_id Customer, tokens Charged,
                   tokens Actual) {
-  const tenant_id Id = laneOf(Queue, Tenant);
+  const customer_id Id = laneOf(Queue, Customer);
   const auto Found = Queue.Lanes.find(Id);
   if (Found == Queue.Lanes.end())
     return;
--- a/Libraries/LibScheduling/fair_queue.h
+++ b/Libraries/LibScheduling/fair_queue.h
@@ -20,19 +20,19 @@
 
 inline constexpr std::size_t PriorityClassCount = 4;
 
-/// One tenant's weight against the others.
-struct tenant_weight {
-  tenant_id Tenant;
+/// One customer's weight against the others.
+struct customer_weight {
+  customer_id Customer;
   std::uint32_t Weight = 1;
 };
 
-/// The waiting requests of one tenant (of all tenants under Fifo).
+/// The waiting requests of one customer (of all customers under Fifo).
 struct queue_lane {
   double Weight = 1;
   /// Virtual time at which the lane's next request starts: the tokens that
   /// the lane was served, divided by its weight. When the lane becomes
   /// backlogged, it is raised to what the queue's virtual time was
-  /// CreditTime ago, so that an idle tenant gains no more credit than that.
+  /// CreditTime ago, so that an idle customer gains no more credit than that.
   double NextStart = 0;
   /// (arrival, sequence) by class; under Fifo all are in the first.
   std::array<std::set<std::pair<time_point, std::uint64_t>>, PriorityClassCount>
@@ -44,23 +44,23 @@
   double AgedCredit = 0;
 };
 
-/// A queue of requests by start-time fair queueing. Between tenants, the one
+/// A queue of requests by start-time fair queueing. Between customers, the one
 /// that was served the fewest tokens for its weight goes first. Within a
-/// tenant, classes go first to last, each in order of arrival. A request rises
-/// by a class with each ageing step; those that have thus overtaken a higher
-/// class get at most AgedShare of the tenant's tokens, so that neither starves
-/// the other. Changed through the functions below only; none of them is
+/// customer, classes go first to last, each in order of arrival. A request
+/// rises by a class with each ageing step; those that have thus overtaken a
+/// higher class get at most AgedShare of the customer's tokens, so that neither
+/// starves the other. Changed through the functions below only; none of them is
 /// thread-safe, each takes O(log n).
 struct fair_queue {
   queue_settings Settings;
-  std::unordered_map<tenant_id, std::uint32_t> Weights;
-  std::unordered_map<tenant_id, queue_lane> Lanes;
+  std::unordered_map<customer_id, std::uint32_t> Weights;
+  std::unordered_map<customer_id, queue_lane> Lanes;
   /// (virtual start, lane) of every lane in which a request waits.
-  std::set<std::pair<double, tenant_id>> Backlogged;
+  std::set<std::pair<double, customer_id>> Backlogged;
   double BackloggedWeight = 0;
   std::unordered_map<std::uint64_t, waiting_request> Requests;
   std::set<std::pair<time_point, std::uint64_t>> Deadlines;
-  std::unordered_map<tenant_id, std::uint32_t> WaitingOfTenant;
+  std::unordered_map<customer_id, std::uint32_t> WaitingOfCustomer;
   double VirtualTime = 0;
   /// Virtual time at some earlier moments, the oldest first.
   std::deque<std::pair<time_point, double>> EarlierTimes;
@@ -69,9 +69,9 @@
 };
 
 /// Replaces settings and weights. Requests that wait keep their place by the
-/// new order; a tenant without a weight counts as 1. Takes O(n log n).
+/// new order; a customer without a weight counts as 1. Takes O(n log n).
 void configureQueue(fair_queue &Queue, const queue_settings &Settings,
-                    std::span<const tenant_weight> Weights);
+                    std::span<const customer_weight> Weights);
 /// How long \p Request would wait, a lower bound by the measured service
 /// rate; none while the rate is unknown. The request must not be queued yet.
 std::optional<nanoseconds> estimateWait(const fair_queue &Queue,
@@ -94,10 +94,10 @@
 /// does not wait.
 bool cancelRequest(fair_queue &Queue, std::uint64_t Sequence);
 /// Charges a request that starts without having waited.
-void chargeStart(fair_queue &Queue, tenant_id Tenant, tokens Cost,
+void chargeStart(fair_queue &Queue, customer_id Customer, tokens Cost,
                  time_point Now);
-/// Corrects what a tenant was charged once the true cost is known.
-void settleCharge(fair_queue &Queue, tenant_id Tenant, tokens Charged,
+/// Corrects what a customer was charged once the true cost is known.
+void settleCharge(fair_queue &Queue, customer_id Customer, tokens Charged,
                   tokens Actual);
 /// The number of requests that wait.
 std::size_t waitingCount(const fair_queue &Queue);
--- a/Libraries/LibScheduling/load_fairness.h
+++ b/Libraries/LibScheduling/load_fairness.h
@@ -11,8 +11,8 @@
 namespace spindle {
 
 /// How much a request counts when loads of adapters are put in order. The
-/// n-th request of a tenant that waits at a time counts 1/n of the tenant's
-/// weight, so that a tenant with many waiting requests does not take all of
+/// n-th request of a customer that waits at a time counts 1/n of the customer's
+/// weight, so that a customer with many waiting requests does not take all of
 /// the fleet's loads. Thread-safe in every method.
 class load_fairness {
 public:
@@ -23,12 +23,12 @@
     std::shared_ptr<void> Registration;
   };
 
-  /// Registers a request of \p Tenant, whose weight is \p TenantWeight.
-  waiting_request enter(tenant_id Tenant, std::uint32_t TenantWeight);
+  /// Registers a request of \p Customer, whose weight is \p CustomerWeight.
+  waiting_request enter(customer_id Customer, std::uint32_t CustomerWeight);
 
 private:
   std::mutex Mutex;
-  std::unordered_map<tenant_id, std::uint32_t> Waiting;
+  std::unordered_map<customer_id, std::uint32_t> Waiting;
 };
 
 } // namespace spindle
--- a/Libraries/LibScheduling/queue_settings.h
+++ b/Libraries/LibScheduling/queue_settings.h
@@ -6,7 +6,7 @@
 namespace spindle {
 
 enum class queueing_policy {
-  /// Weighted fair queueing by tenant, priority classes within a tenant.
+  /// Weighted fair queueing by customer, priority classes within a customer.
   Fair,
   /// First in, first out; the baseline.
   Fifo
@@ -15,16 +15,16 @@
 /// How a host's waiting requests are ordered and bounded.
 struct queue_settings {
   queueing_policy Policy = queueing_policy::Fair;
-  /// Requests of one tenant that wait.
+  /// Requests of one customer that wait.
   std::uint32_t QueueLimit = 256;
   milliseconds QueueTimeout{10'000};
   /// A waiting request rises by one class each time this passes.
   milliseconds AgeingStep{4'000};
-  /// The part of a tenant's tokens that requests get which have aged past a
+  /// The part of a customer's tokens that requests get which have aged past a
   /// higher class that waits.
   double AgedShare = 0.25;
-  /// A tenant that used less than its part goes before the others until it has
-  /// had what it left unused in this time.
+  /// A customer that used less than its part goes before the others until it
+  /// has had what it left unused in this time.
   milliseconds CreditTime{20'000};
   /// Whether a request is refused at once when the measured service rate
   /// says that it can't start before its deadline.
--- a/Libraries/LibScheduling/waiting_request.h
+++ b/Libraries/LibScheduling/waiting_request.h
@@ -11,7 +11,7 @@
 struct waiting_request {
   /// Given by pushRequest(); grows with every request.
   std::uint64_t Sequence = 0;
-  tenant_id Tenant;
+  customer_id Customer;
   priority_class Priority = priority_class::Plain;
   /// What the request is expected to cost; at least 1 is charged.
   tokens Cost{1};
--- a/Libraries/LibSettings/host_settings.cpp
+++ b/Libraries/LibSettings/host_settings.cpp
@@ -90,7 +90,7 @@
       durationField<lease_settings>(
           "shareMs", &lease_settings::ShareDuration, 10'000, 86'400'000,
           "How long a host that can't reach the platform uses its share of "
-          "the tenants' rates."),
+          "the customers' rates."),
   };
   return Table;
 }
--- a/Libraries/LibSettings/json_text.h
+++ b/Libraries/LibSettings/json_text.h
@@ -10,7 +10,7 @@
 
 /// Something wrong in a text that an operator wrote.
 struct input_problem {
-  /// Such as "tenants[2].burst"; empty for the text as a whole.
+  /// Such as "customers[2].burst"; empty for the text as a whole.
   std::string Field;
   std::string Message;
 
@@ -19,7 +19,7 @@
 
 /// Where each value of a JSON text with comments stands.
 struct json_places {
-  /// From a field's path, such as "tenants[2].burst", to its offset; of
+  /// From a field's path, such as "customers[2].burst", to its offset; of
   /// a field that stands twice, the last.
   std::map<std::string, std::size_t, std::less<>> Offsets;
   /// Fields that stand twice in one object.
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -39,7 +39,7 @@
 cat >"$WORK/intent.json" <<INTENT
 {
   "zones": [{"name": "zone-1"}, {"name": "zone-2"}],
-  "tenants": [{"name": "aalst", "ratePerSecond": 50000, "burst": 200000}],
+  "customers": [{"name": "aalst", "ratePerSecond": 50000, "burst": 200000}],
   "adapters": [{"name": "glaze", "versions": ["1", "2"], "default": "2", "model": "deksel-llm"}],
   "upstreams": [
     {"name": "engine-1", "kind": "engine", "address": "${ENGINES[1]}", "zone": "zone-1", "model": "deksel-llm"},
--- a/Meta/measure-control.sh
+++ b/Meta/measure-control.sh
@@ -35,7 +35,7 @@
 done
 cat >"$WORK/intent.json" <<INTENT
 {"zones": [{"name": "zone-0"}, {"name": "zone-1"}, {"name": "zone-2"}],
- "tenants": [{"name": "t", "ratePerSecond": 1000, "burst": 10000}],
+ "customers": [{"name": "t", "ratePerSecond": 1000, "burst": 10000}],
  "adapters": [{"prefix": "adapter-", "count": $ADAPTERS, "versions": ["1"], "model": "llm"}],
  "upstreams": [$upstreams],
  "routes": [{"name": "models", "kind": "model", "pathPrefix": "/v1", "upstreams": ["engine-1"]}]}
--- a/Meta/measure-overhead.sh
+++ b/Meta/measure-overhead.sh
@@ -25,8 +25,8 @@
 add_machine "$PLATFORM" service upstream a
 cat >"$WORK/intent.json" <<INTENT
 {"zones": [{"name": "a"}],
- "tenants": [{"name": "t", "ratePerSecond": 100000000, "burst": 200000000}],
- "keys": [{"name": "k", "tenant": "t", "digest": "$(printf %s "$KEY" | sha256sum | cut -d' ' -f1)"}],
+ "customers": [{"name": "t", "ratePerSecond": 100000000, "burst": 200000000}],
+ "keys": [{"name": "k", "customer": "t", "digest": "$(printf %s "$KEY" | sha256sum | cut -d' ' -f1)"}],
  "adapters": [{"name": "one", "versions": ["1"], "model": "llm"}],
  "upstreams": [
    {"name": "engine", "kind": "engine", "address": "$ENGINE", "zone": "a", "model": "llm", "batchSize": 256},
--- a/Meta/run-scenarios.sh
+++ b/Meta/run-scenarios.sh
@@ -94,28 +94,28 @@
   done
 }
 
-# tenant NAME ADAPTERS PART RATE: appends to the intent's lists.
-tenant() {
+# customer NAME ADAPTERS PART RATE: appends to the intent's lists.
+customer() {
   local digest
   digest="$(printf 'load-key-%s' "$1" | sha256sum | cut -d' ' -f1)"
-  tenants+=("{\"name\":\"$1\",\"ratePerSecond\":$4,\"burst\":$(($4 * 10)),\"weight\":$3}")
-  keys+=("{\"name\":\"$1-key\",\"tenant\":\"$1\",\"digest\":\"$digest\"}")
-  adapters+=("{\"prefix\":\"$1-\",\"count\":$2,\"versions\":[\"1\"],\"default\":\"1\",\"model\":\"deksel-llm\",\"tenant\":\"$1\"}")
+  customers+=("{\"name\":\"$1\",\"ratePerSecond\":$4,\"burst\":$(($4 * 10)),\"weight\":$3}")
+  keys+=("{\"name\":\"$1-key\",\"customer\":\"$1\",\"digest\":\"$digest\"}")
+  adapters+=("{\"prefix\":\"$1-\",\"count\":$2,\"versions\":[\"1\"],\"default\":\"1\",\"model\":\"deksel-llm\",\"customer\":\"$1\"}")
 }
 
 apply_intent() {
   local zone_list=() zone
-  tenants=() keys=() adapters=()
+  customers=() keys=() adapters=()
   # As in Examples/scenarios.json.
-  tenant harbour 1200 40 30000
-  tenant orchard 900 30 22500
-  tenant quarry 450 15 11250
-  tenant meadow 300 10 7500
-  tenant lantern 150 5 3750
+  customer harbour 1200 40 30000
+  customer orchard 900 30 22500
+  customer quarry 450 15 11250
+  customer meadow 300 10 7500
+  customer lantern 150 5 3750
   for zone in "${zones[@]}"; do zone_list+=("{\"name\":\"$zone\"}"); done
   cat >"$work/intent.json" <<END
 {"zones": [$(join "${zone_list[@]}")],
- "tenants": [$(join "${tenants[@]}")],
+ "customers": [$(join "${customers[@]}")],
  "keys": [$(join "${keys[@]}")],
  "adapters": [$(join "${adapters[@]}")],
  "upstreams": [$(join "${upstreams[@]}")],
--- a/Tests/EndToEnd/caller.h
+++ b/Tests/EndToEnd/caller.h
@@ -34,7 +34,7 @@
 
 /// Writes an answer for a test's messages.
 std::string describe(const caller_answer &Answer);
-/// The fields of a request with the key of tenant aalst.
+/// The fields of a request with the key of customer aalst.
 http_fields callerFields();
 /// Asks host \p Host and reads the answer. Never throws spindle_error.
 caller_answer ask(fleet &Fleet, std::size_t Host,
--- a/Tests/EndToEnd/fleet.cpp
+++ b/Tests/EndToEnd/fleet.cpp
@@ -140,12 +140,15 @@
   json Intent;
   for (const char *Zone : {"a", "b", "c"})
     Intent["zones"].push_back({{"name", Zone}});
-  Intent["tenants"] = {
+  Intent["customers"] = {
       {{"name", "aalst"}, {"ratePerSecond", 1'000'000}, {"burst", 2'000'000}},
       {{"name", "ghent"}, {"ratePerSecond", 1'000'000}, {"burst", 2'000'000}}};
-  Intent["keys"] = {
-      {{"name", "k1"}, {"tenant", "aalst"}, {"digest", sha256Hex(KeyOfAalst)}},
-      {{"name", "k2"}, {"tenant", "ghent"}, {"digest", sha256Hex(KeyOfGhent)}}};
+  Intent["keys"] = {{{"name", "k1"},
+                     {"customer", "aalst"},
+                     {"digest", sha256Hex(KeyOfAalst)}},
+                    {{"name", "k2"},
+                     {"customer", "ghent"},
+                     {"digest", sha256Hex(KeyOfGhent)}}};
   Intent["adapters"] = {{{"name", "pickler"},
                          {"versions", {"1", "2"}},
                          {"default", "2"},
@@ -153,7 +156,7 @@
                         {{"name", "private"},
                          {"versions", {"1"}},
                          {"model", "deksel-llm"},
-                         {"tenant", "ghent"}}};
+                         {"customer", "ghent"}}};
   json EngineNames = json::array();
   for (std::size_t Index = 0; Index < Engines.size(); ++Index) {
     const std::string Name = "engine-" + std::to_string(Index);
--- a/Tests/LibConfiguration/sample_intent.h
+++ b/Tests/LibConfiguration/sample_intent.h
@@ -12,15 +12,15 @@
 inline intent sampleIntent(std::uint32_t Adapters = 3) {
   intent Intent;
   Intent.Zones = {{"gent-a", "flanders", 2}, {"leuven-b", "flanders", 1}};
-  Intent.Tenants = {{"aalst", {100}, {1000}}, {"mechelen", {200}, {2000}}};
-  Intent.Tenants[1].WhenIsolated = isolated_key_policy::Refuse;
+  Intent.Customers = {{"aalst", {100}, {1000}}, {"mechelen", {200}, {2000}}};
+  Intent.Customers[1].WhenIsolated = isolated_key_policy::Refuse;
   Intent.Keys = {{"aalst-1", "aalst", sha256Hex("key one")},
                  {"mechelen-1", "mechelen", sha256Hex("key two")}};
   for (std::uint32_t Number = 1; Number <= Adapters; ++Number) {
     const std::string Name = "pickler-" + std::to_string(Number);
-    const std::string Tenant = Number % 2 == 0 ? "mechelen" : "";
-    Intent.Adapters.push_back({Name, "1", "deksel-llm", Tenant, false});
-    Intent.Adapters.push_back({Name, "2", "deksel-llm", Tenant, true});
+    const std::string Customer = Number % 2 == 0 ? "mechelen" : "";
+    Intent.Adapters.push_back({Name, "1", "deksel-llm", Customer, false});
+    Intent.Adapters.push_back({Name, "2", "deksel-llm", Customer, true});
   }
   upstream_declaration Engine;
   Engine.Name = "deksel-llm-1";
--- a/Tests/LibConfiguration/test_examples.cpp
+++ b/Tests/LibConfiguration/test_examples.cpp
@@ -25,7 +25,7 @@
     const configuration_snapshot Snapshot(1,
                                           parseIntent(readExample(File), File));
     CHECK(Snapshot.zones().size() == 3);
-    CHECK(Snapshot.tenants().size() == 5);
+    CHECK(Snapshot.customers().size() == 5);
     CHECK(Snapshot.adapterCount() == 3'000);
     CHECK(Snapshot.upstreamsOfRoute("completions").size() == 9);
     CHECK(Snapshot.upstreamsOfRoute("stock").size() == 3);
--- a/Tests/LibConfiguration/test_follower.cpp
+++ b/Tests/LibConfiguration/test_follower.cpp
@@ -133,7 +133,7 @@
 
   void change(double Rate) {
     intent Intent = sampleIntent();
-    Intent.Tenants[0].Rate = {Rate};
+    Intent.Customers[0].Rate = {Rate};
     const platform_port Port = Platform.port();
     confirmPlan(Port,
                 makePlan(readConfiguration(Port), Intent, std::to_string(Rate)),
--- a/Tests/LibConfiguration/test_intent.cpp
+++ b/Tests/LibConfiguration/test_intent.cpp
@@ -37,17 +37,17 @@
 TEST_CASE("what an intent refers to must be declared, each named by place") {
   const std::string Told = refusal(R"({
   "zones": [{"name": "a"}, {"name": "a"}],
-  "tenants": [{"name": "t", "ratePerSecond": 0, "burst": 5}],
-  "keys": [{"name": "k", "tenant": "t", "digest": "the-key"}]
+  "customers": [{"name": "t", "ratePerSecond": 0, "burst": 5}],
+  "keys": [{"name": "k", "customer": "t", "digest": "the-key"}]
 })");
   CHECK_THAT(Told,
-             Catch::Contains("intent.json:3:46: tenants[0].ratePerSecond"));
-  CHECK_THAT(Told, Catch::Contains("4:51: keys[0].digest: must be a SHA-256"));
+             Catch::Contains("intent.json:3:48: customers[0].ratePerSecond"));
+  CHECK_THAT(Told, Catch::Contains("4:53: keys[0].digest: must be a SHA-256"));
   const std::string Dangling = refusal(R"({
   "zones": [{"name": "a"}, {"name": "a"}],
   "adapters": [
     {"name": "x", "versions": ["1"], "model": "none"},
-    {"prefix": "y", "count": 9, "versions": ["1"], "model": "m", "tenant": "t"}],
+    {"prefix": "y", "count": 9, "versions": ["1"], "model": "m", "customer": "t"}],
   "upstreams": [{"name": "e", "kind": "engine", "model": "m", "zone": "b",
                  "address": "127.0.0.1:1"}],
   "routes": [{"name": "r", "kind": "service", "pathPrefix": "/r",
@@ -56,7 +56,7 @@
   for (const char *Part :
        {":2:37: zones[1].name: \"a\" is declared twice",
         ":4:47: adapters[0].model: no engine serves \"none\"",
-        ":5:76: adapters[1].tenant: tenant \"t\" is not declared",
+        ":5:78: adapters[1].customer: customer \"t\" is not declared",
         "upstreams[0].zone: zone \"b\" is not declared",
         "routes[0].upstreams: service \"e\" is not declared"})
     CHECK_THAT(Dangling, Catch::Contains(Part));
@@ -73,12 +73,12 @@
 
 TEST_CASE("a snapshot finds what was declared") {
   const configuration_snapshot Snapshot(4, sampleIntent());
-  const tenant_id Aalst = tenant_id::ofName("aalst");
+  const customer_id Aalst = customer_id::ofName("aalst");
   CHECK(Snapshot.version() == 4);
   CHECK(Snapshot.findAdapter("pickler-2")->Version == "2");
   CHECK(Snapshot.findAdapter("pickler-2@1")->Version == "1");
-  CHECK(Snapshot.findAdapter("pickler-2@1")->Tenant ==
-        tenant_id::ofName("mechelen"));
+  CHECK(Snapshot.findAdapter("pickler-2@1")->Customer ==
+        customer_id::ofName("mechelen"));
   CHECK_FALSE(Snapshot.findAdapter("pickler-2@3"));
   CHECK_FALSE(Snapshot.findAdapter("pickler-9"));
   CHECK(Snapshot.adapterNamesFor(Aalst) ==
@@ -136,7 +136,7 @@
         writeIntent(sampleIntent()));
 }
 
-TEST_CASE("an unconfirmed configuration is trusted as the tenant declared") {
+TEST_CASE("an unconfirmed configuration is trusted as the customer declared") {
   const configuration_snapshot Snapshot(1, sampleIntent());
   const time_point Confirmed{seconds(1000)};
   const auto Verdict = [&](const char *Key, seconds Later) {
--- a/Tests/LibConfiguration/test_operator_commands.cpp
+++ b/Tests/LibConfiguration/test_operator_commands.cpp
@@ -94,7 +94,7 @@
   CHECK(Terminal.run({"plan", "intent"}) == exit_code::Done);
   CHECK_THAT(Terminal.Errors.str(), Catch::Contains("nothing changes"));
   intent Intent = sampleIntent();
-  Intent.Tenants[0].Burst = {77};
+  Intent.Customers[0].Burst = {77};
   Terminal.Files["changed"] = writeIntent(Intent);
   REQUIRE(Terminal.run({"plan", "changed"}, "p1") == exit_code::Done);
   REQUIRE(Terminal.run({"plan", "changed"}, "p2") == exit_code::Done);
@@ -105,7 +105,7 @@
   CHECK(Terminal.run({"apply", "p1"}) == exit_code::Done);
   CHECK(Terminal.run({"apply", "p2"}) == exit_code::PlanOutdated);
   CHECK_THAT(Terminal.Errors.str(),
-             Catch::Contains("version 2 by anna: tenant aalst changed"));
+             Catch::Contains("version 2 by anna: customer aalst changed"));
   CHECK(Terminal.run({"apply", "p1"}) == exit_code::Done);
   CHECK(Terminal.headVersion() == 2);
 }
@@ -158,7 +158,7 @@
     CHECK(Terminal.run({"keys", "withdraw", "k3"}) == exit_code::NotInForceYet);
     CHECK_THAT(Terminal.Out.str(), Catch::Contains("past its lease"));
   }
-  SECTION("it refuses the tenant's keys after the isolation limit") {
+  SECTION("it refuses the customer's keys after the isolation limit") {
     Terminal.addHost("entry-2", false);
     Terminal.Running.erase("entry-2");
     Terminal.Context.WaitLimit = seconds(40);
--- a/Tests/LibConfiguration/test_plan.cpp
+++ b/Tests/LibConfiguration/test_plan.cpp
@@ -16,7 +16,7 @@
 static configuration_plan planRate(const platform_port &Platform, double Rate,
                                    const std::string &Nonce) {
   intent Intent = sampleIntent();
-  Intent.Tenants[0].Rate = {Rate};
+  Intent.Customers[0].Rate = {Rate};
   return makePlan(readConfiguration(Platform), Intent, Nonce);
 }
 
@@ -34,7 +34,7 @@
   const platform_port Platform = Fake.port();
   confirmPlan(Platform, planRate(Platform, 100, "first"), ByAnna);
   intent Intent = sampleIntent();
-  Intent.Tenants[0].Rate = {250};
+  Intent.Customers[0].Rate = {250};
   Intent.Keys.pop_back();
   Intent.Adapters.pop_back();
   const configuration_plan Plan =
@@ -43,7 +43,7 @@
   for (const intent_change &Change : Plan.Changes)
     Lines.push_back(describeChange(Change));
   CHECK(Lines == std::vector<std::string>{
-                     "tenant aalst changed (ratePerSecond: 100.0 -> 250.0)",
+                     "customer aalst changed (ratePerSecond: 100.0 -> 250.0)",
                      "key mechelen-1 withdrawn",
                      "adapter pickler-3@2 removed"});
   const std::string Text = writePlan(Plan);
--- a/Tests/LibGateway/test_customer_quota.cpp
+++ b/Tests/LibGateway/test_customer_quota.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 const time_point Start{seconds(100)};
-const tenant_id Customer = tenant_id::ofName("aalst");
+const customer_id Customer = customer_id::ofName("aalst");
 
 customer_uses uses(std::int64_t Units) { return {{Customer, Units}}; }
 
--- a/Tests/LibGateway/test_zone_hub.cpp
+++ b/Tests/LibGateway/test_zone_hub.cpp
@@ -300,7 +300,7 @@
   two_hosts Test;
   run(Test.Fleet, {Test.One.get(), Test.Two.get()}, seconds(3));
   const request_fingerprint Bad =
-      fingerprintOf(tenant_id::ofName("aalst"), "/x", "bad");
+      fingerprintOf(customer_id::ofName("aalst"), "/x", "bad");
   for (const char *const Engine : {"e1", "e2"}) {
     Test.One->Hub.noteRunStarted(upstream_id::ofName(Engine), Bad);
     Test.One->Hub.noteRunEnded(upstream_id::ofName(Engine), Bad, run_end::Lost);
--- a/Tests/LibLimits/limiter_fleet.h
+++ b/Tests/LibLimits/limiter_fleet.h
@@ -78,19 +78,19 @@
     }
   }
 
-  void setTenant(double Rate, std::int64_t Burst) {
-    tenant_declaration Tenant;
-    Tenant.Name = "tenant";
-    Tenant.Rate = {Rate};
-    Tenant.Burst = {Burst};
+  void setCustomer(double Rate, std::int64_t Burst) {
+    customer_declaration Customer;
+    Customer.Name = "customer";
+    Customer.Rate = {Rate};
+    Customer.Burst = {Burst};
     for (const std::unique_ptr<rate_limiter> &Limiter : Limiters)
-      Limiter->applyTenants({&Tenant, 1});
+      Limiter->applyCustomers({&Customer, 1});
   }
 
   /// Tries to admit; returns the code of the refusal, or 0.
   int reserve(std::size_t Index, std::int64_t Tokens) {
     try {
-      Limiters[Index]->reserve(tenant_id::ofName("tenant"), {Tokens},
+      Limiters[Index]->reserve(customer_id::ofName("customer"), {Tokens},
                                Clock.now() + seconds(60));
     } catch (const spindle_error &Error) {
       return static_cast<int>(Error.code());
--- a/Tests/LibLimits/share_history.h
+++ b/Tests/LibLimits/share_history.h
@@ -1,8 +1,8 @@
 #ifndef PARSLEYSPINDLE_TESTS_LIBLIMITS_SHARE_HISTORY_H
 #define PARSLEYSPINDLE_TESTS_LIBLIMITS_SHARE_HISTORY_H
 
+#include "LibLimits/customer_share.h"
 #include "LibLimits/share_gate.h"
-#include "LibLimits/tenant_share.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -12,7 +12,7 @@
 
 namespace spindle {
 
-/// The shares of one tenant on a few hosts, driven step by step as a tape of
+/// The shares of one customer on a few hosts, driven step by step as a tape of
 /// numbers says. Messages are delivered late, twice, out of order or never;
 /// hosts restart empty, their clocks run at slightly different speeds, and
 /// base shares move between them and lapse as membership allows it. Amounts
@@ -53,7 +53,7 @@
   loan_amount sumInUse() const {
     loan_amount Sum;
     for (const host &Host : Hosts) {
-      tenant_share Share = Host.Share;
+      customer_share Share = Host.Share;
       advanceShare(Share, nowAt(Host));
       Sum.Rate += rateOf(Share);
       Sum.Capacity += capacityOf(Share);
@@ -89,7 +89,7 @@
 
 private:
   struct host {
-    tenant_share Share;
+    customer_share Share;
     share_gate Gate;
     std::uint64_t Incarnation = 1;
     double Speed = 1;
--- a/Tests/LibLimits/test_rate_limiter.cpp
+++ b/Tests/LibLimits/test_rate_limiter.cpp
@@ -11,7 +11,7 @@
 
 TEST_CASE("One host can spend the whole burst by loans, and no more") {
   limiter_fleet Fleet(4);
-  Fleet.setTenant(1'000, 4'000);
+  Fleet.setCustomer(1'000, 4'000);
   Fleet.pass(seconds(20));
   int Count = 0;
   while (Fleet.reserve(0, 100) == Admitted && Count <= 45)
@@ -25,7 +25,7 @@
 
 TEST_CASE("A share is empty and waits at first, and ends with its validity") {
   limiter_fleet Fleet(1);
-  Fleet.setTenant(1'000, 1'000);
+  Fleet.setCustomer(1'000, 1'000);
   CHECK_FALSE(Fleet.Limiters[0]->holdsShare());
   CHECK(Fleet.reserve(0, 1) == static_cast<int>(result_code::ShareUnavailable));
   Fleet.pass(ShareGrowthDelay + milliseconds(200));
@@ -40,11 +40,11 @@
 
 TEST_CASE("A refusal says when the share will suffice") {
   limiter_fleet Fleet(1);
-  Fleet.setTenant(100, 1'000);
+  Fleet.setCustomer(100, 1'000);
   Fleet.pass(seconds(20));
   REQUIRE(Fleet.reserve(0, 1'000) == Admitted);
   try {
-    Fleet.Limiters[0]->reserve(tenant_id::ofName("tenant"), {200},
+    Fleet.Limiters[0]->reserve(customer_id::ofName("customer"), {200},
                                Fleet.Clock.now());
     FAIL("admitted");
   } catch (const retry_after_error &Error) {
@@ -57,7 +57,7 @@
 
 TEST_CASE("A loan whose answer is lost is used by nobody until its end") {
   limiter_fleet Fleet(2);
-  Fleet.setTenant(100, 4'000);
+  Fleet.setCustomer(100, 4'000);
   Fleet.pass(seconds(50));
   Fleet.Silent[1] = true;
   CHECK(Fleet.reserve(0, 3'000) == RateExceeded);
@@ -73,7 +73,7 @@
 
 TEST_CASE("A draining host repays and lends all it has") {
   limiter_fleet Fleet(2);
-  Fleet.setTenant(100, 2'000);
+  Fleet.setCustomer(100, 2'000);
   Fleet.pass(seconds(25));
   REQUIRE(Fleet.reserve(0, 1'500) == Admitted);
   Fleet.Limiters[0]->startDrain();
--- a/Tests/LibLimits/test_share_history.cpp
+++ b/Tests/LibLimits/test_share_history.cpp
@@ -27,7 +27,7 @@
   RC_CLASSIFY(History.Charges.size() > 150);
 }
 
-TEST_CASE("The fleet's shares never exceed a tenant's rate and burst") {
+TEST_CASE("The fleet's shares never exceed a customer's rate and burst") {
   rc::prop("with one configuration", [] { checkHistory(false); });
   rc::prop("with changes, the larger of the configurations",
            [] { checkHistory(true); });
--- a/Tests/LibLimits/test_slack_history.cpp
+++ b/Tests/LibLimits/test_slack_history.cpp
@@ -1,4 +1,4 @@
-#include "LibLimits/tenant_share.h"
+#include "LibLimits/customer_share.h"
 
 #include <catch2/catch.hpp>
 
@@ -6,8 +6,8 @@
 
 static constexpr time_point Start{seconds(1'000)};
 
-static tenant_share fullShare(std::int64_t PerSecond, std::int64_t Capacity) {
-  tenant_share Share;
+static customer_share fullShare(std::int64_t PerSecond, std::int64_t Capacity) {
+  customer_share Share;
   Share.LastRefill = Start;
   setBase(Share, {PerSecond * MicrosPerToken}, toMicro(tokens{Capacity}),
           time_point::max(), Start);
@@ -18,7 +18,7 @@
 }
 
 TEST_CASE("An unused reservation is given back only where it had room") {
-  tenant_share Share = fullShare(100, 1'000);
+  customer_share Share = fullShare(100, 1'000);
   const time_point Full = Start + seconds(10);
   const micro_tokens Amount = toMicro(tokens{1'000});
   const std::optional<std::uint64_t> First = tryCharge(Share, Amount, Full);
@@ -36,7 +36,7 @@
 }
 
 TEST_CASE("A loan is not renewed out of a base share that has shrunk") {
-  tenant_share Share = fullShare(100, 1'000);
+  customer_share Share = fullShare(100, 1'000);
   const time_point Then = Start + seconds(10);
   const loan_key Key{host_id{2}, 1, 1};
   const loan_amount Whole{Share.BaseRate, Share.BaseCapacity, Share.Level};
--- a/Tests/LibLoad/test_load.cpp
+++ b/Tests/LibLoad/test_load.cpp
@@ -45,13 +45,13 @@
 static load_scenarios smallScenarios() {
   load_scenarios Common;
   Common.Seed = 7;
-  Common.Tenants = {{"a", "key-a", "a-", 100, "1", 3, 100, 1'000},
-                    {"b", "key-b", "b-", 100, "1", 1, 100, 1'000}};
+  Common.Customers = {{"a", "key-a", "a-", 100, "1", 3, 100, 1'000},
+                      {"b", "key-b", "b-", 100, "1", 1, 100, 1'000}};
   Common.Classes = {{priority_class::Plain, 1, 100, 50, false}};
   return Common;
 }
 
-TEST_CASE("a plan is repeatable, in order, and tenants keep their arrivals") {
+TEST_CASE("a plan is repeatable, in order, and customers keep their arrivals") {
   const load_scenarios Common = smallScenarios();
   load_scenario Scenario;
   Scenario.Seconds = 100;
@@ -62,7 +62,7 @@
   std::map<std::uint32_t, std::vector<nanoseconds>> Arrivals;
   std::map<std::uint32_t, int> Ranks;
   for (const planned_request &Request : Plan) {
-    Arrivals[Request.Tenant].push_back(Request.At);
+    Arrivals[Request.Customer].push_back(Request.At);
     ++Ranks[Request.Adapter];
     CHECK(Request.Host < 7);
   }
@@ -70,11 +70,11 @@
   CHECK(Arrivals[0].size() > 2 * Arrivals[1].size());
   CHECK(std::is_sorted(Arrivals[0].begin(), Arrivals[0].end()));
 
-  Scenario.HeavyTenant = 1;
+  Scenario.HeavyCustomer = 1;
   Scenario.HeavyTimes = 4;
   std::map<std::uint32_t, std::vector<nanoseconds>> Heavy;
   for (const planned_request &Request : planArrivals(Common, Scenario, 7))
-    Heavy[Request.Tenant].push_back(Request.At);
+    Heavy[Request.Customer].push_back(Request.At);
   CHECK(Heavy[0] == Arrivals[0]);
   CHECK(Heavy[1].size() > 3 * Arrivals[1].size());
 }
@@ -104,14 +104,14 @@
       recordAt(2.3, load_outcome::Whole, 0),
       // Served beyond what the bucket held.
       recordAt(2.35, load_outcome::Whole, 0)};
-  const oracle_verdict Verdict = judgeRefusals(Common.Tenants, Records)[0];
+  const oracle_verdict Verdict = judgeRefusals(Common.Customers, Records)[0];
   CHECK(Verdict.Refused == 3);
   CHECK(Verdict.Wrongful == 2);
   CHECK(Verdict.WrongfulByRate == 1);
   CHECK(Verdict.GreatestExcess == Approx(565));
 }
 
-TEST_CASE("a summary counts outcomes by tenant and class") {
+TEST_CASE("a summary counts outcomes by customer and class") {
   const load_scenarios Common = smallScenarios();
   std::vector<load_record> Records = {recordAt(0, load_outcome::Whole, 0),
                                       recordAt(0, load_outcome::Refused, 1'200),
@@ -123,8 +123,8 @@
   const load_summary Summary = summarise(Common, load_scenario{}, Records);
   CHECK(Summary.All.Sent == 4);
   CHECK(Summary.All.Stalled == 1);
-  CHECK(Summary.Tenants[0].second.Foreign == 1);
-  CHECK(Summary.Tenants[1].second.Sent == 0);
+  CHECK(Summary.Customers[0].second.Foreign == 1);
+  CHECK(Summary.Customers[1].second.Sent == 0);
   CHECK(Summary.All.Refusals.at({"RateExceeded", "not run"}) == 1);
   const std::string Text = writeMarkdown({&Summary, 1});
   CHECK(Text.find("| all completions | 4 | 1 | 1 | 1 | 1 | 1 |") !=
@@ -140,14 +140,15 @@
   Text << File.rdbuf();
   CHECK(parseScenarios(Text.str(), Path).Scenarios.size() >= 7);
   try {
-    parseScenarios(R"({"tenants": [{"name": "a", "key": "k",
+    parseScenarios(R"({"customers": [{"name": "a", "key": "k",
       "adapterPrefix": "a-", "speed": 1}], "classes": [{"class": "fast"}],
       "scenarios": []})",
                    "file");
     FAIL("no error");
   } catch (const spindle_error &Error) {
     const std::string Message = Error.what();
-    CHECK(Message.find("tenants[0].speed: unknown field") != std::string::npos);
+    CHECK(Message.find("customers[0].speed: unknown field") !=
+          std::string::npos);
     CHECK(Message.find("classes[0].class: must be one of") !=
           std::string::npos);
   }
--- a/Tests/LibOrders/order_history.h
+++ b/Tests/LibOrders/order_history.h
@@ -258,7 +258,7 @@
     startFiber(Desk, Key, [this, Desk, Key, Index](attempt &Attempt) {
       waitForTurn();
       const std::size_t Process = Processes[Desk];
-      const order_request Order{tenant_id{1}, "route", Key, "digest"};
+      const order_request Order{customer_id{1}, "route", Key, "digest"};
       Attempt.Answer =
           Desks[Desk]->run(Order, [&] { return serve(Process, Key, Index); });
     });
--- a/Tests/LibOrders/test_order_desk.cpp
+++ b/Tests/LibOrders/test_order_desk.cpp
@@ -27,7 +27,7 @@
   /// Sends an order; returns 0 if it was answered, else the refusal's code.
   int send(order_desk &Desk, const std::string &Key = "key",
            const std::string &Digest = "digest") {
-    order_request Order{tenant_id{1}, "route", Key, Digest};
+    order_request Order{customer_id{1}, "route", Key, Digest};
     Order.ServiceDeduplicates = ServiceDeduplicates;
     try {
       Last = Desk.run(Order, [&] {
--- a/Tests/LibResilience/test_crash_suspects.cpp
+++ b/Tests/LibResilience/test_crash_suspects.cpp
@@ -9,7 +9,7 @@
 using namespace spindle;
 
 static request_fingerprint print(int Index) {
-  return fingerprintOf(tenant_id::ofName("t"), "adapter@1",
+  return fingerprintOf(customer_id::ofName("t"), "adapter@1",
                        "body" + std::to_string(Index));
 }
 
--- a/Tests/LibResilience/test_suspect_board.cpp
+++ b/Tests/LibResilience/test_suspect_board.cpp
@@ -150,7 +150,7 @@
   Clock.pause();
   intent Intent;
   Intent.Policy.RetryPercent = 0;
-  Intent.Tenants.push_back({"a", {}, {}});
+  Intent.Customers.push_back({"a", {}, {}});
   for (const char *Name : {"e0", "e1", "e2"}) {
     upstream_declaration Upstream;
     Upstream.Name = Name;
@@ -165,20 +165,22 @@
   CHECK(Health.weightOf(First) == 0);
   CHECK(Health.weightOf(upstream_id::ofName("e1")) == 1);
 
-  const tenant_id Tenant = tenant_id::ofName("a");
+  const customer_id Customer = customer_id::ofName("a");
   const time_point Deadline = Clock.now() + seconds(60);
   call_progress Progress;
   Progress.Idempotent = true;
   noteFailedAttempt(Progress, attempt_failure::NotConnected, false);
   int Retries = 0;
   while (
-      Health.mayRetry(Tenant, Progress, attempt_failure::NotConnected, Deadline)
+      Health
+          .mayRetry(Customer, Progress, attempt_failure::NotConnected, Deadline)
           .Action == retry_action::Retry)
     ++Retries;
   CHECK(Retries == 3);
   // A new configuration does not refill a budget.
   Health.applyConfiguration(configuration_snapshot(2, Intent));
   CHECK(
-      Health.mayRetry(Tenant, Progress, attempt_failure::NotConnected, Deadline)
+      Health
+          .mayRetry(Customer, Progress, attempt_failure::NotConnected, Deadline)
           .Code == result_code::RetryBudgetExhausted);
 }
--- a/Tests/LibScheduling/test_dispatch_queue.cpp
+++ b/Tests/LibScheduling/test_dispatch_queue.cpp
@@ -12,8 +12,8 @@
 
 using namespace spindle;
 
-static const tenant_id TenantA = tenant_id::ofName("a");
-static const tenant_id TenantB = tenant_id::ofName("b");
+static const customer_id CustomerA = customer_id::ofName("a");
+static const customer_id CustomerB = customer_id::ofName("b");
 
 namespace {
 
@@ -30,12 +30,12 @@
 
   /// Enters with one fiber, which notes \p Name when it starts and leaves at
   /// once; returns after the fiber waits or has ended.
-  void enterLater(int Name, tenant_id Tenant, priority_class Class) {
+  void enterLater(int Name, customer_id Customer, priority_class Class) {
     const std::size_t Waiting = Queue.waiting();
-    Runtime.spawn([this, Name, Tenant, Class] {
+    Runtime.spawn([this, Name, Customer, Class] {
       try {
         const queue_ticket Ticket =
-            Queue.enter(Tenant, Class, {100}, Queue.deadlineFor(Class));
+            Queue.enter(Customer, Class, {100}, Queue.deadlineFor(Class));
         const std::lock_guard<std::mutex> Lock(Mutex);
         Started.push_back(Name);
       } catch (const spindle_error &Error) {
@@ -61,18 +61,18 @@
   queue_fixture Fixture;
   queue_ticket First;
   Fixture.Runtime.runBlocking([&] {
-    First = Fixture.Queue.enter(TenantA, priority_class::Plain, {100},
+    First = Fixture.Queue.enter(CustomerA, priority_class::Plain, {100},
                                 Fixture.Clock.now() + seconds(1));
   });
   REQUIRE(Fixture.Queue.running() == 1);
-  Fixture.enterLater(1, TenantA, priority_class::Plain);
-  Fixture.enterLater(2, TenantA, priority_class::Rush);
-  Fixture.enterLater(3, TenantB, priority_class::Plain);
+  Fixture.enterLater(1, CustomerA, priority_class::Plain);
+  Fixture.enterLater(2, CustomerA, priority_class::Rush);
+  Fixture.enterLater(3, CustomerB, priority_class::Plain);
   CHECK(Fixture.Queue.running() == 1);
   First.release();
   Fixture.awaitIdle();
   const std::lock_guard<std::mutex> Lock(Fixture.Mutex);
-  // Tenant B was served nothing yet; of tenant A, rush goes first.
+  // Customer B was served nothing yet; of customer A, rush goes first.
   CHECK(Fixture.Started == std::vector<int>{3, 2, 1});
 }
 
@@ -80,10 +80,10 @@
   queue_fixture Fixture;
   queue_ticket First;
   Fixture.Runtime.runBlocking([&] {
-    First = Fixture.Queue.enter(TenantA, priority_class::Plain, {100},
+    First = Fixture.Queue.enter(CustomerA, priority_class::Plain, {100},
                                 Fixture.Clock.now() + seconds(1));
   });
-  Fixture.enterLater(1, TenantA, priority_class::Rush);
+  Fixture.enterLater(1, CustomerA, priority_class::Rush);
   Fixture.Clock.advance(seconds(10));
   Fixture.Queue.refuseExpired();
   while (true) {
@@ -108,8 +108,8 @@
     std::vector<completion<int>> Done(Fibers);
     for (int Index = 0; Index < Fibers; ++Index)
       Runtime.spawn([&, Index, Deliver = Done[Index].deliverer()] {
-        const tenant_id Tenant = Index % 2 == 0 ? TenantA : TenantB;
-        queue_ticket Ticket = Queue.enter(Tenant, priority_class::Plain,
+        const customer_id Customer = Index % 2 == 0 ? CustomerA : CustomerB;
+        queue_ticket Ticket = Queue.enter(Customer, priority_class::Plain,
                                           {Index}, Clock.now() + seconds(100));
         const int Now = ++Running;
         int Seen = Most.load();
--- a/Tests/LibScheduling/test_fair_queue.cpp
+++ b/Tests/LibScheduling/test_fair_queue.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-constexpr int TenantCount = 4;
+constexpr int CustomerCount = 4;
 
-tenant_id tenantOf(int Index) {
-  return tenant_id::ofName("tenant" + std::to_string(Index));
+customer_id customerOf(int Index) {
+  return customer_id::ofName("customer" + std::to_string(Index));
 }
 
 /// A queue beside a plain list of what it should hold.
@@ -25,9 +25,9 @@
   time_point Now{seconds(1'000)};
   std::size_t Pushed = 0;
   std::size_t Ended = 0;
-  /// Tokens that each tenant was served, and those of them to aged requests.
-  std::map<tenant_id, double> Served;
-  std::map<tenant_id, double> Aged;
+  /// Tokens that each customer was served, and those of them to aged requests.
+  std::map<customer_id, double> Served;
+  std::map<customer_id, double> Aged;
   double LargestCost = 0;
 
   time_point rankOf(const waiting_request &Request) const {
@@ -35,15 +35,16 @@
            static_cast<int>(Request.Priority) * Queue.Settings.AgeingStep;
   }
 
-  void arrive(tenant_id Tenant, priority_class Class, std::int64_t Cost,
+  void arrive(customer_id Customer, priority_class Class, std::int64_t Cost,
               milliseconds Slack) {
-    waiting_request Request{0, Tenant, Class, {Cost}, Now, Now + Slack};
-    const auto OfTenant = std::count_if(
-        Waiting.begin(), Waiting.end(),
-        [&](const waiting_request &Other) { return Other.Tenant == Tenant; });
+    waiting_request Request{0, Customer, Class, {Cost}, Now, Now + Slack};
+    const auto OfCustomer = std::count_if(Waiting.begin(), Waiting.end(),
+                                          [&](const waiting_request &Other) {
+                                            return Other.Customer == Customer;
+                                          });
     const std::optional<result_code> Refusal = refusalOf(Queue, Request, Now);
     RC_ASSERT((Refusal == result_code::QueueFull) ==
-              (OfTenant >= Queue.Settings.QueueLimit));
+              (OfCustomer >= Queue.Settings.QueueLimit));
     if (Refusal)
       return;
     Request.Sequence = pushRequest(Queue, Request);
@@ -82,7 +83,7 @@
     bool IsHighest = true;
     bool IsOldest = true;
     for (const waiting_request &Other : Waiting) {
-      if (Other.Tenant != Next->Tenant || Other.Deadline <= Now)
+      if (Other.Customer != Next->Customer || Other.Deadline <= Now)
         continue;
       IsHighest = IsHighest && Next->Priority <= Other.Priority;
       IsOldest = IsOldest && rankOf(*Next) <= rankOf(Other);
@@ -92,18 +93,18 @@
     RC_ASSERT(IsHighest || IsOldest);
     const double Cost = static_cast<double>(Next->Cost.Count);
     LargestCost = std::max(LargestCost, Cost);
-    Served[Next->Tenant] += Cost;
+    Served[Next->Customer] += Cost;
     if (!IsHighest)
-      Aged[Next->Tenant] += Cost;
-    RC_ASSERT(Aged[Next->Tenant] <=
-              Queue.Settings.AgedShare * Served[Next->Tenant] + LargestCost);
+      Aged[Next->Customer] += Cost;
+    RC_ASSERT(Aged[Next->Customer] <=
+              Queue.Settings.AgedShare * Served[Next->Customer] + LargestCost);
     forget(Next->Sequence);
   }
 };
 
 } // namespace
 
-TEST_CASE("any history conserves requests and keeps a tenant's order") {
+TEST_CASE("any history conserves requests and keeps a customer's order") {
   rc::prop("every request starts in order, or is refused by its deadline", [] {
     checked_queue Checked;
     Checked.Queue.Settings.QueueLimit = 12;
@@ -111,7 +112,7 @@
     for (int Step = 0; Step < Steps; ++Step) {
       const int Action = *rc::gen::inRange(0, 10);
       if (Action < 5)
-        Checked.arrive(tenantOf(*rc::gen::inRange(0, TenantCount)),
+        Checked.arrive(customerOf(*rc::gen::inRange(0, CustomerCount)),
                        static_cast<priority_class>(*rc::gen::inRange(0, 4)),
                        *rc::gen::inRange(1, 2'000),
                        milliseconds(*rc::gen::inRange(1, 20'000)));
@@ -137,31 +138,31 @@
   });
 }
 
-TEST_CASE("backlogged tenants are served by their weights") {
+TEST_CASE("backlogged customers are served by their weights") {
   rc::prop("served tokens differ by at most one request for each weight", [] {
     constexpr std::int64_t MostCost = 1'000;
     fair_queue Queue;
     Queue.Settings.QueueLimit = 1'000;
     Queue.Settings.CreditTime = milliseconds(0);
-    std::vector<tenant_weight> Weights;
-    Weights.reserve(TenantCount);
-    for (int Index = 0; Index < TenantCount; ++Index)
-      Weights.push_back({tenantOf(Index),
+    std::vector<customer_weight> Weights;
+    Weights.reserve(CustomerCount);
+    for (int Index = 0; Index < CustomerCount; ++Index)
+      Weights.push_back({customerOf(Index),
                          static_cast<std::uint32_t>(*rc::gen::inRange(1, 9))});
     configureQueue(Queue, Queue.Settings, Weights);
     const time_point Now{seconds(1)};
-    std::vector<double> Served(TenantCount, 0);
+    std::vector<double> Served(CustomerCount, 0);
     const auto Arrive = [&](int Index) {
       const std::int64_t Cost =
           *rc::gen::inRange<std::int64_t>(1, MostCost + 1);
       pushRequest(Queue, {0,
-                          tenantOf(Index),
+                          customerOf(Index),
                           priority_class::Plain,
                           {Cost},
                           Now,
                           Now + seconds(100)});
     };
-    // The first tenant is served alone for a while; the others, idle until
+    // The first customer is served alone for a while; the others, idle until
     // then, must gain nothing from it.
     const int Alone = *rc::gen::inRange(0, 20);
     for (int Count = 0; Count < Alone; ++Count) {
@@ -169,18 +170,18 @@
       popRequest(Queue, Now);
     }
     for (int Count = 0; Count < 200; ++Count) {
-      for (int Index = 0; Index < TenantCount; ++Index) {
-        const auto Lane = Queue.Lanes.find(tenantOf(Index));
+      for (int Index = 0; Index < CustomerCount; ++Index) {
+        const auto Lane = Queue.Lanes.find(customerOf(Index));
         if (Lane == Queue.Lanes.end() || Lane->second.Count < 2)
           Arrive(Index);
       }
       const std::optional<waiting_request> Next = popRequest(Queue, Now);
-      for (int Index = 0; Index < TenantCount; ++Index)
-        if (Next->Tenant == tenantOf(Index))
+      for (int Index = 0; Index < CustomerCount; ++Index)
+        if (Next->Customer == customerOf(Index))
           Served[Index] +=
               static_cast<double>(Next->Cost.Count) / Weights[Index].Weight;
-      for (int Left = 0; Left < TenantCount; ++Left)
-        for (int Right = 0; Right < TenantCount; ++Right)
+      for (int Left = 0; Left < CustomerCount; ++Left)
+        for (int Right = 0; Right < CustomerCount; ++Right)
           RC_ASSERT(Served[Left] - Served[Right] <=
                     MostCost * (1.0 / Weights[Left].Weight +
                                 1.0 / Weights[Right].Weight));
@@ -191,13 +192,13 @@
 static fair_queue queueServedAt(double TokensPerSecond, time_point &Now) {
   fair_queue Queue;
   for (int Count = 0; Count < 40; ++Count) {
-    const tenant_id Tenant = tenantOf(0);
+    const customer_id Customer = customerOf(0);
     pushRequest(
         Queue,
-        {0, Tenant, priority_class::Rush, {100}, Now, Now + seconds(100)});
+        {0, Customer, priority_class::Rush, {100}, Now, Now + seconds(100)});
     pushRequest(
         Queue,
-        {0, Tenant, priority_class::Rush, {100}, Now, Now + seconds(100)});
+        {0, Customer, priority_class::Rush, {100}, Now, Now + seconds(100)});
     for (int Start = 0; Start < 2; ++Start) {
       Now += nanoseconds(static_cast<std::int64_t>(1e11 / TokensPerSecond));
       popRequest(Queue, Now);
@@ -211,30 +212,30 @@
   fair_queue Queue = queueServedAt(1'000, Now);
   for (int Count = 0; Count < 50; ++Count)
     pushRequest(Queue, {0,
-                        tenantOf(0),
+                        customerOf(0),
                         priority_class::Plain,
                         {100},
                         Now,
                         Now + seconds(100)});
-  waiting_request Late{0,     tenantOf(0), priority_class::Plain,
-                       {100}, Now,         Now + milliseconds(4'500)};
+  waiting_request Late{0,     customerOf(0), priority_class::Plain,
+                       {100}, Now,           Now + milliseconds(4'500)};
   CHECK(refusalOf(Queue, Late, Now) == result_code::DeadlineUnreachable);
   Late.Deadline = Now + milliseconds(5'500);
   CHECK(refusalOf(Queue, Late, Now) == std::nullopt);
   SECTION("a higher class has nothing before it") {
-    const waiting_request Rush{0,     tenantOf(0), priority_class::Rush,
-                               {100}, Now,         Now + milliseconds(10)};
+    const waiting_request Rush{0,     customerOf(0), priority_class::Rush,
+                               {100}, Now,           Now + milliseconds(10)};
     CHECK(refusalOf(Queue, Rush, Now) == std::nullopt);
   }
-  SECTION("another tenant has half of the service to itself") {
+  SECTION("another customer has half of the service to itself") {
     pushRequest(Queue, {0,
-                        tenantOf(1),
+                        customerOf(1),
                         priority_class::Plain,
                         {1'000},
                         Now,
                         Now + seconds(100)});
-    waiting_request Other{0,     tenantOf(1), priority_class::Plain,
-                          {100}, Now,         Now + milliseconds(1'900)};
+    waiting_request Other{0,     customerOf(1), priority_class::Plain,
+                          {100}, Now,           Now + milliseconds(1'900)};
     CHECK(refusalOf(Queue, Other, Now) == result_code::DeadlineUnreachable);
     Other.Deadline = Now + milliseconds(2'100);
     CHECK(refusalOf(Queue, Other, Now) == std::nullopt);
@@ -247,7 +248,7 @@
   Queue.Settings.QueueLimit = 10'000;
   const time_point Start{seconds(1)};
   const std::uint64_t Batch = pushRequest(Queue, {0,
-                                                  tenantOf(0),
+                                                  customerOf(0),
                                                   priority_class::Batch,
                                                   {100},
                                                   Start,
@@ -258,7 +259,7 @@
     Now += milliseconds(100);
     for (int Count = 0; Count < 2; ++Count)
       pushRequest(Queue, {0,
-                          tenantOf(0),
+                          customerOf(0),
                           priority_class::Rush,
                           {100},
                           Now,
@@ -272,19 +273,19 @@
   CHECK(Now > Start + 3 * Queue.Settings.AgeingStep);
 }
 
-TEST_CASE("a tenant that left its part unused catches up, and no further") {
+TEST_CASE("a customer that left its part unused catches up, and no further") {
   fair_queue Queue;
   time_point Now{seconds(1)};
   Queue.Settings.CreditTime = seconds(30);
   const auto Push = [&](int Index) {
     pushRequest(Queue, {0,
-                        tenantOf(Index),
+                        customerOf(Index),
                         priority_class::Plain,
                         {100},
                         Now,
                         Now + seconds(1'000)});
   };
-  // One tenant alone is served ten requests a second for 300 seconds.
+  // One customer alone is served ten requests a second for 300 seconds.
   for (int Count = 0; Count < 3'000; ++Count) {
     Now += milliseconds(100);
     Push(0);
@@ -295,20 +296,20 @@
       if (Count < 200 || Index == 1)
         Push(Index);
   int First = 0;
-  while (popRequest(Queue, Now)->Tenant == tenantOf(1))
+  while (popRequest(Queue, Now)->Customer == customerOf(1))
     ++First;
   // What was served in 30 seconds, and in one sample more.
   CHECK(First >= 300);
   CHECK(First <= 330);
 }
 
-TEST_CASE("fifo ignores tenants and classes") {
+TEST_CASE("fifo ignores customers and classes") {
   fair_queue Queue;
   Queue.Settings.Policy = queueing_policy::Fifo;
   const time_point Now{seconds(1)};
   for (int Count = 0; Count < 3; ++Count)
     pushRequest(Queue, {0,
-                        tenantOf(Count % 2),
+                        customerOf(Count % 2),
                         priority_class(3 - Count),
                         {10},
                         Now + milliseconds(Count),
@@ -319,7 +320,9 @@
   }
   SECTION("a change of policy reorders what waits") {
     configureQueue(Queue, {}, {});
-    CHECK(popRequest(Queue, Now)->Tenant == tenantOf(0));
+    // Both are owed alike; then the smaller identity goes first.
+    CHECK(popRequest(Queue, Now)->Customer ==
+          std::min(customerOf(0), customerOf(1)));
     CHECK(waitingCount(Queue) == 2);
   }
 }
@@ -330,14 +333,14 @@
   for (int Count = 0; Count < 4; ++Count)
     for (int Index = 0; Index < 2; ++Index)
       pushRequest(Queue, {0,
-                          tenantOf(Index),
+                          customerOf(Index),
                           priority_class::Plain,
                           {100},
                           Now,
                           Now + seconds(9)});
-  const tenant_id First = popRequest(Queue, Now)->Tenant;
-  const tenant_id Second = popRequest(Queue, Now)->Tenant;
+  const customer_id First = popRequest(Queue, Now)->Customer;
+  const customer_id Second = popRequest(Queue, Now)->Customer;
   REQUIRE(First != Second);
   settleCharge(Queue, Second, {100}, {1});
-  CHECK(popRequest(Queue, Now)->Tenant == Second);
+  CHECK(popRequest(Queue, Now)->Customer == Second);
 }
--- a/Tests/LibScheduling/test_load_fairness.cpp
+++ b/Tests/LibScheduling/test_load_fairness.cpp
@@ -6,10 +6,10 @@
 
 using namespace spindle;
 
-TEST_CASE("a tenant with many waiting requests outweighs one by far less") {
+TEST_CASE("a customer with many waiting requests outweighs one by far less") {
   load_fairness Fairness;
-  const tenant_id Large = tenant_id::ofName("large");
-  const tenant_id Small = tenant_id::ofName("small");
+  const customer_id Large = customer_id::ofName("large");
+  const customer_id Small = customer_id::ofName("small");
   double LargeWeight = 0;
   {
     std::vector<load_fairness::waiting_request> Waiting;
--- a/Utilities/spindlectl/commands.h
+++ b/Utilities/spindlectl/commands.h
@@ -27,7 +27,7 @@
 /// Shows the intent in force, or one of its lists.
 exit_code showIntent(operator_context &Context, const std::string &What);
 /// Grants a key, which is read from \p KeyFile, or made and printed once.
-exit_code grantKey(operator_context &Context, const std::string &Tenant,
+exit_code grantKey(operator_context &Context, const std::string &Customer,
                    const std::string &Name, const std::string &KeyFile);
 /// Withdraws a key and waits until no host takes it.
 exit_code withdrawKey(operator_context &Context, const std::string &Name);
--- a/Utilities/spindlectl/key_commands.cpp
+++ b/Utilities/spindlectl/key_commands.cpp
@@ -34,12 +34,12 @@
   return Key;
 }
 
-exit_code grantKey(operator_context &Context, const std::string &Tenant,
+exit_code grantKey(operator_context &Context, const std::string &Customer,
                    const std::string &Name, const std::string &KeyFile) {
   const stored_configuration Stored = requireStored(Context);
   const std::string Key = takeKey(Context, KeyFile);
   intent Intent = Stored.Intent;
-  Intent.Keys.push_back({Name, Tenant, sha256Hex(Key)});
+  Intent.Keys.push_back({Name, Customer, sha256Hex(Key)});
   const std::vector<input_problem> Problems = validateIntent(Intent);
   if (!Problems.empty())
     throw spindle_error(result_code::InvalidIntent, Problems.front().Message);
@@ -56,11 +56,11 @@
                           std::nullopt);
 }
 
-/// After how long a host that is cut off refuses the tenant's keys, if ever.
+/// After how long a host that is cut off refuses the customer's keys, if ever.
 static std::optional<seconds> isolationLimit(const intent &Intent,
-                                             const std::string &Tenant) {
-  for (const tenant_declaration &Declared : Intent.Tenants)
-    if (Declared.Name == Tenant &&
+                                             const std::string &Customer) {
+  for (const customer_declaration &Declared : Intent.Customers)
+    if (Declared.Name == Customer &&
         Declared.WhenIsolated == isolated_key_policy::Refuse)
       return Declared.IsolationLimit;
   return std::nullopt;
@@ -75,7 +75,7 @@
   if (Found == Intent.Keys.end())
     throw spindle_error(result_code::InvalidIntent,
                         "no key is called \"" + Name + "\"");
-  const std::optional<seconds> Limit = isolationLimit(Intent, Found->Tenant);
+  const std::optional<seconds> Limit = isolationLimit(Intent, Found->Customer);
   Intent.Keys.erase(Found);
   const configuration_plan Plan =
       makePlan(Stored, std::move(Intent), Context.RandomHex(NonceBytes));
--- a/Utilities/spindlectl/run_command.cpp
+++ b/Utilities/spindlectl/run_command.cpp
@@ -11,8 +11,8 @@
   throw spindle_error(
       result_code::BadRequest,
       "commands: plan FILE [-o PLAN], apply PLAN, status, "
-      "get [intent|zones|tenants|keys|adapters|upstreams|routes|policy], "
-      "keys grant TENANT NAME [--key-file FILE], keys withdraw NAME, "
+      "get [intent|zones|customers|keys|adapters|upstreams|routes|policy], "
+      "keys grant CUSTOMER NAME [--key-file FILE], keys withdraw NAME, "
       "keys list, drain HOST, audit");
 }
 
--- a/Utilities/spindlectl/show_commands.cpp
+++ b/Utilities/spindlectl/show_commands.cpp
@@ -52,7 +52,8 @@
     return exit_code::Done;
   }
   static const std::set<std::string> Sections = {
-      "zones", "tenants", "keys", "adapters", "upstreams", "routes", "policy"};
+      "zones",     "customers", "keys",  "adapters",
+      "upstreams", "routes",    "policy"};
   if (Sections.count(What) == 0)
     throw spindle_error(result_code::BadRequest,
                         "\"" + What + "\" is not a part of the intent");
--- a/Utilities/spindleload/request_text.cpp
+++ b/Utilities/spindleload/request_text.cpp
@@ -44,13 +44,13 @@
 static void writeCompletion(request_text &Text, const load_scenarios &Common,
                             const planned_request &Request,
                             const std::string &Prompt) {
-  const load_tenant &Tenant = Common.Tenants[Request.Tenant];
+  const load_customer &Customer = Common.Customers[Request.Customer];
   const priority_class Class = Common.Classes[Request.Class].Class;
   // Callers ask for more than they get, as their bound is a round figure.
   const std::uint32_t MostTokens =
       std::max<std::uint32_t>(64, (Request.AnswerTokens + 63) / 64 * 64);
-  Text.Adapter = Tenant.AdapterPrefix + std::to_string(Request.Adapter) + "@" +
-                 Tenant.Version;
+  Text.Adapter = Customer.AdapterPrefix + std::to_string(Request.Adapter) +
+                 "@" + Customer.Version;
   Text.Head.Method = "POST";
   Text.Head.Target = "/v1/completions";
   Text.Body = json{{"model", Text.Adapter},
@@ -86,7 +86,7 @@
                           const planned_request &Request,
                           const std::string &RunName) {
   request_text Text;
-  const load_tenant &Tenant = Common.Tenants[Request.Tenant];
+  const load_customer &Customer = Common.Customers[Request.Customer];
   switch (Request.Kind) {
   case load_kind::Completion:
     writeCompletion(Text, Common, Request,
@@ -101,7 +101,7 @@
     writeServiceCall(Text, Common, Request, RunName);
     break;
   }
-  Text.Head.Fields.push_back({"Authorization", "Bearer " + Tenant.Key});
+  Text.Head.Fields.push_back({"Authorization", "Bearer " + Customer.Key});
   Text.Head.Fields.push_back({"Content-Type", "application/json"});
   return Text;
 }
