--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -19,6 +19,10 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     List = MustList;
+    const bool LookedLately = LookedAt != time_point() &&
+                              Clock.now() - LookedAt < Settings.PauseIfRelayed;
+    if (!List && Reachable && LookedLately && IsRelayed && IsRelayed())
+      return Settings.RelayCheck;
   }
   try {
     if (List) {
@@ -34,6 +38,7 @@
 
 void object_mirror::noteAnswer() {
   FailurePause = milliseconds(0);
+  LookedAt = Clock.now();
   if (Reachable)
     return;
   Reachable = true;
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -21,6 +21,10 @@
   milliseconds HoldOpen{1'000};
   /// The same while another host tells of what this one does not hear.
   milliseconds HoldOpenIfRelayed{5'000};
+  /// Between two looks while another host tells, and how often it is asked
+  /// whether that one still does.
+  milliseconds PauseIfRelayed{3'000};
+  milliseconds RelayCheck{200};
   /// The pause after changes came, so that a busy kind costs few calls.
   milliseconds PauseAfterChange{0};
   milliseconds PauseAfterFailure{250};
@@ -87,6 +91,8 @@
   /// The newest change that was seen, deletions included.
   std::uint64_t LastChange = 0;
   milliseconds FailurePause{0};
+  /// When the last look ended.
+  time_point LookedAt;
 };
 
 } // namespace spindle
--- a/Tests/LibGateway/test_object_mirror.cpp
+++ b/Tests/LibGateway/test_object_mirror.cpp
@@ -105,6 +105,29 @@
   REQUIRE(Test.body("a") == "2");
 }
 
+TEST_CASE("a mirror that is told by a peer looks seldom, and at once when the "
+          "peer falls silent") {
+  mirrored Test;
+  Test.Clock.pause();
+  bool IsRelayed = true;
+  Test.Mirror.onAskRelayed([&] { return IsRelayed; });
+  Test.Platform.Create(Kind, "a", "1");
+  Test.Mirror.step();
+  const std::size_t Before = Test.Fake.reads();
+  for (int Step = 0; Step < 14; ++Step) {
+    REQUIRE(Test.Mirror.step() <= milliseconds(200));
+    Test.Clock.advance(milliseconds(200));
+  }
+  REQUIRE(Test.Fake.reads() == Before);
+  IsRelayed = false;
+  Test.Mirror.step();
+  REQUIRE(Test.Fake.reads() == Before + 1);
+  IsRelayed = true;
+  Test.Clock.advance(seconds(4));
+  Test.Mirror.step();
+  REQUIRE(Test.Fake.reads() == Before + 2);
+}
+
 TEST_CASE("a mirror that knows nothing learns all from a peer") {
   mirrored Test;
   Test.Platform.Create(Kind, "a", "1");
