--- a/Libraries/LibGateway/adapter_keeper.cpp
+++ b/Libraries/LibGateway/adapter_keeper.cpp
@@ -369,7 +369,6 @@
     spindle::noteInUse(Found->second->Places, Name, Clock.now() + InUseTerm);
 }
 
-/// The models that the engine may load, and how many may be loaded a second.
 void adapter_keeper::loadModels() {
   for (const upstream_pointer &Entry : Fleet.all()) {
     if (Entry->Leaving || !Entry->Models.empty() || !Ports.Fence(Entry->Zone))
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -38,7 +38,7 @@
   bool MayHaveRun = false;
   /// The id of the last event that was passed on, for a resumption.
   std::string LastEventId;
-  /// What is left out of an event stream while it is being resumed.
+  /// The caller has the head, and maybe events, of a stream.
   bool StreamStarted = false;
 
   bool isModelCall() const { return Service.Engine.has_value(); }
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -30,8 +30,7 @@
 constexpr milliseconds DrainStep{50};
 // A drain ends only after no request has run for so long.
 constexpr milliseconds QuietBeforeClose{200};
-// The lead of the zone stops giving orders so long before the process ends,
-// and the platform is told in this time.
+// What is left of the drain's limit for the end of the process itself.
 constexpr milliseconds LeaveTime{700};
 constexpr milliseconds LeavePause{300};
 // Registrations that lapsed while the platform was away are back within two
@@ -99,7 +98,7 @@
   adapter_keeper Keeper;
   adapter_holds Holds;
   gateway_services Services;
-  /// Upstreams whose registration is missing since the platform's return.
+  /// The upstreams that were taken over last, by name.
   std::map<std::string, upstream_pointer> LastUpstreams;
   std::mutex ApplyMutex;
   std::atomic<bool> Draining{false};
--- a/Libraries/LibGateway/gateway_wire.h
+++ b/Libraries/LibGateway/gateway_wire.h
@@ -25,7 +25,7 @@
   std::string LastEventId;
 };
 
-/// What an upstream's answer says beside its status and body.
+/// What the head of an upstream's answer says beside its status and body.
 struct upstream_answer {
   /// The request that it answers; empty if it does not say.
   std::string AttemptId;
--- a/Libraries/LibGateway/upstream_entry.h
+++ b/Libraries/LibGateway/upstream_entry.h
@@ -13,7 +13,7 @@
 
 namespace spindle {
 
-/// One version of one adapter of a model.
+/// Names an adapter of a model, whatever its version.
 struct adapter_name {
   std::string Model;
   std::string Adapter;
@@ -21,6 +21,7 @@
   auto operator<=>(const adapter_name &) const = default;
 };
 
+/// One version of an adapter. 0 stands for whatever version is there.
 struct loaded_adapter {
   adapter_name Name;
   std::uint64_t Version = 0;
