--- a/Tests/Support/fake_platform.cpp
+++ b/Tests/Support/fake_platform.cpp
@@ -87,23 +87,26 @@
         return;
   };
   Port.Changes = [this](std::string_view Kind, std::uint64_t FromVersion,
-                        milliseconds) {
-    const lock Lock(Mutex);
-    ++Reads;
-    checkUp();
-    if (FromVersion < Faults.ForgottenUpTo)
-      throw spindle_error(result_code::PlatformTooOld, "history is gone");
-    platform_changes Changes;
-    Changes.Version = Faults.HideChanges ? FromVersion : LastVersion;
-    for (const auto &[Version, Event] : History)
-      if (Version > FromVersion && Event.Object.Kind == Kind &&
-          !Faults.HideChanges)
-        Changes.Events.push_back(Event);
-    return Changes;
-  };
+                        milliseconds) { return changes(Kind, FromVersion); };
   return Port;
 }
 
+platform_changes fake_platform::changes(std::string_view Kind,
+                                        std::uint64_t FromVersion) {
+  const lock Lock(Mutex);
+  ++Reads;
+  checkUp();
+  if (FromVersion < Faults.ForgottenUpTo)
+    throw spindle_error(result_code::PlatformTooOld, "history is gone");
+  platform_changes Changes;
+  Changes.Version = Faults.HideChanges ? FromVersion : LastVersion;
+  for (const auto &[Version, Event] : History)
+    if (Version > FromVersion && Event.Object.Kind == Kind &&
+        !Faults.HideChanges)
+      Changes.Events.push_back(Event);
+  return Changes;
+}
+
 void fake_platform::setFaults(fake_platform_faults NewFaults) {
   const lock Lock(Mutex);
   Faults = NewFaults;
--- a/Tests/Support/fake_platform.h
+++ b/Tests/Support/fake_platform.h
@@ -38,6 +38,7 @@
 private:
   using object_key = std::pair<std::string, std::string>;
 
+  platform_changes changes(std::string_view Kind, std::uint64_t FromVersion);
   void checkUp();
   std::uint64_t write(const object_key &Key, std::string_view Body,
                       platform_change Change);
