--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -9,7 +9,6 @@
 
 // A request that is sent at the end of a hold still reaches the engine in it.
 static constexpr milliseconds SendMargin{550};
-static constexpr milliseconds LongestWait{1'500};
 // The lead's answer takes so much longer than the load that it waits for.
 static constexpr milliseconds AnswerMargin{150};
 
@@ -19,26 +18,39 @@
     : Clock(Clock), Fleet(Fleet), Hub(Hub), Keeper(Keeper),
       Peers(std::move(Peers)), Self(std::move(Self)) {}
 
-std::uint64_t
-adapter_holds::relyOnRegistration(const upstream_entry &Engine,
-                                  const loaded_adapter &Wanted) const {
-  for (const loaded_adapter &Adapter : Engine.Adapters)
-    if (Adapter.Name == Wanted.Name && Adapter.Version >= Wanted.Version)
-      return Adapter.Version;
-  Fleet.noteRoom({Engine.Id, 0});
+void adapter_holds::noteNoRoom(const hold_query &Query) const {
+  for (const upstream_pointer &Engine : Query.Engines)
+    Fleet.noteRoom({Engine->Id, 0});
+}
+
+held_engine adapter_holds::relyOnRegistration(const hold_query &Query) const {
+  for (const upstream_pointer &Engine : Query.Engines)
+    for (const loaded_adapter &Adapter : Engine->Adapters)
+      if (Adapter.Name == Query.Wanted.Name &&
+          Adapter.Version >= Query.Wanted.Version)
+        return {Engine, Adapter.Version};
+  noteNoRoom(Query);
   throw spindle_error(result_code::NotOwner,
-                      "the lead of zone " + Engine.Zone +
+                      "the lead of zone " + Query.Engines.front()->Zone +
                           " can't be asked to load the adapter");
 }
 
-void adapter_holds::remember(const upstream_entry &Engine,
-                             const loaded_adapter &Adapter, time_point Asked) {
-  Fleet.noteAdapter(Engine.Id, Adapter, true);
+/// Notes that \p Engine has the adapter. None if it is not one that was meant.
+std::optional<held_engine> adapter_holds::remember(const hold_query &Query,
+                                                   upstream_id Engine,
+                                                   std::uint64_t Version,
+                                                   time_point Asked) {
+  const auto Meant = std::find_if(
+      Query.Engines.begin(), Query.Engines.end(),
+      [Engine](const upstream_pointer &Each) { return Each->Id == Engine; });
+  if (Meant == Query.Engines.end())
+    return std::nullopt;
+  Fleet.noteAdapter(Engine, {Query.Wanted.Name, Version}, true);
   const std::lock_guard<std::mutex> Lock(Mutex);
-  const time_point Until = Asked + HoldTerm - SendMargin;
   std::erase_if(
       Held, [Asked](const auto &Entry) { return Entry.second.Until < Asked; });
-  Held[{Engine.Id, Adapter.Name}] = {Adapter.Version, Until};
+  Held[{Engine, Query.Wanted.Name}] = {Version, Asked + HoldTerm - SendMargin};
+  return held_engine{*Meant, Version};
 }
 
 void adapter_holds::forget(const upstream_entry &Engine,
@@ -57,62 +69,90 @@
   return Missing.erase({Engine.Id, Name}) > 0;
 }
 
-std::uint64_t adapter_holds::askLead(const upstream_entry &Engine,
-                                     const endpoint &Lead,
-                                     const loaded_adapter &Wanted,
-                                     time_point Until, bool WaitForRoom) {
+std::optional<held_engine>
+adapter_holds::findHeld(const hold_query &Query) const {
+  const time_point Now = Clock.now();
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  for (const upstream_pointer &Engine : Query.Engines) {
+    const auto Found = Held.find({Engine->Id, Query.Wanted.Name});
+    if (Found != Held.end() && Found->second.Until > Now &&
+        Found->second.Version >= Query.Wanted.Version)
+      return held_engine{Engine, Found->second.Version};
+  }
+  return std::nullopt;
+}
+
+std::optional<held_engine> adapter_holds::askKeeper(const hold_query &Query,
+                                                    time_point Until) {
   const time_point Asked = Clock.now();
-  const milliseconds Wait = std::min(
-      LongestWait, std::chrono::duration_cast<milliseconds>(Until - Asked));
+  const upstream_entry &First = *Query.Engines.front();
+  if (takeMissing(First, Query.Wanted.Name))
+    Keeper.noteMissing(First.Id, Query.Wanted.Name);
+  place_wish Wish;
+  for (const upstream_pointer &Engine : Query.Engines)
+    Wish.Engines.push_back(Engine->Id);
+  Wish.OnTimeUntil = Query.OnTimeUntil;
+  Wish.UsefulUntil = Query.UsefulUntil;
+  Wish.Urgency = Query.Urgency;
+  const std::optional<kept_adapter> There =
+      Keeper.hold(Query.Wanted, Wish, Until);
+  if (!There)
+    return std::nullopt;
+  return remember(Query, There->Engine, There->Adapter.Version, Asked);
+}
+
+static std::int64_t millisecondsUntil(time_point Time, time_point Now) {
+  return std::chrono::duration_cast<milliseconds>(Time - Now).count();
+}
+
+std::optional<held_engine> adapter_holds::askLead(const hold_query &Query,
+                                                  const endpoint &Lead,
+                                                  time_point Until) {
+  const time_point Asked = Clock.now();
+  const milliseconds Wait{
+      std::max<std::int64_t>(0, millisecondsUntil(Until, Asked))};
+  const upstream_entry &First = *Query.Engines.front();
   host_link::HoldAdapterRequest Request;
   *Request.mutable_sender() = Self;
-  Request.set_upstream(Engine.Name);
-  Request.set_model(Wanted.Name.Model);
-  Request.set_adapter(Wanted.Name.Adapter);
-  Request.set_version(Wanted.Version);
-  Request.set_wait_ms(std::max<std::int64_t>(0, Wait.count()));
-  Request.set_wait_for_room(WaitForRoom);
-  Request.set_missing(takeMissing(Engine, Wanted.Name));
+  for (const upstream_pointer &Engine : Query.Engines)
+    Request.add_upstreams(Engine->Name);
+  Request.set_model(Query.Wanted.Name.Model);
+  Request.set_adapter(Query.Wanted.Name.Adapter);
+  Request.set_version(Query.Wanted.Version);
+  Request.set_wait_ms(Wait.count());
+  Request.set_on_time_ms(millisecondsUntil(Query.OnTimeUntil, Asked));
+  Request.set_useful_ms(millisecondsUntil(Query.UsefulUntil, Asked));
+  Request.set_urgency(Query.Urgency);
+  Request.set_missing(takeMissing(First, Query.Wanted.Name));
   host_link::HoldAdapterReply Reply;
   try {
     Reply = Peers.HoldAdapter(Lead, Request, Wait + AnswerMargin);
   } catch (const spindle_error &Error) {
     logEvent(log_event::OwnerUnreachable,
              {{"lead", toText(Lead)}, {"cause", Error.what()}});
-    Fleet.noteZoneSilent(Engine.Zone);
-    return relyOnRegistration(Engine, Wanted);
+    Fleet.noteZoneSilent(First.Zone);
+    return relyOnRegistration(Query);
   }
-  if (!Reply.held())
-    Fleet.noteRoom({Engine.Id, 0});
-  if (!Reply.held())
-    throw spindle_error(result_code::AdapterNotLoaded, Reply.message());
-  remember(Engine, {Wanted.Name, Reply.version()}, Asked);
-  return Reply.version();
+  if (Reply.held())
+    return remember(Query, upstream_id::ofName(Reply.upstream()),
+                    Reply.version(), Asked);
+  noteNoRoom(Query);
+  if (Reply.waiting())
+    return std::nullopt;
+  throw spindle_error(result_code::AdapterNotLoaded, Reply.message());
 }
 
-std::uint64_t adapter_holds::hold(const upstream_entry &Engine,
-                                  const loaded_adapter &Wanted,
-                                  time_point Until, bool WaitForRoom) {
-  const time_point Now = Clock.now();
-  {
-    const std::lock_guard<std::mutex> Lock(Mutex);
-    const auto Found = Held.find({Engine.Id, Wanted.Name});
-    if (Found != Held.end() && Found->second.Until > Now &&
-        Found->second.Version >= Wanted.Version)
-      return Found->second.Version;
-  }
-  if (Hub.fence(Engine.Zone)) {
-    if (takeMissing(Engine, Wanted.Name))
-      Keeper.noteMissing(Engine.Id, Wanted.Name);
-    const loaded_adapter There =
-        Keeper.hold(Engine.Id, Wanted, Until, WaitForRoom);
-    remember(Engine, There, Now);
-    return There.Version;
-  }
-  const std::optional<endpoint> Lead = Hub.leadOf(Engine.Zone);
+std::optional<held_engine> adapter_holds::hold(const hold_query &Query,
+                                               time_point Until) {
+  if (std::optional<held_engine> Known = findHeld(Query))
+    return Known;
+  const std::string &Zone = Query.Engines.front()->Zone;
+  if (Hub.fence(Zone))
+    return askKeeper(Query, Until);
+  const std::optional<endpoint> Lead = Hub.leadOf(Zone);
   if (!Lead || *Lead == Hub.link())
-    return relyOnRegistration(Engine, Wanted);
-  return askLead(Engine, *Lead, Wanted, Until, WaitForRoom);
+    return relyOnRegistration(Query);
+  return askLead(Query, *Lead, Until);
 }
 
 host_link::HoldAdapterReply
@@ -120,15 +160,28 @@
   host_link::HoldAdapterReply Reply;
   const loaded_adapter Wanted{{Request.model(), Request.adapter()},
                               Request.version()};
-  if (Request.missing())
-    Keeper.noteMissing(upstream_id::ofName(Request.upstream()), Wanted.Name);
+  if (Request.missing() && Request.upstreams_size() > 0)
+    Keeper.noteMissing(upstream_id::ofName(Request.upstreams(0)), Wanted.Name);
+  const time_point Now = Clock.now();
+  place_wish Wish;
+  std::map<upstream_id, std::string> Names;
+  for (const std::string &Name : Request.upstreams()) {
+    Wish.Engines.push_back(upstream_id::ofName(Name));
+    Names[Wish.Engines.back()] = Name;
+  }
+  Wish.OnTimeUntil = Now + milliseconds(Request.on_time_ms());
+  Wish.UsefulUntil = Now + milliseconds(Request.useful_ms());
+  Wish.Urgency = Request.urgency();
   try {
-    const loaded_adapter There = Keeper.hold(
-        upstream_id::ofName(Request.upstream()), Wanted,
-        Clock.now() + milliseconds(Request.wait_ms()), Request.wait_for_room());
-    Reply.set_held(true);
+    const std::optional<kept_adapter> There =
+        Keeper.hold(Wanted, Wish, Now + milliseconds(Request.wait_ms()));
+    Reply.set_held(There.has_value());
+    Reply.set_waiting(!There);
+    if (!There)
+      return Reply;
     Reply.set_term_ms(HoldTerm.count());
-    Reply.set_version(There.Version);
+    Reply.set_version(There->Adapter.Version);
+    Reply.set_upstream(Names[There->Engine]);
   } catch (const spindle_error &Error) {
     Reply.set_message(Error.what());
   }
--- a/Libraries/LibGateway/adapter_holds.h
+++ b/Libraries/LibGateway/adapter_holds.h
@@ -9,10 +9,28 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
+#include <vector>
 
 namespace spindle {
 
+/// What a request needs of the engines of one zone.
+struct hold_query {
+  /// The engines that may have the adapter, the best first.
+  std::vector<upstream_pointer> Engines;
+  loaded_adapter Wanted;
+  time_point OnTimeUntil;
+  time_point UsefulUntil;
+  int Urgency = 0;
+};
+
+/// An engine that has the adapter.
+struct held_engine {
+  upstream_pointer Engine;
+  std::uint64_t Version = 0;
+};
+
 /// The adapters that this host may rely on for a while, and the way to more:
 /// its own keeper or the lead of the engine's zone. Thread-safe.
 class adapter_holds {
@@ -22,13 +40,12 @@
                 adapter_keeper &Keeper, host_link_port Peers,
                 host_link::Sender Self);
 
-  /// Returns the version that the engine has, at least \p Wanted's. Blocks the
-  /// fiber until \p Until at most. If the zone's lead does not answer, what
-  /// the engine has registered is relied on.
-  /// If every adapter there is in use, it waits only with \p WaitForRoom.
+  /// Returns the engine that has the adapter, at the wanted version or a newer
+  /// one; none if it is not there at \p Until, and may be asked for again.
+  /// Blocks the fiber. If the zone's lead does not answer, what the engines
+  /// have registered is relied on. Precondition: an engine is named.
   /// \throws spindle_error AdapterNotLoaded, NotOwner, NoUpstream.
-  std::uint64_t hold(const upstream_entry &Engine, const loaded_adapter &Wanted,
-                     time_point Until, bool WaitForRoom);
+  std::optional<held_engine> hold(const hold_query &Query, time_point Until);
   /// Notes that the engine refused a request for the adapter.
   void forget(const upstream_entry &Engine, const adapter_name &Name);
   /// Serves a peer. May block the fiber.
@@ -43,13 +60,16 @@
   using hold_key = std::pair<upstream_id, adapter_name>;
 
   bool takeMissing(const upstream_entry &Engine, const adapter_name &Name);
-  std::uint64_t askLead(const upstream_entry &Engine, const endpoint &Lead,
-                        const loaded_adapter &Wanted, time_point Until,
-                        bool WaitForRoom);
-  std::uint64_t relyOnRegistration(const upstream_entry &Engine,
-                                   const loaded_adapter &Wanted) const;
-  void remember(const upstream_entry &Engine, const loaded_adapter &Adapter,
-                time_point Asked);
+  std::optional<held_engine> findHeld(const hold_query &Query) const;
+  std::optional<held_engine> askKeeper(const hold_query &Query,
+                                       time_point Until);
+  std::optional<held_engine> askLead(const hold_query &Query,
+                                     const endpoint &Lead, time_point Until);
+  held_engine relyOnRegistration(const hold_query &Query) const;
+  void noteNoRoom(const hold_query &Query) const;
+  std::optional<held_engine> remember(const hold_query &Query,
+                                      upstream_id Engine, std::uint64_t Version,
+                                      time_point Asked);
 
   const runtime_clock &Clock;
   fleet_table &Fleet;
--- a/Libraries/LibGateway/adapter_keeper.cpp
+++ b/Libraries/LibGateway/adapter_keeper.cpp
@@ -1,17 +1,19 @@
 #include "LibGateway/adapter_keeper.h"
 
-#include "LibCore/result_code.h"
+#include "LibCore/retry_after_error.h"
 #include "LibLog/log.h"
 #include "LibRuntime/fiber_runtime.h"
 
 #include <algorithm>
+#include <atomic>
 #include <set>
+#include <tuple>
 
 namespace spindle {
 
 static constexpr milliseconds OrderLimit{250};
 static constexpr milliseconds ReportLimit{500};
-static constexpr milliseconds HoldPause{8};
+static constexpr milliseconds HoldPause{10};
 static constexpr milliseconds LoadedPause{30};
 static constexpr milliseconds PauseAfterRefusal{60};
 static constexpr milliseconds ModelPause{300};
@@ -24,8 +26,6 @@
 static constexpr milliseconds SilencePause{1'000};
 // Single answers get lost; an engine that is silent answers none.
 static constexpr std::uint32_t UnansweredIfSilent = 2;
-// Hosts repeat what runs more often than this.
-static constexpr milliseconds InUseTerm{700};
 // An engine that is ordered again tells at once whether it is done; it may
 // need far longer than usual while many loads run.
 static constexpr milliseconds LongestLoad{5'000};
@@ -37,18 +37,20 @@
   upstream_pointer Entry;
   engine_places Places;
   std::uint64_t OrderCount = 0;
-  bool CountKnown = false;
+  std::atomic<bool> CountKnown{false};
+  /// It is being asked what it has.
+  std::atomic<bool> SyncPending{false};
   /// Orders are sent one at a time, as each names the count before it.
   boost::fibers::mutex Ordering;
   /// An unload waits for requests that run; until it is done the engine takes
   /// no other order.
   bool UnloadPending = false;
   /// It has started anew under its name, and is empty.
-  bool Restarted = false;
+  std::atomic<bool> Restarted{false};
   /// When the last order was accepted; reports of before don't show it.
   time_point AcceptedAt;
   /// No orders are tried until then, since the engine did not answer.
-  time_point SilentUntil;
+  std::atomic<time_point> SilentUntil{time_point()};
   /// Orders in a row that got no answer.
   std::uint32_t Unanswered = 0;
   /// An order to load a base model was given and is followed.
@@ -120,16 +122,20 @@
   }
 }
 
-/// Sees to it that the engine's places are known from itself.
-bool adapter_keeper::makeKnown(kept_engine &Engine) {
-  if (Engine.CountKnown)
-    return true;
-  const std::lock_guard<boost::fibers::mutex> Lock(Engine.Ordering);
-  return Engine.CountKnown || resync(Engine);
+/// Asks the engine what it has, unless it is being asked already.
+void adapter_keeper::startResync(const engine_pointer &Engine) {
+  if (Engine->SyncPending.exchange(true))
+    return;
+  Ports.Spawn([this, Engine] {
+    const std::lock_guard<boost::fibers::mutex> Lock(Engine->Ordering);
+    if (!Engine->CountKnown)
+      resync(*Engine);
+    Engine->SyncPending.store(false);
+  });
 }
 
 bool adapter_keeper::isSilent(const kept_engine &Engine) const {
-  return Clock.now() < Engine.SilentUntil;
+  return Clock.now() < Engine.SilentUntil.load();
 }
 
 /// Books what an order's outcome says of the engine.
@@ -207,7 +213,11 @@
 void adapter_keeper::waitUntilLoaded(kept_engine &Engine,
                                      const loaded_adapter &Adapter) {
   const time_point Start = Clock.now();
-  const bool HadBefore = !Engine.Had.insert(Adapter.Name).second;
+  bool HadBefore = false;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    HadBefore = !Engine.Had.insert(Adapter.Name).second;
+  }
   sleepFor(HadBefore ? FirstLook : loadEstimate() * 4 / 5);
   bool IsUsual = !HadBefore;
   while (Clock.now() - Start < LongestLoad) {
@@ -302,41 +312,195 @@
   Ports.Spawn([this, Engine, Victim] { runUnload(*Engine, Victim); });
 }
 
-loaded_adapter adapter_keeper::hold(upstream_id Id,
-                                    const loaded_adapter &Wanted,
-                                    time_point Until, bool WaitForRoom) {
-  while (true) {
+/// A request's place among those that wait, which it leaves at its end.
+class adapter_keeper::queue_turn {
+public:
+  queue_turn(adapter_keeper &Keeper, place_queue &Queue, adapter_name Adapter,
+             const place_wish &Wish)
+      : Keeper(Keeper), Queue(Queue), Adapter(std::move(Adapter)), Wish(Wish) {}
+  ~queue_turn() {
+    const std::lock_guard<std::mutex> Lock(Keeper.Mutex);
+    leave();
+  }
+  queue_turn(const queue_turn &) = delete;
+  queue_turn &operator=(const queue_turn &) = delete;
+
+  /// Precondition of each: Keeper's Mutex is held.
+  /// \throws retry_after_error if the turn would come too late.
+  void enter();
+  void leave();
+  bool comesNow(upstream_id Engine) const {
+    return goesFirst(Queue, Adapter, Engine, Keeper.Clock.now());
+  }
+  void noteGranted() const {
+    if (Ticket)
+      noteGrant(Queue, Keeper.Clock.now());
+  }
+
+private:
+  adapter_keeper &Keeper;
+  place_queue &Queue;
+  const adapter_name Adapter;
+  const place_wish &Wish;
+  std::optional<std::uint64_t> Ticket;
+};
+
+void adapter_keeper::queue_turn::enter() {
+  if (Ticket)
+    return;
+  const time_point Now = Keeper.Clock.now();
+  const std::optional<nanoseconds> Wait =
+      expectedWait(Queue, Adapter, Wish, Now);
+  if (Wait && Now + *Wait > Wish.UsefulUntil)
+    throw retry_after_error(
+        result_code::AdapterNotLoaded,
+        "every adapter of the zone's engines is in use for too long",
+        std::chrono::duration_cast<milliseconds>(*Wait));
+  Ticket = enterQueue(Queue, Adapter, Wish);
+}
+
+void adapter_keeper::queue_turn::leave() {
+  if (Ticket)
+    leaveQueue(Queue, Adapter, *Ticket);
+  Ticket.reset();
+}
+
+/// The engines that this host may order and that answer. Those of which it is
+/// not known what they have are asked, and are left out until they answer.
+std::vector<adapter_keeper::engine_pointer>
+adapter_keeper::usableEngines(const place_wish &Wish) {
+  std::vector<engine_pointer> Known;
+  bool IsOwner = false;
+  bool IsThere = false;
+  bool IsAsked = false;
+  for (const upstream_id Id : Wish.Engines) {
     const upstream_pointer Entry = Fleet.find(Id);
     if (!Entry || Entry->Leaving)
-      throw spindle_error(result_code::NoUpstream, "the engine is gone");
+      continue;
+    IsThere = true;
     if (!Ports.Fence(Entry->Zone))
-      throw spindle_error(result_code::NotOwner,
-                          "this host gives no orders in zone " + Entry->Zone);
+      continue;
+    IsOwner = true;
     const engine_pointer Engine = engineFor(Entry);
-    bool NoRoom = false;
-    if (!makeKnown(*Engine))
-      throw spindle_error(result_code::AdapterNotLoaded,
-                          "the engine does not answer");
+    if (Engine->CountKnown) {
+      Known.push_back(Engine);
+      continue;
+    }
+    if (isSilent(*Engine))
+      continue;
+    startResync(Engine);
+    IsAsked = true;
+  }
+  if (!IsThere)
+    throw spindle_error(result_code::NoUpstream, "the engine is gone");
+  if (!IsOwner)
+    throw spindle_error(result_code::NotOwner,
+                        "this host gives no orders in the engine's zone");
+  if (Known.empty() && !IsAsked)
+    throw spindle_error(result_code::AdapterNotLoaded,
+                        "the engine does not answer");
+  return Known;
+}
+
+/// Precondition: Mutex is held.
+std::optional<kept_adapter>
+adapter_keeper::takeHeld(std::span<const engine_pointer> Engines,
+                         const loaded_adapter &Wanted) const {
+  for (const engine_pointer &Engine : Engines) {
+    const hold_plan Plan = planHold(Engine->Places, Wanted, Clock.now());
+    if (Plan.Action == hold_action::Held)
+      return kept_adapter{Engine->Entry->Id,
+                          findPlace(Engine->Places, Wanted.Name)->Adapter};
+  }
+  return std::nullopt;
+}
+
+/// Whether one of the engines loads the adapter. Starts that where it has an
+/// older version. Precondition: Mutex is held.
+bool adapter_keeper::isUnderWay(std::span<const engine_pointer> Engines,
+                                const loaded_adapter &Wanted) {
+  for (const engine_pointer &Engine : Engines) {
+    const adapter_place *const Place = findPlace(Engine->Places, Wanted.Name);
+    if (!Place || Place->State == place_state::Unloading)
+      continue;
+    if (Place->State == place_state::Loaded && isSilent(*Engine))
+      continue;
+    if (Place->State == place_state::Loaded)
+      startLoad(Engine, Wanted);
+    return true;
+  }
+  return false;
+}
+
+/// Starts to load the adapter, or to make room for it, where that is best: an
+/// engine with a free place goes before one whose least used adapter must go,
+/// and one that had the adapter before goes before others. Returns whether a
+/// load was started. Precondition: Mutex is held.
+bool adapter_keeper::startBest(std::span<const engine_pointer> Engines,
+                               const loaded_adapter &Wanted,
+                               const queue_turn &Turn) {
+  struct option {
+    engine_pointer Engine;
+    hold_plan Plan;
+    std::tuple<bool, bool, double> Rank;
+  };
+  std::optional<option> Best;
+  for (const engine_pointer &Engine : Engines) {
+    const hold_plan Plan = planHold(Engine->Places, Wanted, Clock.now());
+    const bool NeedsRoom = Plan.Action == hold_action::Unload;
+    if ((Plan.Action != hold_action::Load && !NeedsRoom) || isSilent(*Engine) ||
+        !Turn.comesNow(Engine->Entry->Id))
+      continue;
+    const bool IsNew = !Engine->Had.contains(Wanted.Name);
+    const std::tuple<bool, bool, double> Rank{NeedsRoom, IsNew,
+                                              Plan.VictimUses};
+    if (!Best || Rank < Best->Rank)
+      Best = option{Engine, Plan, Rank};
+  }
+  if (!Best)
+    return false;
+  if (Best->Plan.Victim) {
+    startUnload(Best->Engine, *Best->Plan.Victim);
+    return false;
+  }
+  startLoad(Best->Engine, Wanted);
+  return true;
+}
+
+std::optional<kept_adapter> adapter_keeper::hold(const loaded_adapter &Wanted,
+                                                 const place_wish &Wish,
+                                                 time_point Until) {
+  if (Wish.Engines.empty())
+    throw spindle_error(result_code::NoUpstream, "no engine is named");
+  const upstream_pointer First = Fleet.find(Wish.Engines.front());
+  place_queue *Queue = nullptr;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Queue = &Queues[First ? First->Service : std::string()];
+  }
+  queue_turn Turn(*this, *Queue, Wanted.Name, Wish);
+  while (true) {
+    const std::vector<engine_pointer> Engines = usableEngines(Wish);
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
-      const hold_plan Plan = planHold(Engine->Places, Wanted, Clock.now());
-      NoRoom = Plan.Action == hold_action::NoRoom;
-      if (Plan.Action == hold_action::Held)
-        return findPlace(Engine->Places, Wanted.Name)->Adapter;
-      if (isSilent(*Engine))
+      if (std::optional<kept_adapter> Held = takeHeld(Engines, Wanted))
+        return Held;
+      if (!Engines.empty() && std::all_of(Engines.begin(), Engines.end(),
+                                          [this](const engine_pointer &Engine) {
+                                            return isSilent(*Engine);
+                                          }))
         throw spindle_error(result_code::AdapterNotLoaded,
                             "the engine does not answer orders");
-      if (Plan.Action == hold_action::Load)
-        startLoad(Engine, Wanted);
-      if (Plan.Action == hold_action::Unload)
-        startUnload(Engine, *Plan.Victim);
+      if (isUnderWay(Engines, Wanted))
+        Turn.leave();
+      else if (startBest(Engines, Wanted, Turn)) {
+        Turn.noteGranted();
+        Turn.leave();
+      } else if (!Engines.empty())
+        Turn.enter();
     }
-    if (NoRoom && !WaitForRoom)
-      throw spindle_error(result_code::AdapterNotLoaded,
-                          "every adapter of the engine is in use");
     if (Clock.now() >= Until)
-      throw spindle_error(result_code::AdapterNotLoaded,
-                          "the adapter was not loaded in time");
+      return std::nullopt;
     sleepFor(HoldPause);
   }
 }
@@ -362,11 +526,13 @@
     startLoad(Found->second, Place->Adapter);
 }
 
-void adapter_keeper::noteInUse(upstream_id Id, const adapter_name &Name) {
+void adapter_keeper::setInUse(std::span<const adapter_use> Uses) {
+  std::map<upstream_id, std::set<adapter_name>> ByEngine;
+  for (const adapter_use &Use : Uses)
+    ByEngine[Use.Engine].insert(Use.Adapter);
   const std::lock_guard<std::mutex> Lock(Mutex);
-  const auto Found = Engines.find(Id);
-  if (Found != Engines.end())
-    spindle::noteInUse(Found->second->Places, Name, Clock.now() + InUseTerm);
+  for (const auto &[Id, Engine] : Engines)
+    spindle::setInUse(Engine->Places, ByEngine[Id]);
 }
 
 void adapter_keeper::loadModels() {
--- a/Libraries/LibGateway/adapter_keeper.h
+++ b/Libraries/LibGateway/adapter_keeper.h
@@ -5,12 +5,16 @@
 #include "LibGateway/engine_places.h"
 #include "LibGateway/fleet_table.h"
 #include "LibGateway/order_port.h"
+#include "LibGateway/place_queue.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
 #include <boost/fiber/mutex.hpp>
 
@@ -38,6 +42,12 @@
   std::string Holder;
 };
 
+/// An engine that has an adapter.
+struct kept_adapter {
+  upstream_id Engine;
+  loaded_adapter Adapter;
+};
+
 /// Gives the orders to the engines of this host's zone while it is the zone's
 /// lead: which adapter is loaded where. Thread-safe in every method.
 class adapter_keeper {
@@ -49,19 +59,21 @@
   adapter_keeper(const adapter_keeper &) = delete;
   adapter_keeper &operator=(const adapter_keeper &) = delete;
 
-  /// Sees to it that the engine has the adapter for HoldTerm from now, at
-  /// \p Wanted's version or a newer one, and returns which. Blocks the fiber
-  /// until \p Until; if every adapter there is in use, only with
-  /// \p WaitForRoom. \throws spindle_error NotOwner, AdapterNotLoaded.
-  loaded_adapter hold(upstream_id Engine, const loaded_adapter &Wanted,
-                      time_point Until, bool WaitForRoom);
+  /// Sees to it that one of the engines has the adapter for HoldTerm from now,
+  /// at \p Wanted's version or a newer one. Waits for the load, or for a place,
+  /// until \p Until; none if that did not suffice. Blocks the fiber.
+  /// Precondition: the engines are of one zone and service.
+  /// \throws spindle_error NotOwner, NoUpstream, AdapterNotLoaded: no engine
+  /// will have it while the request has use for it.
+  std::optional<kept_adapter> hold(const loaded_adapter &Wanted,
+                                   const place_wish &Wish, time_point Until);
   /// How many adapters each engine that this host orders could load now.
   std::vector<engine_room> rooms() const;
   /// Notes that the engine has refused a request because the adapter is not
   /// there.
   void noteMissing(upstream_id Engine, const adapter_name &Name);
-  /// Notes that a host has requests for the adapter under way at the engine.
-  void noteInUse(upstream_id Engine, const adapter_name &Name);
+  /// Notes all adapters for which hosts have requests under way now.
+  void setInUse(std::span<const adapter_use> Uses);
   /// Loads a base model into the zone's engines that have none.
   void loadModels();
   /// Loads the newest versions of adapters that engines have older ones of.
@@ -70,7 +82,15 @@
 private:
   struct kept_engine;
   using engine_pointer = std::shared_ptr<kept_engine>;
+  class queue_turn;
 
+  std::vector<engine_pointer> usableEngines(const place_wish &Wish);
+  std::optional<kept_adapter> takeHeld(std::span<const engine_pointer> Engines,
+                                       const loaded_adapter &Wanted) const;
+  bool isUnderWay(std::span<const engine_pointer> Engines,
+                  const loaded_adapter &Wanted);
+  bool startBest(std::span<const engine_pointer> Engines,
+                 const loaded_adapter &Wanted, const queue_turn &Turn);
   engine_pointer engineFor(const upstream_pointer &Entry);
   void startLoad(const engine_pointer &Engine, const loaded_adapter &Adapter);
   void startUnload(const engine_pointer &Engine, const loaded_adapter &Victim);
@@ -81,7 +101,7 @@
   void runUnload(kept_engine &Engine, const loaded_adapter &Victim);
   void waitUntilLoaded(kept_engine &Engine, const loaded_adapter &Adapter);
   bool resync(kept_engine &Engine);
-  bool makeKnown(kept_engine &Engine);
+  void startResync(const engine_pointer &Engine);
   bool isSilent(const kept_engine &Engine) const;
   void noteOrder(kept_engine &Engine, order_action Action,
                  order_outcome Outcome, bool IsRepeat);
@@ -93,7 +113,8 @@
   const adapter_keeper_ports Ports;
   mutable std::mutex Mutex;
   std::map<upstream_id, engine_pointer> Engines;
-  std::size_t LoadsRunning = 0;
+  /// By service.
+  std::map<std::string, place_queue> Queues;
   double LoadMilliseconds = 240;
 };
 
--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -9,6 +9,13 @@
 
 namespace spindle {
 
+int urgencyOf(const forwarded_request &Request) {
+  static constexpr int LeastUrgent = 9;
+  const std::optional<int> Own =
+      Request.Customer ? Request.Customer->Priority : std::nullopt;
+  return std::clamp(Own.value_or(Request.Route.Priority), 0, LeastUrgent);
+}
+
 namespace {
 
 constexpr int FirstSuccess = 200;
@@ -35,12 +42,14 @@
       : Request(Request), Upstream(Upstream),
         Unread(Request.Description.PromptTokens) {
     Request.Services.Fleet.noteSent(Upstream.Id, Request.Description);
-    Request.Services.Hub.noteRunStarted(Upstream.Id, Request.Fingerprint);
+    Request.Services.Hub.suspects().noteRunStarted(Upstream.Id,
+                                                   Request.Fingerprint);
   }
   ~load_booking() {
     noteRead();
     Request.Services.Fleet.noteDone(Upstream.Id, Request.Description);
-    Request.Services.Hub.noteRunEnded(Upstream.Id, Request.Fingerprint, End);
+    Request.Services.Hub.suspects().noteRunEnded(Upstream.Id,
+                                                 Request.Fingerprint, End);
   }
   load_booking(const load_booking &) = delete;
   load_booking &operator=(const load_booking &) = delete;
@@ -62,17 +71,13 @@
 upstream_call describeCall(const forwarded_request &Request,
                            const upstream_entry &Upstream,
                            std::optional<std::uint64_t> AdapterVersion) {
-  static constexpr int LeastUrgent = 9;
   upstream_call Call;
   Call.Upstream = Upstream.Name;
   if (Request.Customer)
     Call.Customer = Request.Customer->Name;
   Call.TimeLeft = Request.timeLeft();
   if (Request.isModelCall())
-    Call.Urgency = std::clamp(Request.Customer && Request.Customer->Priority
-                                  ? *Request.Customer->Priority
-                                  : Request.Route.Priority,
-                              0, LeastUrgent);
+    Call.Urgency = urgencyOf(Request);
   Call.AdapterVersion = AdapterVersion;
   Call.LastEventId = Request.LastEventId;
   return Call;
--- a/Libraries/LibGateway/engine_places.cpp
+++ b/Libraries/LibGateway/engine_places.cpp
@@ -31,12 +31,17 @@
   return find(const_cast<engine_places &>(Engine), Name);
 }
 
+static bool isTaken(const adapter_place &Place, time_point Now) {
+  return Place.State != place_state::Loaded || Place.HeldUntil > Now ||
+         Place.InUse;
+}
+
 /// The adapter that is asked for least among those that nobody holds.
 static const adapter_place *chooseVictim(const engine_places &Engine,
                                          time_point Now) {
   const adapter_place *Victim = nullptr;
   for (const adapter_place &Place : Engine.Places) {
-    if (Place.State != place_state::Loaded || Place.HeldUntil > Now)
+    if (isTaken(Place, Now))
       continue;
     if (!Victim || usesNow(Place, Now) < usesNow(*Victim, Now))
       Victim = &Place;
@@ -46,31 +51,35 @@
 
 static hold_plan planPresent(adapter_place &Place, const loaded_adapter &Wanted,
                              time_point Now) {
-  noteUse(Place, Now);
   if (Place.State != place_state::Loaded)
     return {hold_action::Wait, std::nullopt};
   if (Place.Adapter.Version < Wanted.Version)
     return {hold_action::Load, std::nullopt};
+  noteUse(Place, Now);
   Place.HeldUntil = std::max(Place.HeldUntil, Now + HoldTerm);
   return {hold_action::Held, std::nullopt};
 }
 
+static std::size_t countIn(const engine_places &Engine, place_state State) {
+  return static_cast<std::size_t>(std::count_if(
+      Engine.Places.begin(), Engine.Places.end(),
+      [State](const adapter_place &Place) { return Place.State == State; }));
+}
+
 hold_plan planHold(engine_places &Engine, const loaded_adapter &Wanted,
                    time_point Now) {
   if (adapter_place *const Place = find(Engine, Wanted.Name))
     return planPresent(*Place, Wanted, Now);
-  const auto Loading =
-      std::count_if(Engine.Places.begin(), Engine.Places.end(),
-                    [](const adapter_place &Place) {
-                      return Place.State == place_state::Loading;
-                    });
-  if (static_cast<std::size_t>(Loading) >= MostLoadsAtOnce)
-    return {hold_action::Wait, std::nullopt};
+  if (countIn(Engine, place_state::Loading) >= MostLoadsAtOnce)
+    return {};
   if (Engine.Places.size() < Engine.Capacity)
     return {hold_action::Load, std::nullopt};
+  // The place that becomes free is enough for whoever goes first.
+  if (countIn(Engine, place_state::Unloading) > 0)
+    return {};
   if (const adapter_place *const Victim = chooseVictim(Engine, Now))
-    return {hold_action::Unload, Victim->Adapter};
-  return {hold_action::NoRoom, std::nullopt};
+    return {hold_action::Unload, Victim->Adapter, usesNow(*Victim, Now)};
+  return {};
 }
 
 void noteLoading(engine_places &Engine, const loaded_adapter &Adapter,
@@ -109,10 +118,9 @@
   Place->Ordered = true;
 }
 
-void noteInUse(engine_places &Engine, const adapter_name &Name,
-               time_point Until) {
-  if (adapter_place *const Place = find(Engine, Name))
-    Place->HeldUntil = std::max(Place->HeldUntil, Until);
+void setInUse(engine_places &Engine, const std::set<adapter_name> &Names) {
+  for (adapter_place &Place : Engine.Places)
+    Place.InUse = Names.contains(Place.Adapter.Name);
 }
 
 void noteGone(engine_places &Engine, const adapter_name &Name) {
@@ -141,12 +149,9 @@
 }
 
 std::size_t roomOf(const engine_places &Engine, time_point Now) {
-  const auto InUse = std::count_if(
+  const std::size_t Taken = static_cast<std::size_t>(std::count_if(
       Engine.Places.begin(), Engine.Places.end(),
-      [Now](const adapter_place &Place) {
-        return Place.State != place_state::Loaded || Place.HeldUntil > Now;
-      });
-  const std::size_t Taken = static_cast<std::size_t>(InUse);
+      [Now](const adapter_place &Place) { return isTaken(Place, Now); }));
   return Engine.Capacity > Taken ? Engine.Capacity - Taken : 0;
 }
 
--- a/Libraries/LibGateway/engine_places.h
+++ b/Libraries/LibGateway/engine_places.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace spindle {
@@ -18,7 +19,9 @@
   place_state State = place_state::Loading;
   /// Hosts may send requests for it until then, so it is not unloaded.
   time_point HeldUntil;
-  /// How often it was asked for; halves every UseHalfLife.
+  /// Hosts have requests for it under way.
+  bool InUse = false;
+  /// How often it was held; halves every UseHalfLife.
   double Uses = 0;
   time_point LastUsed;
   /// This host has given an order that is not confirmed yet; until then
@@ -39,19 +42,22 @@
 enum class hold_action {
   /// The adapter is there and is held from now on.
   Held,
-  /// An order that concerns it is being carried out.
+  /// It is being loaded or unloaded.
   Wait,
   /// It is to be loaded; there is a place.
   Load,
   /// The victim is to be unloaded first.
   Unload,
-  /// Every place holds an adapter that is in use.
+  /// Every place holds an adapter that is in use, or the engine can't take
+  /// another order yet.
   NoRoom,
 };
 
 struct hold_plan {
   hold_action Action = hold_action::NoRoom;
   std::optional<loaded_adapter> Victim;
+  /// How often the victim was held lately.
+  double VictimUses = 0;
 };
 
 /// How long a host may rely on an adapter that it was told is held.
@@ -59,8 +65,9 @@
 /// Loads that an engine carries out at the same time.
 inline constexpr std::size_t MostLoadsAtOnce = 4;
 
-/// Decides what to do for a host that wants \p Wanted, and notes the use. A
-/// newer version than the wanted one will do. Not thread-safe.
+/// Decides what to do for a host that wants \p Wanted; notes the use if the
+/// adapter is held. A newer version than the wanted one will do. Not
+/// thread-safe.
 hold_plan planHold(engine_places &Engine, const loaded_adapter &Wanted,
                    time_point Now);
 /// Notes that an order was given. Not thread-safe.
@@ -79,10 +86,9 @@
 /// The place of an adapter, or null. Not thread-safe.
 const adapter_place *findPlace(const engine_places &Engine,
                                const adapter_name &Name);
-/// Notes that requests for the adapter run on the engine, so that it stays
-/// until \p Until at least. Not thread-safe.
-void noteInUse(engine_places &Engine, const adapter_name &Name,
-               time_point Until);
+/// Notes which adapters requests use on the engine now; these stay. Not
+/// thread-safe.
+void setInUse(engine_places &Engine, const std::set<adapter_name> &Names);
 /// How many adapters could be loaded now. Not thread-safe.
 std::size_t roomOf(const engine_places &Engine, time_point Now);
 /// Takes over what the engine reports, but for places that are ordered.
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -6,6 +6,9 @@
 
 namespace spindle {
 
+// How much less an answer may be worth at an engine that is asked as well.
+static constexpr double NearlyAsMuch = 0.3;
+
 static outlier_settings outlierSettings() {
   outlier_settings Settings;
   Settings.ConsecutiveFailures = 3;
@@ -197,15 +200,25 @@
   Request.Bytes = static_cast<double>(Query.BodyBytes);
   if (Query.Model)
     Request.PromptTokens = std::max<std::int64_t>(1, Query.Model->PromptTokens);
-  const std::optional<upstream_choice> Choice =
-      chooseUpstream(Candidates, Request, choice_costs{});
-  if (!Choice)
+  const std::vector<upstream_choice> Ranked =
+      rankUpstreams(Candidates, Request, choice_costs{});
+  if (Ranked.empty())
     return std::nullopt;
-  const adapter_presence Presence = Candidates[Choice->Index].Adapter;
-  return chosen_upstream{Sources[Choice->Index]->Entry,
-                         Choice->ExpectedMilliseconds,
-                         Presence == adapter_presence::Loaded ||
-                             Presence == adapter_presence::NotNeeded};
+  const upstream_choice &Best = Ranked.front();
+  const adapter_presence Presence = Candidates[Best.Index].Adapter;
+  chosen_upstream Chosen;
+  Chosen.Upstream = Sources[Best.Index]->Entry;
+  Chosen.ExpectedMilliseconds = Best.ExpectedMilliseconds;
+  Chosen.ServiceMilliseconds = Best.ServiceMilliseconds;
+  Chosen.AdapterLoaded = Presence != adapter_presence::Absent;
+  Chosen.Engines.push_back(Chosen.Upstream);
+  if (Chosen.AdapterLoaded)
+    return Chosen;
+  for (const upstream_choice &Other : std::span(Ranked).subspan(1))
+    if (Other.Value >= Best.Value - NearlyAsMuch &&
+        Sources[Other.Index]->Entry->Zone == Chosen.Upstream->Zone)
+      Chosen.Engines.push_back(Sources[Other.Index]->Entry);
+  return Chosen;
 }
 
 void fleet_table::noteSent(upstream_id Id, const request_description &Request) {
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -38,7 +38,12 @@
 struct chosen_upstream {
   upstream_pointer Upstream;
   double ExpectedMilliseconds = 0;
+  /// The same without the wait for a place for the adapter.
+  double ServiceMilliseconds = 0;
   bool AdapterLoaded = false;
+  /// The engines of its zone, itself first, that are worth nearly as much and
+  /// might load the adapter instead.
+  std::vector<upstream_pointer> Engines;
 };
 
 /// An adapter that requests use at an engine.
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -16,17 +16,18 @@
 /// Without a limit of its own or the route's, a request ends after this.
 constexpr milliseconds DefaultTimeout{30'000};
 /// Upstreams that are tried without a byte of the request having left.
-constexpr std::size_t MostUnreachable = 4;
-/// Engines whose adapters are all in use are passed over, so many at most.
-constexpr std::size_t EnginesWithoutWait = 2;
+constexpr std::uint32_t MostUnreachable = 4;
 /// An attempt that has less time than this can't succeed.
 constexpr milliseconds LeastTime{5};
 /// What an answer adds to the bytes that cross a zone's border.
 constexpr std::size_t AnswerBytes = 2'000;
 /// Sends of one request to upstreams that refuse it.
 constexpr std::uint32_t MostSends = 4;
-/// A hold that takes longer is tried at another engine.
-constexpr milliseconds LongestHold{1'500};
+/// Zones whose engines are asked for an adapter.
+constexpr std::uint32_t MostZonesAsked = 3;
+/// A lead that is asked for an adapter answers within this, whether it is
+/// there or not, so that a dead one is noticed.
+constexpr milliseconds HoldSlice{400};
 
 double draw() {
   thread_local std::mt19937_64 Generator{std::random_device{}()};
@@ -141,32 +142,66 @@
   return Request.Services.Fleet.choose(Query);
 }
 
-/// Sees to it that the engine has the adapter. None if the request names none.
-std::optional<std::uint64_t> holdAdapter(forwarded_request &Request,
-                                         const upstream_entry &Upstream) {
-  const request_description &Description = Request.Description;
-  if (!Request.isModelCall() || Description.Adapter.empty())
-    return std::nullopt;
-  const adapter_name Name{Description.Model, Description.Adapter};
-  const loaded_adapter Wanted{Name, Request.Services.Releases.newest(Name)};
-  const time_point Until =
-      std::min(Request.Deadline, Request.Services.Clock.now() + LongestHold);
-  // The last engine that is tried is waited for.
-  const bool WaitForRoom = Request.Avoid.size() >= EnginesWithoutWait;
-  const std::uint64_t Version =
-      Request.Services.Holds.hold(Upstream, Wanted, Until, WaitForRoom);
-  return Version > 0 ? std::optional(Version) : std::nullopt;
+time_point after(time_point Start, double Milliseconds) {
+  return Start + std::chrono::duration_cast<nanoseconds>(
+                     std::chrono::duration<double, std::milli>(Milliseconds));
+}
+
+/// The latest moment at which a stream's first event is of use to the caller.
+time_point lastUseOf(const forwarded_request &Request) {
+  const milliseconds Patience = Request.Route.Patience;
+  if (Patience.count() == 0 || Request.StreamStarted)
+    return Request.Deadline;
+  return std::min(Request.Deadline, Request.Start + Patience);
+}
+
+hold_query holdQuery(const forwarded_request &Request,
+                     const chosen_upstream &Chosen) {
+  const adapter_name Name{Request.Description.Model,
+                          Request.Description.Adapter};
+  hold_query Query;
+  Query.Engines = Chosen.Engines;
+  Query.Wanted = {Name, Request.Services.Releases.newest(Name)};
+  Query.OnTimeUntil = after(Request.Start + Request.Route.Objective,
+                            -Chosen.ServiceMilliseconds);
+  Query.UsefulUntil = after(lastUseOf(Request), -Chosen.ServiceMilliseconds);
+  Query.Urgency = urgencyOf(Request);
+  return Query;
+}
+
+/// Sees to it that one of the chosen engines has the adapter.
+/// \throws spindle_error if none will while the caller has use for it.
+held_engine holdAdapter(const forwarded_request &Request,
+                        const chosen_upstream &Chosen) {
+  const bool NamesAdapter =
+      Request.isModelCall() && !Request.Description.Adapter.empty();
+  if (!NamesAdapter)
+    return {Chosen.Upstream, 0};
+  const hold_query Query = holdQuery(Request, Chosen);
+  while (true) {
+    if (const std::optional<result_code> Reason =
+            Request.Cancellation->reason())
+      throw spindle_error(*Reason, "the caller has left");
+    const time_point Now = Request.Services.Clock.now();
+    if (Now >= Query.UsefulUntil)
+      throw spindle_error(result_code::AdapterNotLoaded,
+                          "the adapter was not loaded in time");
+    const std::optional<held_engine> Held = Request.Services.Holds.hold(
+        Query, std::min(Query.UsefulUntil, Now + HoldSlice));
+    if (Held)
+      return *Held;
+  }
 }
 
-void logAttempt(const forwarded_request &Request, const chosen_upstream &Chosen,
-                const attempt_report &Report) {
+void logAttempt(const forwarded_request &Request,
+                const upstream_entry &Upstream, const attempt_report &Report) {
   const bool Served = Report.End == attempt_end::Answered;
   if (Served)
     return;
   logEvent(log_event::AttemptFailed,
            {{"request", Request.Description.AttemptId},
             {"route", Request.Route.Name},
-            {"upstream", Chosen.Upstream->Name},
+            {"upstream", Upstream.Name},
             {"send", std::to_string(Request.Sends)},
             {"end", std::to_string(static_cast<int>(Report.End))},
             {"status", std::to_string(Report.Status)},
@@ -221,12 +256,16 @@
 
 private:
   bool step();
+  std::optional<held_engine> hold(const chosen_upstream &Chosen);
   void noteSent(const upstream_entry &Upstream);
   void endWithoutAnother(const std::string &Cause);
 
   forwarded_request &Request;
   next_target Target;
   std::optional<http_response> Fallback;
+  std::uint32_t ZonesAsked = 0;
+  std::uint32_t Unreachable = 0;
+  bool Ended = false;
 };
 
 /// Answers with what an upstream said before, or gives up.
@@ -244,6 +283,31 @@
     Request.SentTo.push_back(Upstream.Id);
 }
 
+/// Holds the adapter, or passes the chosen engines over. Ends the request if
+/// no others are to be asked.
+std::optional<held_engine> attempt_loop::hold(const chosen_upstream &Chosen) {
+  try {
+    return holdAdapter(Request, Chosen);
+  } catch (const spindle_error &Error) {
+    logEvent(log_event::AdapterHoldFailed,
+             {{"request", Request.Description.AttemptId},
+              {"upstream", Chosen.Upstream->Name},
+              {"engines", std::to_string(Chosen.Engines.size())},
+              {"adapter", Request.Description.Adapter},
+              {"expected_ms", std::to_string(Chosen.ExpectedMilliseconds)},
+              {"left_ms", std::to_string(Request.timeLeft().count())},
+              {"cause", Error.what()}});
+    if (Request.Cancellation->reason())
+      throw;
+    for (const upstream_pointer &Engine : Chosen.Engines)
+      Request.Avoid.push_back(Engine->Id);
+    Ended = Target.Only || ++ZonesAsked >= MostZonesAsked;
+    if (Ended)
+      endWithoutAnother(Error.what());
+    return std::nullopt;
+  }
+}
+
 bool attempt_loop::step() {
   if (Request.timeLeft() <= LeastTime) {
     endWithoutAnother("the deadline has passed");
@@ -254,43 +318,30 @@
     endWithoutAnother("no upstream can take the request");
     return true;
   }
-  std::optional<std::uint64_t> Version;
-  try {
-    Version = holdAdapter(Request, *Chosen->Upstream);
-  } catch (const spindle_error &Error) {
-    logEvent(log_event::AdapterHoldFailed,
-             {{"request", Request.Description.AttemptId},
-              {"upstream", Chosen->Upstream->Name},
-              {"adapter", Request.Description.Adapter},
-              {"expected_ms", std::to_string(Chosen->ExpectedMilliseconds)},
-              {"left_ms", std::to_string(Request.timeLeft().count())},
-              {"cause", Error.what()}});
-    Request.Avoid.push_back(Chosen->Upstream->Id);
-    if (Target.Only || Request.Avoid.size() > MostUnreachable) {
-      endWithoutAnother(Error.what());
-      return true;
-    }
-    return false;
-  }
+  const std::optional<held_engine> Held = hold(*Chosen);
+  if (!Held)
+    return Ended;
+  const upstream_entry &Upstream = *Held->Engine;
   const bool LastTry = Request.SentTo.size() + 1 >= Request.Route.Attempts;
-  const attempt_report Report =
-      attemptUpstream(Request, *Chosen->Upstream, Version, LastTry);
-  logAttempt(Request, *Chosen, Report);
+  const attempt_report Report = attemptUpstream(
+      Request, Upstream,
+      Held->Version > 0 ? std::optional(Held->Version) : std::nullopt, LastTry);
+  logAttempt(Request, Upstream, Report);
   if (Report.End == attempt_end::Answered)
     return true;
   if (Report.Answer)
     Fallback = Report.Answer;
   if (Report.End == attempt_end::NotReached) {
-    Request.Avoid.push_back(Chosen->Upstream->Id);
-    if (Request.Avoid.size() > MostUnreachable)
+    Request.Avoid.push_back(Upstream.Id);
+    const bool IsLast = ++Unreachable >= MostUnreachable;
+    if (IsLast)
       endWithoutAnother(Report.Cause);
-    return Request.Avoid.size() > MostUnreachable;
+    return IsLast;
   }
-  noteSent(*Chosen->Upstream);
+  noteSent(Upstream);
   if (Report.End == attempt_end::AdapterMissing)
     Request.Services.Holds.forget(
-        *Chosen->Upstream,
-        {Request.Description.Model, Request.Description.Adapter});
+        Upstream, {Request.Description.Model, Request.Description.Adapter});
   const std::optional<next_target> Next = nextTarget(Request, Report);
   if (!mayRepeat(Request, Report) || !Next ||
       !Request.Services.Repeats.spend(Request.Service.Name)) {
@@ -305,7 +356,7 @@
 
 void serve(forwarded_request &Request) {
   gateway_services &Services = Request.Services;
-  if (Services.Hub.isHeldBack(Request.Fingerprint))
+  if (Services.Hub.suspects().isHeldBack(Request.Fingerprint))
     throw retry_after_error(result_code::RequestHeldBack,
                             "the request has crashed upstreams", ComeBackLater);
   Services.Repeats.noteRequest(Request.Service.Name);
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -48,6 +48,9 @@
   }
 };
 
+/// How urgent the request is, from 0, the most urgent, to 9.
+int urgencyOf(const forwarded_request &Request);
+
 /// How one attempt ended.
 enum class attempt_end {
   /// The caller has its whole answer.
--- a/Libraries/LibGateway/gateway_configuration.h
+++ b/Libraries/LibGateway/gateway_configuration.h
@@ -43,6 +43,9 @@
   /// The latency that callers expect: to the whole answer, or to a stream's
   /// first event.
   milliseconds Objective{0};
+  /// How long callers bear the silence of a stream, also before its first
+  /// event; 0 if they are not known to leave.
+  milliseconds Patience{0};
   /// The smaller, the more urgent.
   int Priority = 0;
   /// The most upstreams that one request is sent to.
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <atomic>
 #include <optional>
+#include <span>
 
 namespace spindle {
 
@@ -74,6 +75,7 @@
   void startServing();
   bool isReady() const;
   void serveReady(http_exchange &Exchange) const;
+  void leave(time_point Until);
   void runDrain();
   void waitForQuiet(time_point Until);
 
@@ -102,6 +104,7 @@
   std::map<std::string, upstream_pointer> LastUpstreams;
   std::mutex ApplyMutex;
   std::atomic<bool> Draining{false};
+  std::atomic<bool> Left{false};
   std::atomic<bool> Drained{false};
   std::optional<host_link_server> LinkServer;
   std::optional<http_server> MetricsServer;
@@ -132,9 +135,7 @@
            Quota,
            Members,
            {&Configurations, &Upstreams, &ReleaseObjects, &Members},
-           [this](const adapter_use &Use) {
-             Keeper.noteInUse(Use.Engine, Use.Adapter);
-           },
+           [this](std::span<const adapter_use> Uses) { Keeper.setInUse(Uses); },
            [this] { return Keeper.rooms(); }}),
       Keeper(Clock, Fleet, keeperPorts()),
       Holds(Clock, Fleet, Hub, Keeper, Link, Self),
@@ -303,8 +304,6 @@
   }
   Tasks.repeat("membership", MembershipPause, [this] { Hub.keepMembership(); });
   Tasks.repeat("exchange", ExchangePause, [this] {
-    for (const adapter_use &Use : Fleet.adaptersInUse())
-      Keeper.noteInUse(Use.Engine, Use.Adapter);
     for (const engine_room &Room : Keeper.rooms())
       Fleet.noteRoom(Room);
     Hub.exchange(Settings.Seeds);
@@ -368,13 +367,18 @@
   }
 }
 
+/// Gives back the lead and the registration. A lead that nobody can follow
+/// stays until \p Until, so that the zone's engines get their orders.
+void gateway_host::state::leave(time_point Until) {
+  while (!Hub.leave(Clock.now() >= Until - LeavePause) && Clock.now() < Until)
+    sleepFor(LeavePause);
+  Left.store(true);
+}
+
 void gateway_host::state::runDrain() {
   logEvent(log_event::DrainStarted, {});
   const time_point Until = Clock.now() + Settings.DrainLimit - LeaveTime;
-  Runtime.spawn([this, Until] {
-    while (!Hub.leave() && Clock.now() < Until)
-      sleepFor(LeavePause);
-  });
+  Runtime.spawn([this, Until] { leave(Until); });
   CallerServer->startDrain();
   sleepFor(Settings.DrainDelay);
   // A request that came later on a kept connection might not end in time.
@@ -382,6 +386,8 @@
   waitForQuiet(Until);
   if (CallerServer->runningExchanges() > 0)
     logEvent(log_event::DrainLimitReached, {});
+  while (!Left.load() && Clock.now() < Until + LeavePause)
+    sleepFor(DrainStep);
   logEvent(log_event::DrainFinished, {});
   Drained.store(true);
 }
--- /dev/null
+++ b/Libraries/LibGateway/peer_reports.cpp
@@ -0,0 +1,36 @@
+#include "LibGateway/peer_reports.h"
+
+namespace spindle {
+
+static bool letsThrough(const report_filter &Filter, std::string_view Peer,
+                        const peer_report &Report) {
+  if (Report.HeardAt < Filter.HeardSince || Peer == Filter.Except)
+    return false;
+  return Filter.WithLeads || !Report.IsLead;
+}
+
+std::vector<host_link::UpstreamLoad> loadsTold(const peer_reports &Reports,
+                                               const report_filter &Filter) {
+  std::vector<host_link::UpstreamLoad> Loads;
+  for (const auto &[Peer, Report] : Reports.Peers)
+    if (letsThrough(Filter, Peer, Report))
+      Loads.insert(Loads.end(), Report.Loads.begin(), Report.Loads.end());
+  return Loads;
+}
+
+std::vector<adapter_use> usesTold(const peer_reports &Reports,
+                                  const report_filter &Filter) {
+  std::vector<adapter_use> Uses;
+  for (const auto &[Peer, Report] : Reports.Peers)
+    if (letsThrough(Filter, Peer, Report))
+      Uses.insert(Uses.end(), Report.Uses.begin(), Report.Uses.end());
+  return Uses;
+}
+
+void forgetBefore(peer_reports &Reports, time_point Time) {
+  std::erase_if(Reports.Peers, [Time](const auto &Entry) {
+    return Entry.second.HeardAt < Time;
+  });
+}
+
+} // namespace spindle
--- a/Libraries/LibGateway/upstream_choice.cpp
+++ b/Libraries/LibGateway/upstream_choice.cpp
@@ -10,13 +10,20 @@
 static constexpr double BytesPerMegabyte = 1e6;
 static constexpr double MillisecondsPerSecond = 1'000;
 
+static double roomMilliseconds(const upstream_candidate &Candidate,
+                               const choice_costs &Costs) {
+  const bool Waits =
+      Candidate.Adapter == adapter_presence::Absent && !Candidate.HasRoom;
+  return Waits ? Costs.NoRoomMilliseconds : 0;
+}
+
 static double loadMilliseconds(const upstream_candidate &Candidate,
                                const choice_costs &Costs) {
   if (Candidate.Adapter != adapter_presence::Absent)
     return 0;
-  const double Room = Candidate.HasRoom ? 0 : Costs.NoRoomMilliseconds;
-  return Room + (Candidate.IsAdapterHome ? Costs.HomeLoadMilliseconds
-                                         : Costs.LoadMilliseconds);
+  return roomMilliseconds(Candidate, Costs) + (Candidate.IsAdapterHome
+                                                   ? Costs.HomeLoadMilliseconds
+                                                   : Costs.LoadMilliseconds);
 }
 
 static double loadCost(const upstream_candidate &Candidate,
@@ -68,20 +75,36 @@
          loadCost(Candidate, Costs) - Zone - Wait;
 }
 
-std::optional<upstream_choice>
-chooseUpstream(std::span<const upstream_candidate> Candidates,
-               const choice_request &Request, const choice_costs &Costs) {
-  std::optional<upstream_choice> Best;
+std::vector<upstream_choice>
+rankUpstreams(std::span<const upstream_candidate> Candidates,
+              const choice_request &Request, const choice_costs &Costs) {
+  std::vector<upstream_choice> Ranked;
+  Ranked.reserve(Candidates.size());
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     const upstream_candidate &Candidate = Candidates[Index];
     if (Candidate.Health <= 0)
       continue;
     const double Expected = expectedMilliseconds(Candidate, Request, Costs);
     const double Value = valueOf(Candidate, Expected, Request, Costs);
-    if (!Best || Value > Best->Value)
-      Best = upstream_choice{Index, Expected, Value};
+    Ranked.push_back({Index, Expected,
+                      Expected - roomMilliseconds(Candidate, Costs), Value});
   }
-  return Best;
+  std::stable_sort(
+      Ranked.begin(), Ranked.end(),
+      [](const upstream_choice &Left, const upstream_choice &Right) {
+        return Left.Value > Right.Value;
+      });
+  return Ranked;
+}
+
+std::optional<upstream_choice>
+chooseUpstream(std::span<const upstream_candidate> Candidates,
+               const choice_request &Request, const choice_costs &Costs) {
+  const std::vector<upstream_choice> Ranked =
+      rankUpstreams(Candidates, Request, Costs);
+  if (Ranked.empty())
+    return std::nullopt;
+  return Ranked.front();
 }
 
 } // namespace spindle
--- a/Libraries/LibGateway/upstream_choice.h
+++ b/Libraries/LibGateway/upstream_choice.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace spindle {
 
@@ -75,6 +76,8 @@
   std::size_t Index = 0;
   /// Time to the first token, or to the answer.
   double ExpectedMilliseconds = 0;
+  /// The same without the wait for a place for the adapter.
+  double ServiceMilliseconds = 0;
   /// Expected worth less costs.
   double Value = 0;
 };
@@ -88,8 +91,13 @@
 /// objective. Thread-safe.
 double expectedWorth(double Expected, const choice_request &Request,
                      const choice_costs &Costs);
-/// Chooses the upstream whose answer is worth most, less what it costs. None if
-/// every candidate's health is 0. Thread-safe.
+/// The upstreams that may be used, the one whose answer is worth most, less
+/// what it costs, first. Those of health 0 are left out. Thread-safe.
+std::vector<upstream_choice>
+rankUpstreams(std::span<const upstream_candidate> Candidates,
+              const choice_request &Request, const choice_costs &Costs);
+/// The first of rankUpstreams(); none if every candidate's health is 0.
+/// Thread-safe.
 std::optional<upstream_choice>
 chooseUpstream(std::span<const upstream_candidate> Candidates,
                const choice_request &Request, const choice_costs &Costs);
