Tests: Let those who wait for a place look at different moments

A late request of the test looked for its place at the same moments as all others, so that the one in time won also where nobody was ordered. The answers that the test's fibers write outlive the fibers now.

--- a/Tests/LibGateway/test_adapter_keeper.cpp
+++ b/Tests/LibGateway/test_adapter_keeper.cpp
@@ -314,11 +314,11 @@
 } // namespace
 
 TEST_CASE("a request takes the first place that becomes free in the zone") {
+  std::atomic<int> Order{0};
+  int Came = 0;
   kept_zone Test;
   Test.fill();
   REQUIRE((Test.One.has(adapter(0).Name) && Test.Two.has(adapter(3).Name)));
-  std::atomic<int> Order{0};
-  int Came = 0;
   Test.start(adapter(7), Test.wish(seconds(4), seconds(4)), Order, Came);
   sleepFor(HoldTerm + milliseconds(100));
   REQUIRE(Order.load() == 0);
@@ -331,27 +331,32 @@
 
 TEST_CASE("a freed place goes to a request that can still be in time") {
   constexpr int LateRequests = 6;
-  kept_zone Test;
-  Test.fill();
+  // When the place becomes free, against the looks of those that wait.
+  const milliseconds Shift{GENERATE(0, 3, 6, 8)};
   std::atomic<int> Order{0};
   std::vector<int> CameLate(LateRequests);
   int CameInTime = 0;
-  for (int Number = 0; Number < LateRequests; ++Number)
+  kept_zone Test;
+  Test.fill();
+  for (int Number = 0; Number < LateRequests; ++Number) {
     Test.start(adapter(10 + Number), Test.wish(milliseconds(1), seconds(4)),
                Order, CameLate[static_cast<std::size_t>(Number)]);
+    // They look for a place at different moments.
+    sleepFor(milliseconds(3));
+  }
   sleepFor(milliseconds(100));
   Test.start(adapter(8), Test.wish(seconds(4), seconds(4)), Order, CameInTime);
-  sleepFor(HoldTerm + milliseconds(100));
+  sleepFor(HoldTerm + milliseconds(100) + Shift);
   Test.use({0, 2, 3});
   sleepFor(milliseconds(250));
   REQUIRE(CameInTime == 1);
 }
 
 TEST_CASE("a request whose turn would come too late is refused at once") {
-  kept_zone Test;
-  Test.fill();
   std::atomic<int> Order{0};
   std::vector<int> Came(6);
+  kept_zone Test;
+  Test.fill();
   // Three grants tell the pace.
   for (int Number = 0; Number < 3; ++Number)
     Test.start(adapter(10 + Number), Test.wish(seconds(9), seconds(9)), Order,
