LibGateway: Order no load where an engine turns out to be full

Ruled out by reading: late orders and orders of a former lead (the count or the fencing token refuses them).

Change: after what an engine has is known, a load is sent only if it fits.

--- a/Libraries/LibGateway/adapter_keeper.cpp
+++ b/Libraries/LibGateway/adapter_keeper.cpp
@@ -165,6 +165,19 @@
   Fleet.noteOutcome(Engine.Entry->Id, call_outcome::Failure);
 }
 
+/// Whether the engine turned out to have adapters that were not known when
+/// the loads that are ordered were decided on.
+bool adapter_keeper::isOverfull(const kept_engine &Engine) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  if (Engine.Places.Places.size() <= Engine.Places.Capacity)
+    return false;
+  logEvent(log_event::EngineOverfull,
+           {{"upstream", Engine.Entry->Name},
+            {"places", std::to_string(Engine.Places.Places.size())},
+            {"capacity", std::to_string(Engine.Places.Capacity)}});
+  return true;
+}
+
 /// Sends one order and books its outcome. Blocks the fiber.
 order_outcome adapter_keeper::order(kept_engine &Engine, order_action Action,
                                     const loaded_adapter &Adapter,
@@ -186,6 +199,8 @@
   // What is known of it was known of its former process.
   if (Engine.Restarted)
     return order_outcome::OtherUpstream;
+  if (Action == order_action::Load && isOverfull(Engine))
+    return order_outcome::Refused;
   adapter_order Order;
   Order.Action = Action;
   Order.Adapter = Adapter;
--- a/Libraries/LibGateway/adapter_keeper.h
+++ b/Libraries/LibGateway/adapter_keeper.h
@@ -103,6 +103,7 @@
   bool resync(kept_engine &Engine);
   void startResync(const engine_pointer &Engine);
   bool isSilent(const kept_engine &Engine) const;
+  bool isOverfull(const kept_engine &Engine) const;
   void noteOrder(kept_engine &Engine, order_action Action,
                  order_outcome Outcome, bool IsRepeat);
   milliseconds loadEstimate() const;
--- a/Tests/LibGateway/test_adapter_keeper.cpp
+++ b/Tests/LibGateway/test_adapter_keeper.cpp
@@ -140,6 +140,38 @@
   REQUIRE(Test.Engine.has(adapter(9).Name));
 }
 
+TEST_CASE("a load is not ordered where the engine turns out to be full") {
+  kept Test;
+  REQUIRE_FALSE(Test.hold(adapter(0)));
+  // The lead before this one had these loaded; no report has shown it yet.
+  std::uint64_t Count = 1;
+  for (const int Number : {5, 6}) {
+    adapter_order Order;
+    Order.Adapter = adapter(Number);
+    Order.Fence = 5;
+    Order.ExpectedCount = Count++;
+    REQUIRE(Test.Engine.port().Order(Test.Engine.entry(), Order,
+                                     milliseconds(100)) ==
+            order_outcome::Started);
+  }
+  sleepFor(milliseconds(100));
+  std::atomic<int> Ended{0};
+  for (const int Number : {7, 8})
+    Test.Runtime.spawn([&Test, &Ended, Number] {
+      const time_point Until = Test.Clock.now() + milliseconds(700);
+      try {
+        Test.Keeper.hold(adapter(Number), {{Test.Id}, Until, Until, 0}, Until);
+      } catch (const spindle_error &) {
+        ++Ended;
+        return;
+      }
+      ++Ended;
+    });
+  while (Ended.load() < 2)
+    sleepFor(milliseconds(10));
+  REQUIRE_FALSE(Test.Engine.overfilled());
+}
+
 TEST_CASE("holds are quick again after a time in which loads were slow") {
   kept Test;
   fake_engine_faults Faults;
