Libraries: Remove what has no caller, and what stood twice

Removed: upstream_health::noteVerified and probeDue, suspect_board::noteUpstreamDied, engine_report.Leaving. Made one: which failure a status of the platform stands for, the wait for a server's last requests at the end of a drain, the field of a number within a range.

--- a/Libraries/LibEngine/engine_port.h
+++ b/Libraries/LibEngine/engine_port.h
@@ -26,7 +26,6 @@
   /// The highest fencing number that the engine has seen.
   std::uint64_t Fence = 0;
   milliseconds Age{0};
-  bool Leaving = false;
 };
 
 /// An event of the engine's prefix cache. Events come late and with gaps.
--- a/Libraries/LibEngine/http_engine.cpp
+++ b/Libraries/LibEngine/http_engine.cpp
@@ -66,7 +66,6 @@
   Report.Waiting = Body.value("waiting", 0U);
   Report.Fence = Body.value("fence", std::uint64_t{0});
   Report.Age = milliseconds(Body.value("age_ms", std::int64_t{0}));
-  Report.Leaving = Body.value("leaving", false);
   return Report;
 }
 
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -4,7 +4,7 @@
 #include "LibGateway/forward_request.h"
 #include "LibGateway/gateway_services.h"
 #include "LibGateway/load_pace.h"
-#include "LibHTTP/http_server.h"
+#include "LibHTTP/server_quiet.h"
 #include "LibLog/log.h"
 #include "LibPeer/host_link_server.h"
 #include "LibRuntime/periodic_tasks.h"
@@ -77,7 +77,6 @@
   void serveReady(http_exchange &Exchange) const;
   void leave(time_point Until);
   void runDrain();
-  void waitForQuiet(time_point Until);
 
   const runtime_clock &Clock;
   fiber_runtime &Runtime;
@@ -358,15 +357,6 @@
                        Refuse);
 }
 
-void gateway_host::state::waitForQuiet(time_point Until) {
-  time_point QuietSince = Clock.now();
-  while (Clock.now() < Until && Clock.now() - QuietSince < QuietBeforeClose) {
-    if (CallerServer->runningExchanges() > 0)
-      QuietSince = Clock.now();
-    sleepFor(DrainStep);
-  }
-}
-
 /// Gives back the lead and the registration. A lead that nobody can follow
 /// stays until \p Until, so that the zone's engines get their orders.
 void gateway_host::state::leave(time_point Until) {
@@ -383,7 +373,7 @@
   sleepFor(Settings.DrainDelay);
   // A request that came later on a kept connection might not end in time.
   CallerServer->closeIdle();
-  waitForQuiet(Until);
+  waitUntilQuiet(*CallerServer, Clock, QuietBeforeClose, Until);
   if (CallerServer->runningExchanges() > 0)
     logEvent(log_event::DrainLimitReached, {});
   while (!Left.load() && Clock.now() < Until + LeavePause)
--- a/Libraries/LibHost/host.cpp
+++ b/Libraries/LibHost/host.cpp
@@ -1,7 +1,7 @@
 #include "LibHost/host.h"
 
 #include "LibEngine/http_engine.h"
-#include "LibHTTP/http_server.h"
+#include "LibHTTP/server_quiet.h"
 #include "LibHost/membership_agent.h"
 #include "LibHost/request_router.h"
 #include "LibLog/log.h"
@@ -114,7 +114,6 @@
   bool ready();
   void runDrain();
   void handOver();
-  void waitForQuiet(time_point Until);
 
   const runtime_clock &Clock;
   fiber_runtime &Runtime;
@@ -345,15 +344,6 @@
   return HadShare.load();
 }
 
-void host::state::waitForQuiet(time_point Until) {
-  time_point QuietSince = Clock.now();
-  while (Clock.now() < Until && Clock.now() - QuietSince < QuietBeforeClose) {
-    if (CallerServer->runningExchanges() > 0)
-      QuietSince = Clock.now();
-    sleepFor(DrainStepPause);
-  }
-}
-
 void host::state::runDrain() {
   logEvent(log_event::DrainStarted, {});
   const time_point Until = Clock.now() + Settings.Timeouts.Drain;
@@ -362,9 +352,9 @@
   Residency.startDrain();
   CallerServer->startDrain();
   sleepFor(Settings.Timeouts.DrainDelay);
-  waitForQuiet(Until);
+  waitUntilQuiet(*CallerServer, Clock, QuietBeforeClose, Until);
   CallerServer->closeIdle();
-  waitForQuiet(Until);
+  waitUntilQuiet(*CallerServer, Clock, QuietBeforeClose, Until);
   if (CallerServer->runningExchanges() > 0)
     logEvent(log_event::DrainLimitReached, {});
   handOver();
--- a/Libraries/LibHost/suspect_board.cpp
+++ b/Libraries/LibHost/suspect_board.cpp
@@ -265,11 +265,6 @@
   return Pause;
 }
 
-void suspect_board::noteUpstreamDied(upstream_id Upstream) {
-  const lock Lock(State->Mutex);
-  noteUpstreamLost(State->Suspects, Upstream, State->Clock.now());
-}
-
 void suspect_board::shareOnce() {
   std::vector<suspect_record> Records;
   std::vector<suspect_record> Pending;
--- a/Libraries/LibHost/suspect_board.h
+++ b/Libraries/LibHost/suspect_board.h
@@ -54,9 +54,6 @@
   /// Precondition: noteStart() was called for it.
   nanoseconds noteEnd(upstream_id Upstream, request_fingerprint Fingerprint,
                       run_end End);
-  /// Notes that the upstream has died or restarted: everything that runs on
-  /// it was lost. A later noteEnd() of such a run has no effect.
-  void noteUpstreamDied(upstream_id Upstream);
 
   /// Tells the zone's hosts, some hosts of every other zone, and the platform
   /// what has changed. Returns after they have answered or ShareLimit passed.
--- a/Libraries/LibHost/upstream_health.cpp
+++ b/Libraries/LibHost/upstream_health.cpp
@@ -193,22 +193,4 @@
   return Peer != nullptr && spindle::isLost(*Peer, State->Clock.now());
 }
 
-connection_advice upstream_health::noteVerified(upstream_id Upstream,
-                                                bool Answered,
-                                                nanoseconds Latency,
-                                                nanoseconds Deadline) {
-  const lock Lock(State->Mutex);
-  peer_health *const Peer = State->findPeer(Upstream);
-  if (Peer == nullptr)
-    return connection_advice::Keep;
-  return spindle::noteVerified(*Peer, Answered, Latency, Deadline,
-                               State->Clock.now());
-}
-
-bool upstream_health::probeDue(upstream_id Upstream) const {
-  const lock Lock(State->Mutex);
-  const peer_health *const Peer = State->findPeer(Upstream);
-  return Peer != nullptr && spindle::probeDue(*Peer, State->Clock.now());
-}
-
 } // namespace spindle
--- a/Libraries/LibHost/upstream_health.h
+++ b/Libraries/LibHost/upstream_health.h
@@ -59,11 +59,6 @@
   /// Tells whether the upstream was lost a short while ago and not heard
   /// since; it is used only if no other is left.
   bool isLost(upstream_id Upstream) const;
-  /// Notes whether the new connection answered, and how fast.
-  connection_advice noteVerified(upstream_id Upstream, bool Answered,
-                                 nanoseconds Latency, nanoseconds Deadline);
-  /// Tells whether idle connections of the upstream should be probed.
-  bool probeDue(upstream_id Upstream) const;
 
 private:
   struct state;
--- a/Libraries/LibLoad/load_scenario.cpp
+++ b/Libraries/LibLoad/load_scenario.cpp
@@ -4,21 +4,6 @@
 
 namespace spindle {
 
-template <typename record>
-static field<record> numberField(std::string Name, double record::*Member,
-                                 std::string Unit, double Least, double Most,
-                                 std::string Meaning, bool Required = false) {
-  return makeField<record>(
-      {std::move(Name), "number", std::move(Unit),
-       std::to_string(Least) + ".." + std::to_string(Most), std::move(Meaning),
-       Required},
-      Member,
-      [Least, Most](const nlohmann::json &Value) {
-        return readNumber(Value, Least, Most);
-      },
-      [](double Value) { return Value; });
-}
-
 static const field_table<load_customer> &customerFields() {
   using record = load_customer;
   static const field_table<record> Table = {
--- a/Libraries/LibPlatform/http_platform.cpp
+++ b/Libraries/LibPlatform/http_platform.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/result_code.h"
 #include "LibLog/log.h"
 #include "LibPlatform/platform_message.h"
+#include "LibPlatform/platform_status.h"
 
 #include <algorithm>
 #include <atomic>
@@ -82,20 +83,10 @@
   const std::string Message = "the platform answered " +
                               std::to_string(Status) + " to " + Target + ": " +
                               std::string(Body.substr(0, ErrorTextBytes));
-  switch (Status) {
-  case 404:
-    throw spindle_error(result_code::PlatformNotFound, Message);
-  case 409:
-    throw spindle_error(result_code::PlatformConflict, Message);
-  case 410:
-    throw spindle_error(result_code::PlatformTooOld, Message);
-  case 413:
-    throw spindle_error(result_code::PlatformTooLarge, Message);
-  case 429:
-    throw spindle_error(result_code::PlatformRateLimited, Message);
-  default:
+  const result_code Code = codeOfStatus(Status);
+  if (Code == result_code::PlatformUnavailable)
     failed(Platform, Message);
-  }
+  throw spindle_error(Code, Message);
 }
 
 /// Sends one call and returns the body of its successful answer.
--- a/Libraries/LibSettings/field_table.h
+++ b/Libraries/LibSettings/field_table.h
@@ -193,6 +193,22 @@
       [](const integer &Value) { return Value; });
 }
 
+/// A number within a range.
+template <typename record>
+field<record> numberField(std::string Name, double record::*Member,
+                          std::string Unit, double Least, double Most,
+                          std::string Meaning, bool Required = false) {
+  return makeField<record>(
+      {std::move(Name), "number", std::move(Unit),
+       std::to_string(Least) + ".." + std::to_string(Most), std::move(Meaning),
+       Required},
+      Member,
+      [Least, Most](const nlohmann::json &Value) {
+        return readNumber(Value, Least, Most);
+      },
+      [](double Value) { return Value; });
+}
+
 /// A duration in the unit of its type; the name ends with the unit.
 template <typename record, typename duration>
 field<record> durationField(std::string Name, duration record::*Member,
