LibGateway: Decide on places in a pure function, and price loads by the model

decidePlace() is what the lead's keeper does with one look of a request at the engines; the keeper carries it out. The ranking of upstreams is a parameter of the fleet table, so that experiments can put another in its place.

A load costs 0.6 of an answer, 0.2 at its home, and a wait for a place counts 300 ms, before 0.3, 0.15 and 700 ms.

--- a/Libraries/LibGateway/adapter_keeper.cpp
+++ b/Libraries/LibGateway/adapter_keeper.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <atomic>
 #include <set>
-#include <tuple>
 
 namespace spindle {
 
@@ -344,9 +343,7 @@
   /// \throws retry_after_error if the turn would come too late.
   void enter();
   void leave();
-  bool comesNow(upstream_id Engine) const {
-    return goesFirst(Queue, Adapter, Engine, Keeper.Clock.now());
-  }
+  const place_queue &queue() const { return Queue; }
   void noteGranted() const {
     if (Ticket)
       noteGrant(Queue, Keeper.Clock.now());
@@ -417,69 +414,45 @@
   return Known;
 }
 
-/// Precondition: Mutex is held.
+/// One look of a request at the engines; see decidePlace(). Returns where the
+/// adapter is held. Precondition: Mutex is held.
 std::optional<kept_adapter>
-adapter_keeper::takeHeld(std::span<const engine_pointer> Engines,
-                         const loaded_adapter &Wanted) const {
-  for (const engine_pointer &Engine : Engines) {
-    const hold_plan Plan = planHold(Engine->Places, Wanted, Clock.now());
-    if (Plan.Action == hold_action::Held)
-      return kept_adapter{Engine->Entry->Id,
-                          findPlace(Engine->Places, Wanted.Name)->Adapter};
-  }
-  return std::nullopt;
-}
-
-/// Whether one of the engines loads the adapter. Starts that where it has an
-/// older version. Precondition: Mutex is held.
-bool adapter_keeper::isUnderWay(std::span<const engine_pointer> Engines,
-                                const loaded_adapter &Wanted) {
-  for (const engine_pointer &Engine : Engines) {
-    const adapter_place *const Place = findPlace(Engine->Places, Wanted.Name);
-    if (!Place || Place->State == place_state::Unloading)
-      continue;
-    if (Place->State == place_state::Loaded && isSilent(*Engine))
-      continue;
-    if (Place->State == place_state::Loaded)
-      startLoad(Engine, Wanted);
-    return true;
-  }
-  return false;
-}
-
-/// Starts to load the adapter, or to make room for it, where that is best: an
-/// engine with a free place goes before one whose least used adapter must go,
-/// and one that had the adapter before goes before others. Returns whether a
-/// load was started. Precondition: Mutex is held.
-bool adapter_keeper::startBest(std::span<const engine_pointer> Engines,
-                               const loaded_adapter &Wanted,
-                               const queue_turn &Turn) {
-  struct option {
-    engine_pointer Engine;
-    hold_plan Plan;
-    std::tuple<bool, bool, double> Rank;
-  };
-  std::optional<option> Best;
-  for (const engine_pointer &Engine : Engines) {
-    const hold_plan Plan = planHold(Engine->Places, Wanted, Clock.now());
-    const bool NeedsRoom = Plan.Action == hold_action::Unload;
-    if ((Plan.Action != hold_action::Load && !NeedsRoom) || isSilent(*Engine) ||
-        !Turn.comesNow(Engine->Entry->Id))
-      continue;
-    const bool IsNew = !Engine->Had.contains(Wanted.Name);
-    const std::tuple<bool, bool, double> Rank{NeedsRoom, IsNew,
-                                              Plan.VictimUses};
-    if (!Best || Rank < Best->Rank)
-      Best = option{Engine, Plan, Rank};
+adapter_keeper::step(std::span<const engine_pointer> Engines,
+                     const loaded_adapter &Wanted, queue_turn &Turn) {
+  std::vector<place_engine> Candidates;
+  Candidates.reserve(Engines.size());
+  for (const engine_pointer &Engine : Engines)
+    Candidates.push_back({Engine->Entry->Id, &Engine->Places,
+                          !isSilent(*Engine),
+                          Engine->Had.contains(Wanted.Name)});
+  const place_decision Decision =
+      decidePlace(Candidates, Wanted, Turn.queue(), Clock.now());
+  switch (Decision.Step) {
+  case place_step::Held: {
+    const engine_pointer &Engine = Engines[Decision.Engine];
+    return kept_adapter{Engine->Entry->Id,
+                        findPlace(Engine->Places, Wanted.Name)->Adapter};
   }
-  if (!Best)
-    return false;
-  if (Best->Plan.Victim) {
-    startUnload(Best->Engine, *Best->Plan.Victim);
-    return false;
+  case place_step::UnderWay:
+    Turn.leave();
+    break;
+  case place_step::Load:
+    Turn.noteGranted();
+    Turn.leave();
+    startLoad(Engines[Decision.Engine], Wanted);
+    break;
+  case place_step::Unload:
+    Turn.enter();
+    startUnload(Engines[Decision.Engine], *Decision.Victim);
+    break;
+  case place_step::Queue:
+    Turn.enter();
+    break;
+  case place_step::Silent:
+    throw spindle_error(result_code::AdapterNotLoaded,
+                        "the engine does not answer orders");
   }
-  startLoad(Best->Engine, Wanted);
-  return true;
+  return std::nullopt;
 }
 
 std::optional<kept_adapter> adapter_keeper::hold(const loaded_adapter &Wanted,
@@ -498,21 +471,9 @@
     const std::vector<engine_pointer> Engines = usableEngines(Wish);
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
-      if (std::optional<kept_adapter> Held = takeHeld(Engines, Wanted))
-        return Held;
-      if (!Engines.empty() && std::all_of(Engines.begin(), Engines.end(),
-                                          [this](const engine_pointer &Engine) {
-                                            return isSilent(*Engine);
-                                          }))
-        throw spindle_error(result_code::AdapterNotLoaded,
-                            "the engine does not answer orders");
-      if (isUnderWay(Engines, Wanted))
-        Turn.leave();
-      else if (startBest(Engines, Wanted, Turn)) {
-        Turn.noteGranted();
-        Turn.leave();
-      } else if (!Engines.empty())
-        Turn.enter();
+      if (!Engines.empty())
+        if (std::optional<kept_adapter> Held = step(Engines, Wanted, Turn))
+          return Held;
     }
     if (Clock.now() >= Until)
       return std::nullopt;
--- a/Libraries/LibGateway/adapter_keeper.h
+++ b/Libraries/LibGateway/adapter_keeper.h
@@ -5,7 +5,7 @@
 #include "LibGateway/engine_places.h"
 #include "LibGateway/fleet_table.h"
 #include "LibGateway/order_port.h"
-#include "LibGateway/place_queue.h"
+#include "LibGateway/place_decision.h"
 
 #include <functional>
 #include <map>
@@ -85,12 +85,9 @@
   class queue_turn;
 
   std::vector<engine_pointer> usableEngines(const place_wish &Wish);
-  std::optional<kept_adapter> takeHeld(std::span<const engine_pointer> Engines,
-                                       const loaded_adapter &Wanted) const;
-  bool isUnderWay(std::span<const engine_pointer> Engines,
-                  const loaded_adapter &Wanted);
-  bool startBest(std::span<const engine_pointer> Engines,
-                 const loaded_adapter &Wanted, const queue_turn &Turn);
+  std::optional<kept_adapter> step(std::span<const engine_pointer> Engines,
+                                   const loaded_adapter &Wanted,
+                                   queue_turn &Turn);
   engine_pointer engineFor(const upstream_pointer &Entry);
   void startLoad(const engine_pointer &Engine, const loaded_adapter &Adapter);
   void startUnload(const engine_pointer &Engine, const loaded_adapter &Victim);
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -22,8 +22,15 @@
   return Settings;
 }
 
-fleet_table::fleet_table(const runtime_clock &Clock, std::string OwnZone)
-    : Clock(Clock), OwnZone(std::move(OwnZone)) {
+std::vector<upstream_choice>
+rankByWorth(std::span<const upstream_candidate> Candidates,
+            const choice_request &Request) {
+  return rankUpstreams(Candidates, Request, choice_costs{});
+}
+
+fleet_table::fleet_table(const runtime_clock &Clock, std::string OwnZone,
+                         upstream_ranking Rank)
+    : Clock(Clock), OwnZone(std::move(OwnZone)), Rank(std::move(Rank)) {
   Outliers.Settings = outlierSettings();
 }
 
@@ -200,8 +207,7 @@
   Request.Bytes = static_cast<double>(Query.BodyBytes);
   if (Query.Model)
     Request.PromptTokens = std::max<std::int64_t>(1, Query.Model->PromptTokens);
-  const std::vector<upstream_choice> Ranked =
-      rankUpstreams(Candidates, Request, choice_costs{});
+  const std::vector<upstream_choice> Ranked = Rank(Candidates, Request);
   if (Ranked.empty())
     return std::nullopt;
   const upstream_choice &Best = Ranked.front();
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -58,12 +58,18 @@
   std::size_t Room = 0;
 };
 
+/// The ranking by expected worth, with the costs in use. Thread-safe.
+std::vector<upstream_choice>
+rankByWorth(std::span<const upstream_candidate> Candidates,
+            const choice_request &Request);
+
 /// What this host knows of upstreams: who is there, what is under way, what
 /// prompts were read where, who fails. Thread-safe in every method; no method
 /// blocks.
 class fleet_table {
 public:
-  fleet_table(const runtime_clock &Clock, std::string OwnZone);
+  fleet_table(const runtime_clock &Clock, std::string OwnZone,
+              upstream_ranking Rank = rankByWorth);
 
   /// Replaces the list of upstreams. What is known of those that stay is kept.
   void applyUpstreams(const std::vector<upstream_pointer> &Upstreams);
@@ -130,6 +136,7 @@
 
   const runtime_clock &Clock;
   const std::string OwnZone;
+  const upstream_ranking Rank;
   mutable std::mutex Mutex;
   std::map<upstream_id, known_upstream> Upstreams;
   std::map<std::string, std::int64_t, std::less<>> CacheTokens;
--- a/Libraries/LibGateway/upstream_choice.h
+++ b/Libraries/LibGateway/upstream_choice.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <vector>
@@ -54,9 +55,9 @@
   /// An answer that comes later than callers expect.
   double LateWorth = 0.3;
   /// A load from the weight store.
-  double Load = 0.3;
+  double Load = 0.6;
   /// The same at the adapter's home, which often has a copy in its memory.
-  double HomeLoad = 0.15;
+  double HomeLoad = 0.2;
   double OtherZonePerMegabyte = 3;
   /// A second of the caller's waiting, where it does not make the answer late.
   double WaitPerSecond = 0.1;
@@ -67,7 +68,7 @@
   double LoadMilliseconds = 270;
   double HomeLoadMilliseconds = 150;
   /// Until an adapter can be unloaded, if all are in use.
-  double NoRoomMilliseconds = 700;
+  double NoRoomMilliseconds = 300;
   double OtherZoneMilliseconds = 4;
 };
 
@@ -96,6 +97,10 @@
 std::vector<upstream_choice>
 rankUpstreams(std::span<const upstream_candidate> Candidates,
               const choice_request &Request, const choice_costs &Costs);
+/// How upstreams are put in order; rankUpstreams() with the costs in use, but
+/// for experiments.
+using upstream_ranking = std::function<std::vector<upstream_choice>(
+    std::span<const upstream_candidate>, const choice_request &)>;
 /// The first of rankUpstreams(); none if every candidate's health is 0.
 /// Thread-safe.
 std::optional<upstream_choice>
