--- /dev/null
+++ b/Libraries/LibFleetModel/zone_model.cpp
@@ -0,0 +1,149 @@
+#include "LibFleetModel/zone_model.h"
+
+#include "LibCore/result_code.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+// An order and its answer within a zone.
+static constexpr milliseconds OrderTime{2};
+
+zone_model::zone_model(const model_fleet &Fleet, const runtime_clock &Clock,
+                       weight_store_model &Store, model_timer Timer)
+    : Fleet(Fleet), Clock(Clock), Store(Store), Timer(std::move(Timer)) {}
+
+void zone_model::addEngine(upstream_id Engine) {
+  Engines[Engine].Places.Capacity = Fleet.AdapterPlaces;
+}
+
+void zone_model::clearEngine(upstream_id Engine) {
+  kept_engine &Kept = Engines.at(Engine);
+  const std::uint64_t Life = Kept.Life + 1;
+  Kept = {};
+  Kept.Places.Capacity = Fleet.AdapterPlaces;
+  Kept.Life = Life;
+}
+
+milliseconds zone_model::loadTime(kept_engine &Engine,
+                                  const adapter_name &Adapter, bool &IsFetch) {
+  const auto Copy =
+      std::find(Engine.Copies.begin(), Engine.Copies.end(), Adapter);
+  IsFetch = Copy == Engine.Copies.end();
+  if (!IsFetch) {
+    Engine.Copies.splice(Engine.Copies.end(), Engine.Copies, Copy);
+    ++Store.CopiesLoaded;
+    return Fleet.CopyTime;
+  }
+  Engine.Copies.push_back(Adapter);
+  if (Engine.Copies.size() > Fleet.Copies)
+    Engine.Copies.pop_front();
+  ++Store.Fetches;
+  ++Store.Fetching;
+  const double Slower =
+      std::max(1.0, static_cast<double>(Store.Fetching) /
+                        static_cast<double>(Fleet.FetchesAtFullSpeed));
+  return milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(Fleet.FetchTime.count()) * Slower));
+}
+
+void zone_model::startLoad(upstream_id Id, const adapter_name &Adapter) {
+  kept_engine &Engine = Engines.at(Id);
+  noteLoading(Engine.Places, {Adapter, 1}, Clock.now());
+  bool IsFetch = false;
+  const milliseconds Takes = loadTime(Engine, Adapter, IsFetch);
+  Timer(Clock.now() + OrderTime + Takes,
+        [this, Id, Adapter, IsFetch, Life = Engine.Life] {
+          if (IsFetch)
+            --Store.Fetching;
+          kept_engine &Loaded = Engines.at(Id);
+          if (Loaded.Life == Life)
+            noteLoaded(Loaded.Places, {Adapter, 1}, Clock.now());
+        });
+}
+
+void zone_model::startUnload(upstream_id Id, const adapter_name &Adapter) {
+  kept_engine &Engine = Engines.at(Id);
+  noteUnloading(Engine.Places, Adapter);
+  Timer(Clock.now() + OrderTime, [this, Id, Adapter, Life = Engine.Life] {
+    kept_engine &Unloaded = Engines.at(Id);
+    if (Unloaded.Life == Life)
+      noteGone(Unloaded.Places, Adapter);
+  });
+}
+
+std::optional<upstream_id> zone_model::look(const adapter_name &Adapter,
+                                            const place_wish &Wish,
+                                            std::uint64_t &Ticket) {
+  const time_point Now = Clock.now();
+  std::vector<place_engine> Candidates;
+  for (const upstream_id Id : Wish.Engines) {
+    kept_engine &Engine = Engines.at(Id);
+    const bool HadBefore = std::find(Engine.Copies.begin(), Engine.Copies.end(),
+                                     Adapter) != Engine.Copies.end();
+    Candidates.push_back({Id, &Engine.Places, true, HadBefore});
+  }
+  const place_decision Decision =
+      decidePlace(Candidates, {Adapter, 0}, Queue, Now);
+  const upstream_id Engine = Candidates[Decision.Engine].Id;
+  switch (Decision.Step) {
+  case place_step::Held:
+    return Engine;
+  case place_step::UnderWay:
+    leave(Adapter, Ticket);
+    break;
+  case place_step::Load:
+    if (Ticket != 0)
+      noteGrant(Queue, Now);
+    leave(Adapter, Ticket);
+    startLoad(Engine, Adapter);
+    break;
+  case place_step::Unload:
+    startUnload(Engine, Decision.Victim->Name);
+    [[fallthrough]];
+  case place_step::Queue:
+  case place_step::Silent: {
+    if (Ticket != 0)
+      break;
+    const std::optional<nanoseconds> Wait =
+        expectedWait(Queue, Adapter, Wish, Now);
+    if (Wait && Now + *Wait > Wish.UsefulUntil)
+      throw spindle_error(result_code::AdapterNotLoaded,
+                          "the turn would come too late");
+    Ticket = enterQueue(Queue, Adapter, Wish);
+    break;
+  }
+  }
+  return std::nullopt;
+}
+
+void zone_model::leave(const adapter_name &Adapter, std::uint64_t &Ticket) {
+  if (Ticket != 0)
+    leaveQueue(Queue, Adapter, Ticket);
+  Ticket = 0;
+}
+
+void zone_model::setInUse(std::span<const adapter_use> Uses) {
+  std::map<upstream_id, std::set<adapter_name>> ByEngine;
+  for (const adapter_use &Use : Uses)
+    ByEngine[Use.Engine].insert(Use.Adapter);
+  for (auto &[Id, Engine] : Engines)
+    spindle::setInUse(Engine.Places, ByEngine[Id]);
+}
+
+std::vector<engine_room> zone_model::rooms() const {
+  std::vector<engine_room> Rooms;
+  for (const auto &[Id, Engine] : Engines)
+    Rooms.push_back({Id, roomOf(Engine.Places, Clock.now())});
+  return Rooms;
+}
+
+std::vector<loaded_adapter> zone_model::loadedAt(upstream_id Engine) const {
+  std::vector<loaded_adapter> Loaded;
+  for (const adapter_place &Place : Engines.at(Engine).Places.Places)
+    if (Place.State == place_state::Loaded)
+      Loaded.push_back(Place.Adapter);
+  return Loaded;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibFleetModel/zone_model.h
@@ -0,0 +1,76 @@
+#ifndef PARSLEYSPINDLE_LIBFLEETMODEL_ZONE_MODEL_H
+#define PARSLEYSPINDLE_LIBFLEETMODEL_ZONE_MODEL_H
+
+#include "LibFleetModel/model_settings.h"
+#include "LibGateway/fleet_table.h"
+#include "LibGateway/place_decision.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace spindle {
+
+/// Puts work off on the virtual clock.
+using model_timer =
+    std::function<void(time_point At, std::function<void()> Work)>;
+
+/// The weight store: adapters that are fetched at the same time beyond a
+/// number slow each other.
+struct weight_store_model {
+  std::uint32_t Fetching = 0;
+  std::uint64_t Fetches = 0;
+  std::uint64_t CopiesLoaded = 0;
+};
+
+/// The lead of a zone and the adapters in the zone's engines. It decides as
+/// adapter_keeper does; orders always succeed. Not thread-safe.
+class zone_model {
+public:
+  zone_model(const model_fleet &Fleet, const runtime_clock &Clock,
+             weight_store_model &Store, model_timer Timer);
+
+  void addEngine(upstream_id Engine);
+  /// The engine is gone, or is back empty.
+  void clearEngine(upstream_id Engine);
+  /// One look of a request at the adapter that it waits for. Returns where it
+  /// is held, or nothing. \p Ticket is the request's place in the queue, 0 if
+  /// it has none.
+  /// \throws spindle_error if its turn would come too late.
+  std::optional<upstream_id> look(const adapter_name &Adapter,
+                                  const place_wish &Wish,
+                                  std::uint64_t &Ticket);
+  void leave(const adapter_name &Adapter, std::uint64_t &Ticket);
+  void setInUse(std::span<const adapter_use> Uses);
+  std::vector<engine_room> rooms() const;
+  /// The adapters that an engine has.
+  std::vector<loaded_adapter> loadedAt(upstream_id Engine) const;
+
+private:
+  struct kept_engine {
+    engine_places Places;
+    /// The newest copy last.
+    std::list<adapter_name> Copies;
+    /// Loads of a former process of the engine end without effect.
+    std::uint64_t Life = 0;
+  };
+
+  void startLoad(upstream_id Engine, const adapter_name &Adapter);
+  void startUnload(upstream_id Engine, const adapter_name &Adapter);
+  milliseconds loadTime(kept_engine &Engine, const adapter_name &Adapter,
+                        bool &IsFetch);
+
+  const model_fleet &Fleet;
+  const runtime_clock &Clock;
+  weight_store_model &Store;
+  const model_timer Timer;
+  std::map<upstream_id, kept_engine> Engines;
+  place_queue Queue;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBFLEETMODEL_ZONE_MODEL_H
