LibGateway: Tell peers what changed, not all that exists

With every change of any engine the lead told each host the names of all.

Change: a mirror remembers what was removed, up to a thousand objects, and tells a peer only what changed after the peer's revision; all again after it has listed anew. A property over drawn writes, looks and exchanges of three mirrors holds each against what the platform held at its revision.

--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -79,6 +79,8 @@
     Known = true;
     Cursor = List.Version;
     LastChange = List.Version;
+    Gone.clear();
+    GoneKnownSince = List.Version;
   }
   if (Changed)
     Changed();
@@ -102,10 +104,15 @@
       return;
     for (const platform_event &Event : News.Events) {
       Any = true;
-      if (Event.Change == platform_change::Deleted)
+      if (Event.Change == platform_change::Deleted) {
         Objects.erase(Event.Object.Name);
-      else
-        Objects.insert_or_assign(Event.Object.Name, Event.Object);
+        noteGone(Event.Object.Name, News.Version);
+        continue;
+      }
+      Objects.insert_or_assign(Event.Object.Name, Event.Object);
+      std::erase_if(Gone, [&Event](const gone_object &Each) {
+        return Each.Name == Event.Object.Name;
+      });
     }
     Cursor = News.Version;
     if (Any)
@@ -160,6 +167,16 @@
   return Cursor;
 }
 
+/// Precondition: Mutex is held.
+void object_mirror::noteGone(const std::string &Name, std::uint64_t Revision) {
+  static constexpr std::size_t MostKept = 1'000;
+  Gone.push_back({Name, Revision});
+  if (Gone.size() <= MostKept)
+    return;
+  GoneKnownSince = std::max(GoneKnownSince, Gone.front().Revision);
+  Gone.pop_front();
+}
+
 void object_mirror::describeSince(std::uint64_t PeerCursor,
                                   host_link::MirroredKind &Message) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
@@ -167,34 +184,83 @@
   Message.set_cursor(Cursor);
   if (!Known || LastChange <= PeerCursor)
     return;
-  Message.set_complete(true);
+  const bool OnlyChanges = PeerCursor > 0 && PeerCursor >= GoneKnownSince;
+  Message.set_complete(!OnlyChanges);
+  if (OnlyChanges)
+    Message.set_since(PeerCursor);
   for (const auto &[Name, Object] : Objects) {
+    const bool IsNews = Object.Version > PeerCursor;
+    if (OnlyChanges && !IsNews)
+      continue;
     host_link::MirroredObject &Written = *Message.add_objects();
     Written.set_name(Name);
     Written.set_revision(Object.Version);
-    if (Object.Version > PeerCursor)
+    if (IsNews)
       Written.set_body(Object.Body);
   }
+  if (!OnlyChanges)
+    return;
+  for (const gone_object &Each : Gone) {
+    if (Each.Revision <= PeerCursor)
+      continue;
+    host_link::MirroredObject &Written = *Message.add_gone();
+    Written.set_name(Each.Name);
+    Written.set_revision(Each.Revision);
+  }
+}
+
+/// Precondition: Mutex is held.
+void object_mirror::take(const host_link::MirroredObject &Told) {
+  platform_object &Mine = Objects[Told.name()];
+  if (Mine.Version < Told.revision())
+    Mine = {Kind, Told.name(), Told.revision(), Told.body()};
+}
+
+/// Precondition: Mutex is held.
+void object_mirror::mergeAll(const host_link::MirroredKind &Message) {
+  std::set<std::string, std::less<>> Named;
+  for (const host_link::MirroredObject &Told : Message.objects()) {
+    Named.insert(Told.name());
+    take(Told);
+  }
+  std::erase_if(Objects, [&Named](const auto &Entry) {
+    return !Named.contains(Entry.first);
+  });
+  Gone.clear();
+  GoneKnownSince = Message.cursor();
+}
+
+/// Precondition: Mutex is held.
+void object_mirror::mergeChanges(const host_link::MirroredKind &Message) {
+  for (const host_link::MirroredObject &Told : Message.gone()) {
+    const auto Found = Objects.find(Told.name());
+    if (Found != Objects.end() && Found->second.Version <= Told.revision())
+      Objects.erase(Found);
+    noteGone(Told.name(), Told.revision());
+  }
+  for (const host_link::MirroredObject &Told : Message.objects()) {
+    take(Told);
+    std::erase_if(Gone, [&Told](const gone_object &Each) {
+      return Each.Name == Told.name();
+    });
+  }
 }
 
 void object_mirror::merge(const host_link::MirroredKind &Message) {
-  if (!Message.complete())
-    return;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
+    const bool OnlyChanges = !Message.complete() && Message.since() > 0;
+    if (!Message.complete() && !OnlyChanges)
+      return;
     if (Message.cursor() <= Cursor)
       return;
-    std::set<std::string, std::less<>> Named;
-    for (const host_link::MirroredObject &Told : Message.objects()) {
-      Named.insert(Told.name());
-      platform_object &Mine = Objects[Told.name()];
-      if (Mine.Version >= Told.revision())
-        continue;
-      Mine = {Kind, Told.name(), Told.revision(), Told.body()};
-    }
-    std::erase_if(Objects, [&Named](const auto &Entry) {
-      return !Named.contains(Entry.first);
-    });
+    // Changes from after what is known here leave a gap.
+    if (OnlyChanges && (!Known || Message.since() > Cursor))
+      return;
+    if (OnlyChanges)
+      mergeChanges(Message);
+    else
+      mergeAll(Message);
     Known = true;
     MustList = false;
     Cursor = Message.cursor();
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -6,6 +6,7 @@
 #include "LibPlatform/platform_port.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -63,13 +64,24 @@
 
   /// The revision up to which all changes are known.
   std::uint64_t cursor() const;
-  /// Writes what a peer lacks that knows all up to \p PeerCursor.
+  /// Writes what a peer lacks that knows all up to \p PeerCursor: the changes
+  /// since then, or everything if they are not known any more.
   void describeSince(std::uint64_t PeerCursor,
                      host_link::MirroredKind &Message) const;
   /// Takes over what a peer knows better.
   void merge(const host_link::MirroredKind &Message);
 
 private:
+  /// An object that is gone, and a revision at which it was.
+  struct gone_object {
+    std::string Name;
+    std::uint64_t Revision = 0;
+  };
+
+  void noteGone(const std::string &Name, std::uint64_t Revision);
+  void mergeChanges(const host_link::MirroredKind &Message);
+  void mergeAll(const host_link::MirroredKind &Message);
+  void take(const host_link::MirroredObject &Told);
   void listAll();
   void lookForChanges();
   void noteAnswer();
@@ -90,6 +102,9 @@
   std::uint64_t Cursor = 0;
   /// The newest change that was seen, deletions included.
   std::uint64_t LastChange = 0;
+  /// The objects that were removed after GoneKnownSince, the last one last.
+  std::deque<gone_object> Gone;
+  std::uint64_t GoneKnownSince = 0;
   milliseconds FailurePause{0};
   /// When the last look ended.
   time_point LookedAt;
--- a/Tests/LibGateway/test_object_mirror.cpp
+++ b/Tests/LibGateway/test_object_mirror.cpp
@@ -2,6 +2,7 @@
 #include "Support/fake_platform.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 using namespace spindle;
 
@@ -138,3 +139,80 @@
   REQUIRE(New.known());
   REQUIRE(New.find("a")->Body == "1");
 }
+
+TEST_CASE("a peer is told of changes only, and of what is gone") {
+  mirrored Lead;
+  mirrored Host;
+  for (int Number = 0; Number < 50; ++Number)
+    Lead.Platform.Create(Kind, "o" + std::to_string(Number), "1");
+  const std::uint64_t Version = Lead.Platform.Create(Kind, "x", "1");
+  Lead.Mirror.step();
+  relay(Lead.Mirror, Host.Mirror);
+  REQUIRE(Host.Mirror.objects().size() == 51);
+
+  Lead.Platform.Remove(Kind, "x", Version);
+  Lead.Platform.Create(Kind, "y", "2");
+  Lead.Mirror.step();
+  host_link::MirroredKind Message;
+  Lead.Mirror.describeSince(Host.Mirror.cursor(), Message);
+  REQUIRE(Message.objects_size() == 1);
+  REQUIRE(Message.gone_size() == 1);
+  Host.Mirror.merge(Message);
+  REQUIRE(Host.body("x") == "none");
+  REQUIRE(Host.body("y") == "2");
+  REQUIRE(Host.Mirror.objects().size() == 51);
+}
+
+TEST_CASE("mirrors that tell each other in any order agree with the platform") {
+  rc::prop("each mirror holds what the platform held at its cursor", [] {
+    fake_platform Fake;
+    runtime_clock Clock;
+    platform_port Platform = Fake.port();
+    std::vector<std::unique_ptr<object_mirror>> Mirrors;
+    for (int Count = 0; Count < 3; ++Count)
+      Mirrors.push_back(std::make_unique<object_mirror>(
+          Clock, Platform, std::string(Kind), mirror_settings{}));
+    std::map<std::string, std::uint64_t> Versions;
+    // What existed at each revision, by name and revision.
+    std::map<std::uint64_t, std::map<std::string, std::uint64_t>> History;
+    const std::vector<int> Steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1'000));
+    for (const int Step : Steps) {
+      const std::string Name = "o" + std::to_string(Step % 4);
+      const std::size_t One = static_cast<std::size_t>(Step / 10 % 3);
+      const std::size_t Other = static_cast<std::size_t>(Step / 30 % 3);
+      const bool Exists = Versions.contains(Name);
+      switch (Step % 5) {
+      case 0:
+        Versions[Name] =
+            Exists ? Platform.Update(Kind, Name, Versions[Name],
+                                     std::to_string(Step) + "a" +
+                                         std::to_string(History.size()))
+                   : Platform.Create(Kind, Name, "new");
+        break;
+      case 1:
+        if (Exists)
+          Platform.Remove(Kind, Name, Versions[Name]);
+        Versions.erase(Name);
+        break;
+      case 2:
+        Mirrors[One]->step();
+        break;
+      default:
+        relay(*Mirrors[One], *Mirrors[Other]);
+        break;
+      }
+      History[Platform.List(Kind).Version] = Versions;
+      for (const std::unique_ptr<object_mirror> &Mirror : Mirrors) {
+        if (!Mirror->known())
+          continue;
+        const auto Then = History.upper_bound(Mirror->cursor());
+        std::map<std::string, std::uint64_t> Held;
+        for (const platform_object &Object : Mirror->objects())
+          Held[Object.Name] = Object.Version;
+        RC_ASSERT(Then != History.begin());
+        RC_ASSERT(Held == std::prev(Then)->second);
+      }
+    }
+  });
+}
