LibGateway: Read only the registrations that changed

With each change of any upstream a host read all 1,000 registrations anew.

Change: what was read is kept with the object's revision. No decision changes, so the tests that read registrations hold it.

--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -51,6 +51,12 @@
   return Sender;
 }
 
+/// A registration as it was read; null if it names no usable upstream.
+struct read_upstream {
+  std::uint64_t Revision = 0;
+  upstream_pointer Entry;
+};
+
 mirror_settings pacedBy(milliseconds Pause) {
   mirror_settings Settings;
   Settings.PauseAfterChange = Pause;
@@ -99,6 +105,9 @@
   adapter_keeper Keeper;
   adapter_holds Holds;
   gateway_services Services;
+  /// Registrations that were read, by name, so that only those that changed
+  /// are read again.
+  std::map<std::string, read_upstream> ReadUpstreams;
   /// The upstreams that were taken over last, by name.
   std::map<std::string, upstream_pointer> LastUpstreams;
   std::mutex ApplyMutex;
@@ -264,10 +273,19 @@
 void gateway_host::state::applyUpstreams() {
   const std::lock_guard<std::mutex> Lock(ApplyMutex);
   std::map<std::string, upstream_pointer> Present;
-  for (const platform_object &Object : Upstreams.objects())
-    if (upstream_pointer Entry =
-            Ports.Wire.ReadUpstream(Object.Name, Object.Body))
-      Present.emplace(Object.Name, std::move(Entry));
+  std::map<std::string, read_upstream> Read;
+  for (const platform_object &Object : Upstreams.objects()) {
+    const auto Known = ReadUpstreams.find(Object.Name);
+    const bool IsSame = Known != ReadUpstreams.end() &&
+                        Known->second.Revision == Object.Version;
+    const upstream_pointer Entry =
+        IsSame ? Known->second.Entry
+               : Ports.Wire.ReadUpstream(Object.Name, Object.Body);
+    Read[Object.Name] = {Object.Version, Entry};
+    if (Entry)
+      Present.emplace(Object.Name, Entry);
+  }
+  ReadUpstreams = std::move(Read);
   const time_point Since = Upstreams.reachableSince();
   const bool MayComeBack =
       !Upstreams.reachable() ||
--- a/Tests/LibGateway/test_object_mirror.cpp
+++ b/Tests/LibGateway/test_object_mirror.cpp
@@ -169,6 +169,7 @@
     runtime_clock Clock;
     platform_port Platform = Fake.port();
     std::vector<std::unique_ptr<object_mirror>> Mirrors;
+    Mirrors.reserve(3);
     for (int Count = 0; Count < 3; ++Count)
       Mirrors.push_back(std::make_unique<object_mirror>(
           Clock, Platform, std::string(Kind), mirror_settings{}));
