LibGateway: Look at the store once the lead does not hear it

The other hosts reach the store, but trusted their leads, which answered them, and looked only every 3 s: 2.9 s after the acknowledgement.

Change: messages between mirrors say how long ago the platform answered the sender. A host trusts its lead while that is within 1.3 s, a look and an exchange, else it looks at once. The test fails at the 3 s of before.

--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -14,6 +14,13 @@
     : Clock(Clock), Platform(Platform), Kind(std::move(Kind)),
       Settings(Settings) {}
 
+/// Whether another host passes on what it hears, and hears the platform.
+/// Precondition: Mutex is held.
+bool object_mirror::isTold() const {
+  return IsRelayed && IsRelayed() &&
+         Clock.now() - RelayHeardAt <= Settings.RelayHears;
+}
+
 milliseconds object_mirror::step() {
   bool List = false;
   {
@@ -21,7 +28,7 @@
     List = MustList;
     const bool LookedLately = LookedAt != time_point() &&
                               Clock.now() - LookedAt < Settings.PauseIfRelayed;
-    if (!List && Reachable && LookedLately && IsRelayed && IsRelayed())
+    if (!List && Reachable && LookedLately && isTold())
       return Settings.RelayCheck;
   }
   try {
@@ -88,11 +95,12 @@
 
 void object_mirror::lookForChanges() {
   std::uint64_t From = 0;
+  bool Relayed = false;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     From = Cursor;
+    Relayed = isTold();
   }
-  const bool Relayed = IsRelayed && IsRelayed();
   const platform_changes News = Platform.Changes(
       Kind, From, Relayed ? Settings.HoldOpenIfRelayed : Settings.HoldOpen);
   bool Any = false;
@@ -182,6 +190,8 @@
   const std::lock_guard<std::mutex> Lock(Mutex);
   Message.set_kind(Kind);
   Message.set_cursor(Cursor);
+  Message.set_heard_ms(
+      std::chrono::duration_cast<milliseconds>(Clock.now() - LookedAt).count());
   if (!Known || LastChange <= PeerCursor)
     return;
   const bool OnlyChanges = PeerCursor > 0 && PeerCursor >= GoneKnownSince;
@@ -249,6 +259,8 @@
 void object_mirror::merge(const host_link::MirroredKind &Message) {
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
+    RelayHeardAt =
+        std::max(RelayHeardAt, Clock.now() - milliseconds(Message.heard_ms()));
     const bool OnlyChanges = !Message.complete() && Message.since() > 0;
     if (!Message.complete() && !OnlyChanges)
       return;
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -26,6 +26,9 @@
   /// whether that one still does.
   milliseconds PauseIfRelayed{3'000};
   milliseconds RelayCheck{200};
+  /// The other host hears the platform at least so often: a look of HoldOpen
+  /// and an exchange with it.
+  milliseconds RelayHears{1'300};
   /// The pause after changes came, so that a busy kind costs few calls.
   milliseconds PauseAfterChange{0};
   milliseconds PauseAfterFailure{250};
@@ -78,6 +81,7 @@
     std::uint64_t Revision = 0;
   };
 
+  bool isTold() const;
   void noteGone(const std::string &Name, std::uint64_t Revision);
   void mergeChanges(const host_link::MirroredKind &Message);
   void mergeAll(const host_link::MirroredKind &Message);
@@ -108,6 +112,8 @@
   milliseconds FailurePause{0};
   /// When the last look ended.
   time_point LookedAt;
+  /// When the platform answered the host that tells this one.
+  time_point RelayHeardAt;
 };
 
 } // namespace spindle
--- a/Tests/LibGateway/test_object_mirror.cpp
+++ b/Tests/LibGateway/test_object_mirror.cpp
@@ -27,6 +27,13 @@
   int Changes = 0;
 };
 
+/// The peer tells nothing but when it heard the platform.
+void tellHeard(object_mirror &Mirror, milliseconds Ago) {
+  host_link::MirroredKind Message;
+  Message.set_heard_ms(Ago.count());
+  Mirror.merge(Message);
+}
+
 void relay(const object_mirror &From, object_mirror &To) {
   host_link::MirroredKind Message;
   From.describeSince(To.cursor(), Message);
@@ -116,6 +123,7 @@
   Test.Mirror.step();
   const std::size_t Before = Test.Fake.reads();
   for (int Step = 0; Step < 14; ++Step) {
+    tellHeard(Test.Mirror, milliseconds(900));
     REQUIRE(Test.Mirror.step() <= milliseconds(200));
     Test.Clock.advance(milliseconds(200));
   }
@@ -125,10 +133,30 @@
   REQUIRE(Test.Fake.reads() == Before + 1);
   IsRelayed = true;
   Test.Clock.advance(seconds(4));
+  tellHeard(Test.Mirror, milliseconds(0));
   Test.Mirror.step();
   REQUIRE(Test.Fake.reads() == Before + 2);
 }
 
+TEST_CASE("a mirror looks by itself once its peer does not hear the platform") {
+  // The platform turns the peer away; a change is written just after.
+  constexpr milliseconds InForce{2'000};
+  mirrored Test;
+  Test.Clock.pause();
+  Test.Mirror.onAskRelayed([] { return true; });
+  const std::uint64_t Version = Test.Platform.Create(Kind, "a", "1");
+  Test.Mirror.step();
+  Test.Platform.Update(Kind, "a", Version, "2");
+  milliseconds Passed{0};
+  while (Passed < InForce && Test.body("a") != "2") {
+    tellHeard(Test.Mirror, Passed);
+    Test.Mirror.step();
+    Test.Clock.advance(milliseconds(100));
+    Passed += milliseconds(100);
+  }
+  REQUIRE(Test.body("a") == "2");
+}
+
 TEST_CASE("a mirror that knows nothing learns all from a peer") {
   mirrored Test;
   Test.Platform.Create(Kind, "a", "1");
