LibHTTP: End calls to servers that send bytes without end

Cause: each operation of a call armed its own timer, at least 1 ms long. A server that never stops sending completes every operation before a timer expires, so interim answers, answers to other requests and bodies without end went on beyond the deadline. The line before a chunk was kept in a buffer without limit and scanned anew with each part: 18 s of processor time for one call, memory growing, and the same with callers' requests.

Change: an operation is not started once the call's time has passed; the wait for the request's own head is one limit whatever comes before it; buffers of both sides are bounded.

--- a/Libraries/LibHTTP/beast_call.cpp
+++ b/Libraries/LibHTTP/beast_call.cpp
@@ -84,26 +84,34 @@
   throw spindle_error(Lost, Result.Error.message() + " from " + Where);
 }
 
-/// Arms the timer of the next operation.
-void beast_call::expireAfter(milliseconds Limit) {
+/// Arms the timer of the next operation, which ends at \p Until at the latest.
+/// Throws if that time has passed: a server that never stops sending completes
+/// each operation before a timer expires.
+void beast_call::expireAfter(milliseconds Limit, time_point Until,
+                             result_code Lost, std::string_view Step) {
   static constexpr milliseconds Shortest{1};
-  if (Limits.Until == time_point::max()) {
+  if (Until == time_point::max()) {
     Connection->Stream.expires_after(Limit);
     return;
   }
-  const milliseconds Left = std::chrono::duration_cast<milliseconds>(
-      Limits.Until - boot_clock::now());
-  Connection->Stream.expires_after(std::max(Shortest, std::min(Limit, Left)));
+  const nanoseconds Left = Until - boot_clock::now();
+  if (Left <= nanoseconds(0))
+    fail({beast::error::timeout, 0}, Lost, Step);
+  Connection->Stream.expires_after(
+      std::clamp(std::chrono::duration_cast<milliseconds>(Left), Shortest,
+                 std::max(Shortest, Limit)));
 }
 
 void beast_call::connect() {
-  expireAfter(Limits.Connect);
+  static constexpr std::string_view Step = "connecting";
+  expireAfter(Limits.Connect, Limits.Until, result_code::UpstreamUnreachable,
+              Step);
   const io_result Connected = awaitIo([&](auto Handler) {
     Connection->Stream.async_connect(toAsio(Connection->Peer),
                                      std::move(Handler));
   });
   if (Connected.Error)
-    fail(Connected, result_code::UpstreamUnreachable, "connecting");
+    fail(Connected, result_code::UpstreamUnreachable, Step);
   prepareSocket(Connection->Stream);
 }
 
@@ -123,14 +131,15 @@
   if (!Body.empty() || Request.Method == "POST" || Request.Method == "PUT")
     Message.content_length(Body.size());
   HeadOnly = Request.Method == "HEAD";
-  expireAfter(Limits.FirstByte);
+  static constexpr std::string_view Step = "sending the request";
+  expireAfter(Limits.FirstByte, Limits.Until, result_code::UpstreamLost, Step);
   const io_result Sent = awaitIo([&](auto Handler) {
     http::async_write(Connection->Stream, Message, std::move(Handler));
   });
   if (!Sent.Error)
     return;
   ClosedBeforeAnswer = Sent.Error != beast::error::timeout;
-  fail(Sent, result_code::UpstreamLost, "sending the request");
+  fail(Sent, result_code::UpstreamLost, Step);
 }
 
 void beast_call::readHead() {
@@ -138,7 +147,8 @@
   Parser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   Parser->skip(HeadOnly);
-  expireAfter(Limits.FirstByte);
+  static constexpr std::string_view Step = "waiting for the answer";
+  expireAfter(Limits.FirstByte, HeadUntil, result_code::UpstreamLost, Step);
   const io_result Read = awaitIo([&](auto Handler) {
     http::async_read_header(Connection->Stream, Connection->Buffer, *Parser,
                             std::move(Handler));
@@ -147,7 +157,7 @@
     const bool NothingCame =
         Connection->Buffer.size() == 0 && !Parser->got_some();
     ClosedBeforeAnswer = NothingCame && Read.Error != beast::error::timeout;
-    fail(Read, result_code::UpstreamLost, "waiting for the answer");
+    fail(Read, result_code::UpstreamLost, Step);
   }
   Head.Status = static_cast<int>(Parser->get().result_int());
   Head.Fields = toFields(Parser->get());
@@ -164,13 +174,14 @@
     http::buffer_body::value_type &Body = Parser->get().body();
     Body.data = Space;
     Body.size = sizeof Space;
-    expireAfter(Limits.FirstByte);
+    static constexpr std::string_view Step = "dropping a late answer";
+    expireAfter(Limits.FirstByte, HeadUntil, result_code::UpstreamLost, Step);
     const io_result Read = awaitIo([&](auto Handler) {
       http::async_read_some(Connection->Stream, Connection->Buffer, *Parser,
                             std::move(Handler));
     });
     if (Read.Error && Read.Error != http::error::need_buffer)
-      fail(Read, result_code::UpstreamLost, "dropping a late answer");
+      fail(Read, result_code::UpstreamLost, Step);
   }
 }
 
@@ -178,6 +189,7 @@
                                std::string_view Body) {
   throwIfCancelled();
   send(Request, Body);
+  HeadUntil = std::min(Limits.Until, boot_clock::now() + Limits.FirstByte);
   do
     readHead();
   while (Head.Status == 100);
@@ -194,13 +206,15 @@
     http::buffer_body::value_type &Body = Parser->get().body();
     Body.data = Space.data();
     Body.size = Space.size();
-    expireAfter(Limits.BetweenBytes);
+    static constexpr std::string_view Step = "reading the answer";
+    expireAfter(Limits.BetweenBytes, Limits.Until, result_code::AnswerCutShort,
+                Step);
     const io_result Read = awaitIo([&](auto Handler) {
       http::async_read_some(Connection->Stream, Connection->Buffer, *Parser,
                             std::move(Handler));
     });
     if (Read.Error && Read.Error != http::error::need_buffer)
-      fail(Read, result_code::AnswerCutShort, "reading the answer");
+      fail(Read, result_code::AnswerCutShort, Step);
     if (const std::size_t Count = Space.size() - Body.size; Count > 0)
       return Count;
   }
--- a/Libraries/LibHTTP/beast_call.h
+++ b/Libraries/LibHTTP/beast_call.h
@@ -36,7 +36,8 @@
   using response_parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  void expireAfter(milliseconds Limit);
+  void expireAfter(milliseconds Limit, time_point Until, result_code Lost,
+                   std::string_view Step);
   void dropAnswer();
   void send(const http_request_head &Request, std::string_view Body);
   void readHead();
@@ -51,6 +52,8 @@
   http_call_limits Limits;
   std::optional<response_parser> Parser;
   http_response_head Head;
+  /// When the head of the answer must have arrived.
+  time_point HeadUntil = time_point::max();
   bool HeadOnly = false;
   bool ClosedBeforeAnswer = false;
 };
--- a/Libraries/LibHTTP/client_connection.h
+++ b/Libraries/LibHTTP/client_connection.h
@@ -4,6 +4,7 @@
 #include "LibCore/runtime_clock.h"
 #include "LibHTTP/beast_support.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 
@@ -14,8 +15,12 @@
   client_connection(boost::asio::io_context &Loop, const endpoint &Peer)
       : Stream(Loop), Peer(Peer) {}
 
+  /// The parser keeps a head, or the line before a chunk, in the buffer until it
+  /// is complete, however long it gets.
+  static constexpr std::size_t MaxBufferBytes = 128 * 1024;
+
   tcp_stream Stream;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxBufferBytes};
   endpoint Peer;
   /// How often the peer had been suspected when the connection was opened.
   std::uint64_t SuspicionCount = 0;
--- a/Libraries/LibHTTP/http_server.cpp
+++ b/Libraries/LibHTTP/http_server.cpp
@@ -60,6 +60,9 @@
 static constexpr int ListenBacklog = 1024;
 static constexpr std::size_t FirstReadBytes = 4096;
 static constexpr std::size_t DiscardReadBytes = 65'536;
+// Room beside a head in a connection's buffer. The parser keeps the line before
+// a chunk there until it is complete, however long it gets.
+static constexpr std::size_t BufferMarginBytes = 128 * 1024;
 
 struct http_server::state {
   state(fiber_runtime &Runtime, http_server_limits Limits, http_handler Handler,
@@ -190,6 +193,7 @@
   const http_server_limits Limits = limits();
   Parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
   Parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  Connection.Buffer.max_size(Limits.HeaderBytes + BufferMarginBytes);
   Connection.Stream.expires_after(Limits.HeaderTimeout);
   const io_result Read = awaitIo([&](auto Handler) {
     http::async_read_header(Connection.Stream, Connection.Buffer, Parser,
