LibGateway: Spare upstreams that warm up, and honour evacuations

Cause: nothing in the product knew that an upstream tolerates few requests after its start, or that a zone may be taken out of service.

Change: warm_up_budget divides an upstream's rate among a few hosts without a message; upstream_admission is asked at the choice and again immediately before the send. The store's evacuations are mirrored, logged (2413) and counted in a gauge.

Tests: all hosts on one paused clock, any number of hosts and any rate (test_warm_up_budget); mirrors show a change within their delay and ask less often for a longer one.

--- /dev/null
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -0,0 +1,303 @@
+#include "LibGateway/attempt_loop.h"
+
+#include "LibCore/random_fraction.h"
+#include "LibCore/retry_after_error.h"
+#include "LibLog/log.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+namespace {
+
+constexpr milliseconds RetryAfterShort{400};
+/// Unreachable upstreams that are tried before the request fails; no byte of
+/// the request has been sent to them.
+constexpr std::uint32_t MaxUnreachable = 4;
+/// No attempt is started with less time than this left, since it could not
+/// succeed.
+constexpr milliseconds MinAttemptTime{5};
+/// Estimated size of a response, added to the body size to get the traffic
+/// between zones.
+constexpr std::size_t EstimatedResponseBytes = 2'000;
+/// How often one request is sent to upstreams that refuse it.
+constexpr std::uint32_t MaxSends = 4;
+/// Zones whose engines are asked to hold an adapter.
+constexpr std::uint32_t MaxZonesAsked = 3;
+/// Timeout of one call to a zone's leader for an adapter. The leader replies
+/// within this time even if the adapter is not loaded yet, so that a dead
+/// leader is detected.
+constexpr milliseconds HoldCallTimeout{400};
+
+/// Adds jitter of 25 % to \p Pause, so that callers that are refused together
+/// do not retry together.
+milliseconds withJitter(milliseconds Pause) {
+  const double Milliseconds =
+      static_cast<double>(Pause.count()) * (0.75 + 0.5 * randomFraction());
+  return milliseconds(static_cast<std::int64_t>(Milliseconds));
+}
+
+/// Throws the error that the caller gets when no attempts remain.
+[[noreturn]] void throwFinalError(const forwarded_request &Request,
+                                  const std::string &Cause) {
+  if (!Request.MayHaveRun)
+    throw retry_after_error(result_code::NoUpstream, Cause,
+                            withJitter(RetryAfterShort));
+  if (Request.timeLeft() <= MinAttemptTime)
+    throw spindle_error(result_code::UpstreamTimeout, Cause);
+  throw spindle_error(result_code::UpstreamLost, Cause);
+}
+
+std::optional<chosen_upstream> choose(const forwarded_request &Request,
+                                      upstream_id Only) {
+  std::vector<upstream_id> Avoid = Request.SentTo;
+  Avoid.insert(Avoid.end(), Request.Avoid.begin(), Request.Avoid.end());
+  upstream_query Query;
+  Query.Service = Request.Service.Name;
+  Query.Objective = Request.Route.Objective;
+  Query.Remaining = Request.Route.Objective -
+                    std::chrono::duration_cast<milliseconds>(
+                        Request.Services.Clock.now() - Request.Start);
+  Query.BodyBytes = Request.Body.size() + EstimatedResponseBytes;
+  Query.Only = Only;
+  if (!Only)
+    Query.Avoid = Avoid;
+  if (Request.isModelCall()) {
+    Query.Model = &Request.Description;
+    Query.AdapterVersion = Request.Services.Releases.newestVersion(
+        {Request.Description.Model, Request.Description.Adapter});
+  }
+  return Request.Services.Fleet.choose(Query);
+}
+
+time_point addMilliseconds(time_point Start, double Milliseconds) {
+  return Start + std::chrono::duration_cast<nanoseconds>(
+                     std::chrono::duration<double, std::milli>(Milliseconds));
+}
+
+/// The latest time at which the first event of a stream is of use to the
+/// caller.
+time_point firstEventDeadline(const forwarded_request &Request) {
+  const milliseconds MaxSilence = Request.Route.MaxSilence;
+  if (MaxSilence.count() == 0 || Request.StreamStarted)
+    return Request.Deadline;
+  return std::min(Request.Deadline, Request.Start + MaxSilence);
+}
+
+hold_query makeHoldQuery(const forwarded_request &Request,
+                         const chosen_upstream &Chosen) {
+  const adapter_name Name{Request.Description.Model,
+                          Request.Description.Adapter};
+  hold_query Query;
+  Query.Engines = Chosen.Engines;
+  Query.Wanted = {Name, Request.Services.Releases.newestVersion(Name)};
+  Query.OnTimeUntil = addMilliseconds(Request.Start + Request.Route.Objective,
+                                      -Chosen.ServiceMilliseconds);
+  Query.UsefulUntil =
+      addMilliseconds(firstEventDeadline(Request), -Chosen.ServiceMilliseconds);
+  Query.Urgency = urgencyOf(Request);
+  return Query;
+}
+
+/// Waits until one of the chosen engines holds the requested adapter.
+/// \throws spindle_error if none does while the response is still of use to
+/// the caller.
+held_engine holdAdapter(const forwarded_request &Request,
+                        const chosen_upstream &Chosen) {
+  const bool NamesAdapter =
+      Request.isModelCall() && !Request.Description.Adapter.empty();
+  if (!NamesAdapter)
+    return {Chosen.Upstream, 0};
+  const hold_query Query = makeHoldQuery(Request, Chosen);
+  while (true) {
+    if (const std::optional<result_code> Reason =
+            Request.Cancellation->reason())
+      throw spindle_error(*Reason, "the caller closed the connection");
+    const time_point Now = Request.Services.Clock.now();
+    if (Now >= Query.UsefulUntil)
+      throw spindle_error(
+          result_code::AdapterNotLoaded,
+          "the adapter was not loaded in time to serve the request");
+    const std::optional<held_engine> Held = Request.Services.Holds.hold(
+        Query, std::min(Query.UsefulUntil, Now + HoldCallTimeout));
+    if (Held)
+      return *Held;
+  }
+}
+
+void logAttempt(const forwarded_request &Request,
+                const upstream_entry &Upstream, const attempt_report &Report) {
+  const bool Served = Report.Outcome == attempt_outcome::Answered;
+  if (Served)
+    return;
+  logEvent(log_event::AttemptFailed,
+           {{"request", Request.Description.AttemptId},
+            {"route", Request.Route.Name},
+            {"upstream", Upstream.Name},
+            {"send", std::to_string(Request.SendCount)},
+            {"end", std::to_string(static_cast<int>(Report.Outcome))},
+            {"status", std::to_string(Report.Status)},
+            {"left_ms", std::to_string(Request.timeLeft().count())},
+            {"cause", Report.Cause}});
+}
+
+/// Whether the request may be retried after an attempt with this outcome.
+bool mayRetry(const forwarded_request &Request, const attempt_report &Report) {
+  switch (Report.Outcome) {
+  case attempt_outcome::Answered:
+    return false;
+  case attempt_outcome::NotReached:
+  case attempt_outcome::NotRun:
+  case attempt_outcome::AdapterMissing:
+    return true;
+  case attempt_outcome::Lost:
+  case attempt_outcome::Failed:
+    return Request.Route.retryable();
+  case attempt_outcome::StreamInterrupted:
+    return Request.Route.Resumable;
+  }
+  return false;
+}
+
+/// Which upstreams the next attempt may use: any, or a single one.
+struct next_target {
+  bool Any = true;
+  upstream_id Only;
+};
+
+std::optional<next_target> nextTarget(const forwarded_request &Request,
+                                      const attempt_report &Report) {
+  if (Request.SendCount >= MaxSends)
+    return std::nullopt;
+  if (Report.Outcome == attempt_outcome::AdapterMissing)
+    return next_target{false, Request.SentTo.back()};
+  if (Request.SentTo.size() >= Request.Route.Attempts)
+    return std::nullopt;
+  return next_target{};
+}
+
+/// Selects upstreams and sends the request until the caller has a response.
+class attempt_loop {
+public:
+  explicit attempt_loop(forwarded_request &Request) : Request(Request) {}
+
+  void run() {
+    while (!attemptOnce()) {
+    }
+  }
+
+private:
+  bool attemptOnce();
+  std::optional<held_engine> hold(const chosen_upstream &Chosen);
+  void recordSent(const upstream_entry &Upstream);
+  void finishWithoutRetry(const std::string &Cause);
+
+  forwarded_request &Request;
+  next_target Target;
+  std::optional<http_response> FallbackResponse;
+  std::uint32_t ZonesAsked = 0;
+  std::uint32_t UnreachableCount = 0;
+  bool IsFinished = false;
+};
+
+/// Sends the stored response of an earlier attempt, or throws if there is none.
+void attempt_loop::finishWithoutRetry(const std::string &Cause) {
+  if (Request.StreamStarted)
+    throw spindle_error(result_code::AnswerCutShort, Cause);
+  if (!FallbackResponse)
+    throwFinalError(Request, Cause);
+  Request.Exchange.respond(FallbackResponse->Head, FallbackResponse->Body);
+}
+
+void attempt_loop::recordSent(const upstream_entry &Upstream) {
+  if (std::find(Request.SentTo.begin(), Request.SentTo.end(), Upstream.Id) ==
+      Request.SentTo.end())
+    Request.SentTo.push_back(Upstream.Id);
+}
+
+/// Holds the adapter on one of the chosen engines. If that fails, excludes
+/// these engines from the next choice, or ends the request if no other zones
+/// may be asked.
+std::optional<held_engine> attempt_loop::hold(const chosen_upstream &Chosen) {
+  try {
+    return holdAdapter(Request, Chosen);
+  } catch (const spindle_error &Error) {
+    logEvent(log_event::AdapterHoldFailed,
+             {{"request", Request.Description.AttemptId},
+              {"upstream", Chosen.Upstream->Name},
+              {"engines", std::to_string(Chosen.Engines.size())},
+              {"adapter", Request.Description.Adapter},
+              {"expected_ms", std::to_string(Chosen.ExpectedMilliseconds)},
+              {"left_ms", std::to_string(Request.timeLeft().count())},
+              {"cause", Error.what()}});
+    if (Request.Cancellation->reason())
+      throw;
+    for (const upstream_pointer &Engine : Chosen.Engines)
+      Request.Avoid.push_back(Engine->Id);
+    IsFinished = Target.Only || ++ZonesAsked >= MaxZonesAsked;
+    if (IsFinished)
+      finishWithoutRetry(Error.what());
+    return std::nullopt;
+  }
+}
+
+bool attempt_loop::attemptOnce() {
+  if (Request.timeLeft() <= MinAttemptTime) {
+    finishWithoutRetry("the deadline of the request has passed");
+    return true;
+  }
+  const std::optional<chosen_upstream> Chosen = choose(Request, Target.Only);
+  if (!Chosen) {
+    finishWithoutRetry("no upstream is available for the request");
+    return true;
+  }
+  const std::optional<held_engine> Held = hold(*Chosen);
+  if (!Held)
+    return IsFinished;
+  const upstream_entry &Upstream = *Held->Engine;
+  if (!Request.Services.Fleet.admit(Upstream.Id)) {
+    Request.Avoid.push_back(Upstream.Id);
+    Target = next_target{};
+    return false;
+  }
+  const bool IsLastAttempt =
+      Request.SentTo.size() + 1 >= Request.Route.Attempts;
+  const attempt_report Report = attemptUpstream(
+      Request, Upstream,
+      Held->Version > 0 ? std::optional(Held->Version) : std::nullopt,
+      IsLastAttempt);
+  logAttempt(Request, Upstream, Report);
+  if (Report.Outcome == attempt_outcome::Answered)
+    return true;
+  if (Report.Response)
+    FallbackResponse = Report.Response;
+  if (Report.Outcome == attempt_outcome::NotReached) {
+    Request.Services.Fleet.noteUnreachable(Upstream.Id);
+    Request.Avoid.push_back(Upstream.Id);
+    const bool IsLast = ++UnreachableCount >= MaxUnreachable;
+    if (IsLast)
+      finishWithoutRetry(Report.Cause);
+    return IsLast;
+  }
+  recordSent(Upstream);
+  if (Report.Outcome == attempt_outcome::AdapterMissing)
+    Request.Services.Holds.invalidate(
+        Upstream, {Request.Description.Model, Request.Description.Adapter});
+  const std::optional<next_target> Next = nextTarget(Request, Report);
+  if (!mayRetry(Request, Report) || !Next ||
+      !Request.Services.RetryBudgets.spend(Request.Service.Name)) {
+    finishWithoutRetry(Report.Cause.empty()
+                           ? "the upstream refused the request with status " +
+                                 std::to_string(Report.Status)
+                           : Report.Cause);
+    return true;
+  }
+  Target = *Next;
+  return false;
+}
+
+} // namespace
+
+void runAttempts(forwarded_request &Request) { attempt_loop(Request).run(); }
+
+} // namespace spindle
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -48,7 +48,8 @@
             {"service", Entry.Service},
             {"zone", Entry.Zone},
             {"address", toText(Entry.Address)},
-            {"leaving", Entry.Draining ? "true" : "false"}});
+            {"leaving", Entry.Draining ? "true" : "false"},
+            {"warm_up_ms", std::to_string(Entry.WarmUpLeft.count())}});
 }
 
 void fleet_table::applyUpstreams(const std::vector<upstream_pointer> &Entries) {
@@ -59,6 +60,10 @@
     const auto Found = Upstreams.find(Entry->Id);
     const bool IsSame = Found != Upstreams.end() &&
                         Found->second.Entry->StartedAt == Entry->StartedAt;
+    const bool IsUnchanged =
+        Found != Upstreams.end() && Found->second.Entry == Entry;
+    if (!IsUnchanged)
+      noteRegistration(Admission, *Entry, Clock.now());
     known_upstream &Known = Next[Entry->Id];
     if (IsSame)
       Known = std::move(Found->second);
@@ -75,6 +80,9 @@
     if (Known.Entry && !Next.contains(Id))
       logEvent(log_event::UpstreamGone, {{"upstream", Known.Entry->Name}});
   Upstreams = std::move(Next);
+  std::erase_if(Admission.WarmUps, [this](const auto &WarmUp) {
+    return !Upstreams.contains(WarmUp.first);
+  });
   setUpstreams(Outliers, Places, Clock.now());
 }
 
@@ -84,6 +92,38 @@
   CacheTokens[Service] = Tokens;
 }
 
+void fleet_table::setWarmUpRate(const std::string &Service,
+                                double RequestsPerSecond) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Admission.WarmUpRates[Service] = RequestsPerSecond;
+}
+
+void fleet_table::setHosts(std::vector<host_location> Hosts,
+                           std::string OwnName) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  spindle::setHosts(Admission, std::move(Hosts), std::move(OwnName), entries());
+}
+
+void fleet_table::setEvacuatedZones(std::set<std::string, std::less<>> Zones) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  spindle::setEvacuatedZones(Admission, std::move(Zones), entries(),
+                             Clock.now());
+}
+
+bool fleet_table::admit(upstream_id Id) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Upstreams.find(Id);
+  return Found != Upstreams.end() && !Found->second.Entry->Draining &&
+         admitSend(Admission, *Found->second.Entry, Clock.now());
+}
+
+void fleet_table::noteUnreachable(upstream_id Id) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Upstreams.find(Id);
+  if (Found != Upstreams.end())
+    spindle::noteUnreachable(Admission, *Found->second.Entry, Clock.now());
+}
+
 upstream_pointer fleet_table::find(upstream_id Id) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Upstreams.find(Id);
@@ -92,6 +132,11 @@
 
 std::vector<upstream_pointer> fleet_table::all() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
+  return entries();
+}
+
+/// Precondition: Mutex is held.
+std::vector<upstream_pointer> fleet_table::entries() const {
   std::vector<upstream_pointer> Entries;
   for (const auto &[Id, Known] : Upstreams)
     Entries.push_back(Known.Entry);
@@ -109,7 +154,8 @@
 bool fleet_table::isEligible(const known_upstream &Known,
                              const upstream_query &Query) const {
   const upstream_entry &Entry = *Known.Entry;
-  if (Entry.Service != Query.Service || Entry.Draining)
+  if (Entry.Service != Query.Service || Entry.Draining ||
+      isEvacuated(Admission, Entry))
     return false;
   if (Query.Only && Entry.Id != Query.Only)
     return false;
@@ -128,7 +174,8 @@
   upstream_id AffinityEngine;
   std::uint64_t Best = 0;
   for (const auto &[Id, Known] : Upstreams) {
-    if (!isEligible(Known, Query) || healthOf(Known) <= 0)
+    if (!isEligible(Known, Query) || healthOf(Known) <= 0 ||
+        isWarmingUp(Admission, *Known.Entry, Clock.now()))
       continue;
     const std::uint64_t Rank =
         hashName(Query.Model->Adapter + "@" + Known.Entry->Name);
@@ -198,7 +245,8 @@
   std::vector<upstream_candidate> Candidates;
   std::vector<const known_upstream *> States;
   for (const auto &[Id, Known] : Upstreams) {
-    if (!isEligible(Known, Query))
+    if (!isEligible(Known, Query) ||
+        !maySend(Admission, *Known.Entry, Clock.now()))
       continue;
     Candidates.push_back(candidate(Known, Query));
     Candidates.back().IsAffinityEngine = Id == AffinityEngine;
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -4,6 +4,7 @@
 #include "LibCore/runtime_clock.h"
 #include "LibGateway/prompt_cache_estimate.h"
 #include "LibGateway/request_description.h"
+#include "LibGateway/upstream_admission.h"
 #include "LibGateway/upstream_choice.h"
 #include "LibGateway/upstream_entry.h"
 #include "LibPeer/Generated/host_link.pb.h"
@@ -12,6 +13,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -74,6 +76,13 @@
   void applyUpstreams(const std::vector<upstream_pointer> &Upstreams);
   /// Sets the prefix cache size of the engines of \p Service in tokens.
   void setCacheTokens(const std::string &Service, std::int64_t Tokens);
+  /// Sets the request rate that each upstream of \p Service tolerates while it
+  /// warms up; 0 if it needs no warm-up.
+  void setWarmUpRate(const std::string &Service, double RequestsPerSecond);
+  /// Sets the registered hosts, which share the warm-up of upstreams.
+  void setHosts(std::vector<host_location> Hosts, std::string OwnName);
+  /// Sets the zones whose upstreams get no requests.
+  void setEvacuatedZones(std::set<std::string, std::less<>> Zones);
 
   upstream_pointer find(upstream_id Id) const;
   std::vector<upstream_pointer> all() const;
@@ -82,6 +91,12 @@
   /// Whether the service has an upstream that accepts requests.
   bool hasUpstream(std::string_view Service) const;
 
+  /// Whether a request may be sent to the upstream now; if so, counts it. Call
+  /// it immediately before the send, as a request may have waited since
+  /// choose().
+  bool admit(upstream_id Id);
+  /// Records that no connection to the upstream could be opened.
+  void noteUnreachable(upstream_id Id);
   /// Records that a request was sent. Its prompt tokens count as unread until
   /// notePrefillDone(). Each call must be followed by one noteRequestEnd().
   void noteRequestSent(upstream_id Id, const request_description &Request);
@@ -132,6 +147,7 @@
 
   upstream_candidate candidate(const known_upstream &Known,
                                const upstream_query &Query) const;
+  std::vector<upstream_pointer> entries() const;
   upstream_id affinityEngine(const upstream_query &Query) const;
   double healthOf(const known_upstream &Known) const;
   bool isEligible(const known_upstream &Known,
@@ -144,6 +160,7 @@
   std::map<upstream_id, known_upstream> Upstreams;
   std::map<std::string, std::int64_t, std::less<>> CacheTokens;
   std::map<std::string, time_point, std::less<>> SilentUntil;
+  upstream_admission Admission;
   outlier_detector Outliers;
 };
 
--- a/Libraries/LibGateway/gateway_codec.h
+++ b/Libraries/LibGateway/gateway_codec.h
@@ -61,6 +61,8 @@
   std::string ConfigurationName;
   std::string UpstreamKind;
   std::string ReleaseKind;
+  /// Objects of this kind have the names of the zones that are evacuated.
+  std::string EvacuationKind;
 };
 
 } // namespace spindle
--- a/Libraries/LibGateway/gateway_configuration.h
+++ b/Libraries/LibGateway/gateway_configuration.h
@@ -91,6 +91,9 @@
   std::string Name;
   std::string HealthPath;
   std::uint32_t MaxConnections = 0;
+  /// The request rate that an upstream tolerates while it warms up; 0 if
+  /// upstreams of the service need no warm-up.
+  double WarmUpRequestsPerSecond = 0;
   /// Set if the upstreams of the service are model engines.
   std::optional<engine_capacity> Engine;
 };
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -58,12 +58,6 @@
   upstream_pointer Entry;
 };
 
-mirror_settings makeMirrorSettings(milliseconds Pause) {
-  mirror_settings Settings;
-  Settings.PauseAfterPoll = Pause;
-  return Settings;
-}
-
 } // namespace
 
 struct gateway_host::state {
@@ -78,6 +72,9 @@
   void applyConfiguration();
   void applyUpstreams();
   void applyReleases();
+  void applyEvacuations();
+  bool hasEvacuations() const;
+  std::vector<object_mirror *> polledMirrors();
   void startTasks();
   void startServing();
   bool isReady() const;
@@ -96,6 +93,7 @@
   object_mirror Upstreams;
   object_mirror ReleaseObjects;
   object_mirror Members;
+  object_mirror Evacuations;
   active_configuration Configuration;
   fleet_table Fleet;
   customer_quota Quota;
@@ -127,24 +125,23 @@
     : Clock(Clock), Runtime(Runtime), Settings(std::move(HostSettings)),
       Ports(std::move(HostPorts)), Self(makeSender(Settings, Incarnation)),
       Link(makeGrpcHostLink()),
-      Configurations(Clock, Ports.Platform, Ports.Codec.ConfigurationKind, {}),
+      Configurations(Clock, Ports.Platform, Ports.Codec.ConfigurationKind,
+                     makeMirrorSettings(Settings.ChangeDelay, {})),
       Upstreams(Clock, Ports.Platform, Ports.Codec.UpstreamKind,
-                makeMirrorSettings(UpstreamPollInterval)),
-      ReleaseObjects(Clock, Ports.Platform, Ports.Codec.ReleaseKind,
-                     makeMirrorSettings(VersionPollInterval)),
+                makeMirrorSettings(Settings.ChangeDelay, UpstreamPollInterval)),
+      ReleaseObjects(
+          Clock, Ports.Platform, Ports.Codec.ReleaseKind,
+          makeMirrorSettings(Settings.ChangeDelay, VersionPollInterval)),
       Members(Clock, Ports.Platform, "spindlemembers",
-              makeMirrorSettings(VersionPollInterval)),
+              makeMirrorSettings(Settings.ChangeDelay, VersionPollInterval)),
+      Evacuations(
+          Clock, Ports.Platform, Ports.Codec.EvacuationKind,
+          makeMirrorSettings(Settings.EvacuationDelay, VersionPollInterval)),
       Fleet(Clock, Settings.Zone), Quota(Clock),
       RetryBudgets(Clock, Settings.RetryLimits),
       Coordinator(
           {Settings.Name, Settings.Zone, Settings.HostLink, Incarnation, Self},
-          {Clock,
-           Ports.Platform,
-           Link,
-           Fleet,
-           Quota,
-           Members,
-           {&Configurations, &Upstreams, &ReleaseObjects, &Members},
+          {Clock, Ports.Platform, Link, Fleet, Quota, Members, polledMirrors(),
            [this](std::span<const adapter_use> Uses) {
              Controller.setInUse(Uses);
            },
@@ -157,6 +154,7 @@
   Configurations.onChange([this] { applyConfiguration(); });
   Upstreams.onChange([this] { applyUpstreams(); });
   ReleaseObjects.onChange([this] { applyReleases(); });
+  Evacuations.onChange([this] { applyEvacuations(); });
   LinkServer.emplace(Runtime, Settings.HostLink, makeLinkHandlers());
   startServing();
   startTasks();
@@ -259,6 +257,8 @@
     if (Service.Engine)
       LoadsPerSecond += Service.Engine->ModelLoadsPerSecond;
   ModelLoads.setRate(LoadsPerSecond / AssumedLeaderCount);
+  for (const auto &[Name, Service] : Next->Services)
+    Fleet.setWarmUpRate(Name, Service.WarmUpRequestsPerSecond);
   for (const auto &[Name, Service] : Next->Services)
     if (Service.Engine)
       Fleet.setCacheTokens(
@@ -324,9 +324,36 @@
   Controller.upgradeAdapters();
 }
 
+void gateway_host::state::applyEvacuations() {
+  std::set<std::string, std::less<>> Zones;
+  std::string Names;
+  for (const platform_object &Object : Evacuations.objects()) {
+    Names += (Names.empty() ? "" : " ") + Object.Name;
+    Zones.insert(Object.Name);
+  }
+  logEvent(
+      log_event::ZonesEvacuated,
+      {{"zones", Names}, {"revision", std::to_string(Evacuations.cursor())}});
+  Metrics.gauge("spindle_evacuated_zones", {},
+                static_cast<double>(Zones.size()));
+  Fleet.setEvacuatedZones(std::move(Zones));
+}
+
+bool gateway_host::state::hasEvacuations() const {
+  return Settings.EvacuationDelay > milliseconds(0);
+}
+
+/// The mirrors of the kinds that occur on this platform.
+std::vector<object_mirror *> gateway_host::state::polledMirrors() {
+  std::vector<object_mirror *> Mirrors = {&Configurations, &Upstreams,
+                                          &ReleaseObjects, &Members};
+  if (hasEvacuations())
+    Mirrors.push_back(&Evacuations);
+  return Mirrors;
+}
+
 void gateway_host::state::startTasks() {
-  for (object_mirror *const Mirror :
-       {&Configurations, &Upstreams, &ReleaseObjects, &Members}) {
+  for (object_mirror *const Mirror : polledMirrors()) {
     Mirror->setRelayPredicate(
         [this] { return Coordinator.isLeaderResponding(); });
     Tasks.repeatVarying("mirror of " + Mirror->kind(),
@@ -339,6 +366,7 @@
       Fleet.noteAvailableSlots(Room);
     Coordinator.exchange(Settings.Seeds);
     RetryBudgets.setHosts(Coordinator.registeredHostCount());
+    Fleet.setHosts(Coordinator.hostLocations(), Settings.Name);
   });
   Tasks.repeat("models", ModelLoadInterval,
                [this] { Controller.loadModels(); });
@@ -350,7 +378,8 @@
 
 bool gateway_host::state::isReady() const {
   return !IsDraining.load() && Configuration.current() &&
-         Upstreams.isInitialized();
+         Upstreams.isInitialized() &&
+         (!hasEvacuations() || Evacuations.isInitialized());
 }
 
 void gateway_host::state::serveReady(http_exchange &Exchange) const {
--- a/Libraries/LibGateway/gateway_host.h
+++ b/Libraries/LibGateway/gateway_host.h
@@ -34,6 +34,11 @@
   /// How long new connections are accepted after a drain began.
   milliseconds DrainDelay{2'500};
   retry_limits RetryLimits;
+  /// How soon a change of the configuration or of an upstream's registration
+  /// must take effect after the platform accepted it.
+  milliseconds ChangeDelay{2'000};
+  /// The same for the evacuation of a zone; 0 if zones are never evacuated.
+  milliseconds EvacuationDelay{0};
 };
 
 /// The interfaces of a host to all external systems except other hosts.
--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -8,6 +8,20 @@
 
 namespace spindle {
 
+mirror_settings makeMirrorSettings(milliseconds ChangeDelay,
+                                   milliseconds PauseAfterPoll) {
+  static constexpr milliseconds MinDelay{1'000};
+  static constexpr milliseconds MaxDelay{5'000};
+  static constexpr milliseconds MinPollTimeout{1'000};
+  const milliseconds Delay = std::clamp(ChangeDelay, MinDelay, MaxDelay);
+  mirror_settings Settings;
+  Settings.PollTimeout = std::max(MinPollTimeout, Delay / 3);
+  Settings.RelayMaxAge = Delay * 13 / 20;
+  Settings.PollIntervalIfRelayed = Delay * 3;
+  Settings.PauseAfterPoll = PauseAfterPoll;
+  return Settings;
+}
+
 object_mirror::object_mirror(const runtime_clock &Clock,
                              const platform_port &Platform, std::string Kind,
                              mirror_settings Settings)
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -35,6 +35,12 @@
   milliseconds MaxPauseAfterFailure{1'000};
 };
 
+/// Settings of a mirror that shows each change within \p ChangeDelay, as long
+/// as the platform or the relaying host responds. A longer delay costs fewer
+/// calls. Thread-safe.
+mirror_settings makeMirrorSettings(milliseconds ChangeDelay,
+                                   milliseconds PauseAfterPoll);
+
 /// A copy of the platform's objects of one kind. It is updated by polls for
 /// changes, or by what peers relay while the platform can't be reached.
 /// Thread-safe in every method; only poll() blocks the fiber.
--- a/Libraries/LibGateway/service_retry_budgets.cpp
+++ b/Libraries/LibGateway/service_retry_budgets.cpp
@@ -15,7 +15,8 @@
   Budget.Settings.RetryPercent = Limits.Percent;
   Budget.Settings.Floor = Extra * InitialPart;
   Budget.Settings.RefillPerSecond =
-      Extra * (1 - InitialPart) / static_cast<double>(Limits.Window.count());
+      Extra * (1 - InitialPart) /
+      std::chrono::duration<double>(Limits.Window).count();
   Budget.Settings.MaxBalance = Extra;
   if (IsNew) {
     Budget.Balance = Budget.Settings.Floor;
--- a/Libraries/LibGateway/service_retry_budgets.h
+++ b/Libraries/LibGateway/service_retry_budgets.h
@@ -16,7 +16,7 @@
   std::uint32_t Percent = 20;
   /// Retries allowed per window in addition to the earned ones.
   double Extra = 50;
-  seconds Window{10};
+  milliseconds Window{10'000};
 };
 
 /// This host's share of the retry budget of each service. Thread-safe.
--- a/Libraries/LibGateway/upstream_entry.h
+++ b/Libraries/LibGateway/upstream_entry.h
@@ -40,6 +40,8 @@
   std::uint32_t Slots = 0;
   /// Whether it finishes its running requests and accepts no new ones.
   bool Draining = false;
+  /// How much longer it warms up after a start, when it was registered so.
+  milliseconds WarmUpLeft{0};
   /// Changes at each start, and so tells apart two starts under one name.
   std::int64_t StartedAt = 0;
   std::vector<std::string> Models;
--- a/Libraries/LibGateway/zone_coordinator.cpp
+++ b/Libraries/LibGateway/zone_coordinator.cpp
@@ -23,6 +23,13 @@
   return std::max<std::size_t>(1, Leadership.hosts().size());
 }
 
+std::vector<host_location> zone_coordinator::hostLocations() const {
+  std::vector<host_location> Locations;
+  for (const registered_host &Host : Leadership.hosts())
+    Locations.push_back({Host.Name, Host.Zone});
+  return Locations;
+}
+
 bool zone_coordinator::isLeaderResponding() const {
   if (Leadership.isLeader())
     return false;
--- a/Libraries/LibGateway/zone_coordinator.h
+++ b/Libraries/LibGateway/zone_coordinator.h
@@ -62,6 +62,8 @@
   void exchange(std::span<const endpoint> Seeds);
   /// The number of registered hosts, at least 1.
   std::size_t registeredHostCount() const;
+  /// The registered hosts.
+  std::vector<host_location> hostLocations() const;
   /// See zone_leadership::leave().
   bool leave(bool Force) { return Leadership.leave(Force); }
 
--- a/Tests/LibGateway/test_object_mirror.cpp
+++ b/Tests/LibGateway/test_object_mirror.cpp
@@ -1,6 +1,8 @@
 #include "LibGateway/object_mirror.h"
 #include "Support/fake_platform.h"
 
+#include <limits>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -160,6 +162,42 @@
   REQUIRE(Test.body("a") == "2");
 }
 
+TEST_CASE("a mirror shows a change within its delay although its peer has "
+          "stopped to receive changes, and asks less often for a longer one") {
+  std::size_t FewestReads = std::numeric_limits<std::size_t>::max();
+  for (const milliseconds Delay :
+       {milliseconds(2'000), milliseconds(3'000), milliseconds(4'000)}) {
+    INFO(Delay.count());
+    mirror_fixture Test;
+    Test.Clock.pause();
+    object_mirror Mirror(Test.Clock, Test.Platform, std::string(Kind),
+                         makeMirrorSettings(Delay, milliseconds(0)));
+    Mirror.setRelayPredicate([] { return true; });
+    const std::uint64_t Version = Test.Platform.Create(Kind, "a", "1");
+    Mirror.poll();
+    const std::size_t ReadsBefore = Test.Fake.reads();
+    for (milliseconds Passed{0}; Passed < seconds(60);
+         Passed += milliseconds(100)) {
+      relayResponseAge(Mirror, milliseconds(1'250));
+      Mirror.poll();
+      Test.Clock.advance(milliseconds(100));
+    }
+    const std::size_t Reads = Test.Fake.reads() - ReadsBefore;
+    CHECK(Reads < FewestReads);
+    FewestReads = Reads;
+
+    Test.Platform.Update(Kind, "a", Version, "2");
+    milliseconds Passed{0};
+    while (Passed < Delay && Mirror.find("a")->Body != "2") {
+      relayResponseAge(Mirror, milliseconds(1'250) + Passed);
+      Mirror.poll();
+      Test.Clock.advance(milliseconds(100));
+      Passed += milliseconds(100);
+    }
+    CHECK(Mirror.find("a")->Body == "2");
+  }
+}
+
 TEST_CASE("an empty mirror receives all objects from a peer") {
   mirror_fixture Test;
   Test.Platform.Create(Kind, "a", "1");
