--- a/Libraries/LibSettings/field_table.cpp
+++ b/Libraries/LibSettings/field_table.cpp
@@ -1,5 +1,6 @@
 #include "LibSettings/field_table.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace spindle {
@@ -58,6 +59,16 @@
   return Number;
 }
 
+std::int64_t readWholeUnits(const nlohmann::json &Value, std::int64_t Least,
+                            std::int64_t Most) {
+  const double Number = readNumber(Value, 0, static_cast<double>(Most));
+  const std::int64_t Whole = static_cast<std::int64_t>(Number);
+  const std::int64_t Units = Number > 0 ? std::max<std::int64_t>(1, Whole) : 0;
+  if (Units < Least)
+    throw field_error("must be within " + describeRange(Least, Most));
+  return Units;
+}
+
 bool readFlag(const nlohmann::json &Value) {
   if (!Value.is_boolean())
     throw field_error("must be true or false");
--- a/Libraries/LibSettings/field_table.h
+++ b/Libraries/LibSettings/field_table.h
@@ -136,6 +136,10 @@
 std::int64_t readInteger(const nlohmann::json &Value, std::int64_t Least,
                          std::int64_t Most);
 double readNumber(const nlohmann::json &Value, double Least, double Most);
+/// Reads a number within a range and rounds it down, but one above 0 to no less
+/// than 1.
+std::int64_t readWholeUnits(const nlohmann::json &Value, std::int64_t Least,
+                            std::int64_t Most);
 bool readFlag(const nlohmann::json &Value);
 endpoint readEndpoint(const nlohmann::json &Value);
 /// Writes "LEAST..MOST".
@@ -226,6 +230,23 @@
       [](const duration &Value) { return Value.count(); });
 }
 
+/// A duration whose text may have a fraction, which is cut off. A duration
+/// between 0 and one unit is read as one unit, as 0 often means "none".
+template <typename record, typename duration>
+field<record> fractionalDurationField(std::string Name,
+                                      duration record::*Member,
+                                      std::int64_t Least, std::int64_t Most,
+                                      std::string Meaning) {
+  field<record> Field =
+      durationField<record>(Name, Member, Least, Most, std::move(Meaning));
+  Field.Description.Type = "number";
+  Field.Read = [Member, Least, Most](const nlohmann::json &Value,
+                                     record &Record, const field_context &) {
+    Record.*Member = duration(readWholeUnits(Value, Least, Most));
+  };
+  return Field;
+}
+
 template <typename record>
 field<record> flagField(std::string Name, bool record::*Member,
                         std::string Meaning) {
--- a/Libraries/LibSettings/host_settings.cpp
+++ b/Libraries/LibSettings/host_settings.cpp
@@ -147,11 +147,28 @@
   static const field_table<record> Table = {
       integerField<record>("percent", &record::Percent, "%", 0, 100,
                            "Repeats earned by each hundred requests."),
-      integerField<record>("extra", &record::Extra, "", 0, 1'000'000,
-                           "Repeats beside those earned, of all hosts in a "
-                           "window."),
-      integerField<record>("windowS", &record::WindowSeconds, "s", 1, 3'600,
-                           "The window."),
+      numberField<record>("extra", &record::Extra, "", 0, 1'000'000,
+                          "Repeats beside those earned, of all hosts in a "
+                          "window."),
+      numberField<record>("windowS", &record::WindowSeconds, "s", 0.001, 3'600,
+                          "The window."),
+  };
+  return Table;
+}
+
+static const field_table<reaction_settings> &reactionFields() {
+  using record = reaction_settings;
+  static const field_table<record> Table = {
+      fractionalDurationField<record>(
+          "configurationMs", &record::Configuration, 1, 600'000,
+          "The time limit for a new configuration."),
+      fractionalDurationField<record>(
+          "upstreamMs", &record::Upstream, 1, 600'000,
+          "The time limit for an upstream that drains or is gone."),
+      fractionalDurationField<record>(
+          "evacuationMs", &record::Evacuation, 0, 600'000,
+          "The time limit for the evacuation of a zone; 0 if zones are never "
+          "evacuated."),
   };
   return Table;
 }
@@ -190,6 +207,9 @@
       sectionField<record>("repeats", &record::Repeats, repeatFields(),
                            "How often requests are sent once more; for the "
                            "forwarding interface."),
+      sectionField<record>("reaction", &record::Reaction, reactionFields(),
+                           "How soon a change at the platform takes effect; "
+                           "for the forwarding interface."),
   };
   return Table;
 }
--- a/Libraries/LibSettings/host_settings.h
+++ b/Libraries/LibSettings/host_settings.h
@@ -34,8 +34,17 @@
 /// How often requests may be sent to upstreams once more; see repeat_limits.
 struct repeat_settings {
   std::uint32_t Percent = 20;
-  std::uint32_t Extra = 50;
-  std::uint32_t WindowSeconds = 10;
+  double Extra = 50;
+  double WindowSeconds = 10;
+};
+
+/// How long after the platform accepted a change every host must act on it.
+struct reaction_settings {
+  milliseconds Configuration{2'000};
+  /// A registered upstream that drains or is gone.
+  milliseconds Upstream{2'000};
+  /// A zone that is evacuated; 0 if zones are never evacuated.
+  milliseconds Evacuation{0};
 };
 
 /// Where the platform's API is.
@@ -82,6 +91,7 @@
   timeout_settings Timeouts;
   limit_settings Limits;
   repeat_settings Repeats;
+  reaction_settings Reaction;
 };
 
 /// Reads a settings file's text, JSON with comments, and checks it whole.
--- a/Services/spindled/running_host.cpp
+++ b/Services/spindled/running_host.cpp
@@ -4,6 +4,7 @@
 #include "LibHost/host.h"
 #include "platform/platform_ports.h"
 
+#include <algorithm>
 #include <random>
 
 namespace spindle {
@@ -44,9 +45,14 @@
   Result.Seeds = Settings.Seeds;
   Result.DrainTimeout = Settings.Timeouts.Drain;
   Result.DrainDelay = Settings.Timeouts.DrainDelay;
-  Result.RetryLimits = {Settings.Repeats.Percent,
-                        static_cast<double>(Settings.Repeats.Extra),
-                        seconds(Settings.Repeats.WindowSeconds)};
+  static constexpr double MillisecondsPerSecond = 1'000;
+  Result.RetryLimits = {
+      Settings.Repeats.Percent, Settings.Repeats.Extra,
+      milliseconds(static_cast<std::int64_t>(Settings.Repeats.WindowSeconds *
+                                             MillisecondsPerSecond))};
+  Result.ChangeDelay =
+      std::min(Settings.Reaction.Configuration, Settings.Reaction.Upstream);
+  Result.EvacuationDelay = Settings.Reaction.Evacuation;
   return Result;
 }
 
