--- a/Libraries/LibHTTP/client_connection.h
+++ b/Libraries/LibHTTP/client_connection.h
@@ -15,8 +15,8 @@
   client_connection(boost::asio::io_context &Loop, const endpoint &Peer)
       : Stream(Loop), Peer(Peer) {}
 
-  /// The parser keeps a head, or the line before a chunk, in the buffer until it
-  /// is complete, however long it gets.
+  /// The parser keeps a head, or the line before a chunk, in the buffer until
+  /// it is complete, however long it gets.
   static constexpr std::size_t MaxBufferBytes = 128 * 1024;
 
   tcp_stream Stream;
--- a/Tests/LibGateway/test_warm_up_budget.cpp
+++ b/Tests/LibGateway/test_warm_up_budget.cpp
@@ -26,6 +26,7 @@
 
 std::vector<host_location> hosts(int Count, const std::string &Zone) {
   std::vector<host_location> Hosts;
+  Hosts.reserve(static_cast<std::size_t>(Count));
   for (int Number = 0; Number < Count; ++Number)
     Hosts.push_back({Zone + std::to_string(Number), Zone});
   return Hosts;
