--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -4,6 +4,7 @@
 #include "LibGateway/forward_request.h"
 #include "LibGateway/gateway_services.h"
 #include "LibGateway/load_rate_limiter.h"
+#include "LibGateway/registered_upstreams.h"
 #include "LibHTTP/server_quiet.h"
 #include "LibLog/log.h"
 #include "LibPeer/host_link_server.h"
@@ -34,9 +35,6 @@
 // The part of the drain limit that is reserved for the exit of the process.
 constexpr milliseconds ExitReserve{700};
 constexpr milliseconds LeaveRetryInterval{300};
-// Registrations that expired while the platform was unavailable are renewed
-// within two seconds of its return.
-constexpr milliseconds RegistrationGracePeriod{2'200};
 // The share of an engine's prompt cache that a host counts as its own: it knows
 // only the prompts it sent itself, but the other hosts of the zone use the same
 // engine.
@@ -70,6 +68,7 @@
   host_link_handlers makeLinkHandlers();
   std::string leastDeployedModel(std::string_view Service) const;
   void applyConfiguration();
+  std::map<std::string, upstream_pointer> parseRegistrations();
   void applyUpstreams();
   void applyReleases();
   void applyEvacuations();
@@ -106,8 +105,7 @@
   gateway_services Services;
   /// Parsed registrations by name, so that only changed ones are parsed again.
   std::map<std::string, parsed_registration> ParsedRegistrations;
-  /// The upstreams that were applied last, by name.
-  std::map<std::string, upstream_pointer> AppliedUpstreams;
+  registered_upstreams Registered;
   std::mutex ApplyMutex;
   std::atomic<bool> IsDraining{false};
   std::atomic<bool> HasLeft{false};
@@ -279,11 +277,10 @@
   Configuration.set(std::move(Next));
 }
 
-/// Applies the registered upstreams. While the platform is unavailable and for
-/// a short time afterwards, upstreams whose registration is missing are kept,
-/// as they may not have been able to renew it.
-void gateway_host::state::applyUpstreams() {
-  const std::lock_guard<std::mutex> Lock(ApplyMutex);
+/// The upstreams that are registered now, by name.
+/// Precondition: ApplyMutex is held.
+std::map<std::string, upstream_pointer>
+gateway_host::state::parseRegistrations() {
   std::map<std::string, upstream_pointer> Present;
   std::map<std::string, parsed_registration> Parsed;
   for (const platform_object &Object : Upstreams.objects()) {
@@ -298,19 +295,18 @@
       Present.emplace(Object.Name, Entry);
   }
   ParsedRegistrations = std::move(Parsed);
-  const time_point Since = Upstreams.platformReachableSince();
-  const bool MayBeRenewed =
-      !Upstreams.isPlatformReachable() ||
-      (Since != time_point() && Clock.now() - Since < RegistrationGracePeriod);
-  if (MayBeRenewed)
-    for (const auto &[Name, Entry] : AppliedUpstreams)
-      if (!Entry->Draining)
-        Present.emplace(Name, Entry);
-  AppliedUpstreams = Present;
+  return Present;
+}
+
+void gateway_host::state::applyUpstreams() {
+  const std::lock_guard<std::mutex> Lock(ApplyMutex);
+  const platform_availability Platform{Upstreams.isPlatformReachable(),
+                                       Upstreams.platformReachableSince()};
+  applyRegistrations(Registered, parseRegistrations(), Platform, Clock.now());
   std::vector<upstream_pointer> Entries;
-  Entries.reserve(Present.size());
-  for (auto &[Name, Entry] : Present)
-    Entries.push_back(std::move(Entry));
+  Entries.reserve(Registered.Entries.size());
+  for (const auto &[Name, Entry] : Registered.Entries)
+    Entries.push_back(Entry);
   Fleet.applyUpstreams(Entries);
 }
 
