LibGateway: Log why an upstream with a missing registration is used on

The DRAIN hypotheses differ in what the host believed of the platform when the registration went missing.

--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -298,11 +298,26 @@
   return Present;
 }
 
+static void logKeptUpstream(const std::string &Name,
+                            const platform_availability &Platform,
+                            time_point Now) {
+  const milliseconds Age =
+      std::chrono::duration_cast<milliseconds>(Now - Platform.Since);
+  logEvent(log_event::UpstreamKept,
+           {{"upstream", Name},
+            {"platform", Platform.Available ? "back" : "unavailable"},
+            {"back_ms", Platform.Available ? std::to_string(Age.count())
+                                           : std::string()}});
+}
+
 void gateway_host::state::applyUpstreams() {
   const std::lock_guard<std::mutex> Lock(ApplyMutex);
   const platform_availability Platform{Upstreams.isPlatformReachable(),
                                        Upstreams.platformReachableSince()};
-  applyRegistrations(Registered, parseRegistrations(), Platform, Clock.now());
+  const time_point Now = Clock.now();
+  for (const std::string &Name :
+       applyRegistrations(Registered, parseRegistrations(), Platform, Now))
+    logKeptUpstream(Name, Platform, Now);
   std::vector<upstream_pointer> Entries;
   Entries.reserve(Registered.Entries.size());
   for (const auto &[Name, Entry] : Registered.Entries)
