LibGateway: Tell a lost path to the platform from an outage of the platform

Cause: a host kept every missing registration from the first failed poll until 2.2 s after its own return to the platform. That is right only for what expired during an outage of the platform. A host that was turned away or cut off kept upstreams that had left while the platform served all others, and also those that left after its return: UpstreamGone came 2.2 to 2.4 s after MirrorBack at the three hosts that had been turned away, and at once at the five others.

Change: a mirror counts the platform as unavailable if no response is known for 1.7 s, its own or one of a peer that relays; peers state since when the platform responds (available_ms), so a host that was cut off learns that there was no outage. A registration that goes missing is kept only if that happens during an outage or within 0.6 s after it, as those are the states that the outage can have caused.

The mirror's three new cases use availability(), which is new. "a mirror keeps its objects while the platform is down" asked for a time of return that is not the epoch; it now asks for the exact time on a paused clock.

--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds ExchangeInterval{250};
 constexpr milliseconds VersionPollInterval{200};
 constexpr milliseconds UpstreamPollInterval{500};
+constexpr milliseconds RegistrationCheckInterval{200};
 constexpr milliseconds ModelLoadInterval{300};
 // The leaders of all zones share the load rate of the weight store; most
 // deployments have at most this many zones.
@@ -70,6 +71,7 @@
   void applyConfiguration();
   std::map<std::string, upstream_pointer> parseRegistrations();
   void applyUpstreams();
+  bool keepsUpstreams();
   void applyReleases();
   void applyEvacuations();
   bool hasEvacuations() const;
@@ -312,8 +314,7 @@
 
 void gateway_host::state::applyUpstreams() {
   const std::lock_guard<std::mutex> Lock(ApplyMutex);
-  const platform_availability Platform{Upstreams.isPlatformReachable(),
-                                       Upstreams.platformReachableSince()};
+  const platform_availability Platform = Upstreams.availability();
   const time_point Now = Clock.now();
   for (const std::string &Name :
        applyRegistrations(Registered, parseRegistrations(), Platform, Now))
@@ -325,6 +326,12 @@
   Fleet.applyUpstreams(Entries);
 }
 
+/// Whether upstreams are used whose registration is missing.
+bool gateway_host::state::keepsUpstreams() {
+  const std::lock_guard<std::mutex> Lock(ApplyMutex);
+  return !Registered.Kept.empty();
+}
+
 void gateway_host::state::applyReleases() {
   std::vector<adapter_release> All;
   for (const platform_object &Object : ReleaseObjects.objects())
@@ -381,8 +388,8 @@
   });
   Tasks.repeat("models", ModelLoadInterval,
                [this] { Controller.loadModels(); });
-  Tasks.repeat("registrations", UpstreamPollInterval, [this] {
-    if (Upstreams.platformReachableSince() != time_point())
+  Tasks.repeat("registrations", RegistrationCheckInterval, [this] {
+    if (keepsUpstreams())
       applyUpstreams();
   });
 }
--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -13,12 +13,14 @@
   static constexpr milliseconds MinDelay{1'000};
   static constexpr milliseconds MaxDelay{5'000};
   static constexpr milliseconds MinPollTimeout{1'000};
+  static constexpr milliseconds OutageMargin{200};
   const milliseconds Delay = std::clamp(ChangeDelay, MinDelay, MaxDelay);
   mirror_settings Settings;
   Settings.PollTimeout = std::max(MinPollTimeout, Delay / 3);
   Settings.RelayMaxAge = Delay * 13 / 20;
   Settings.PollIntervalIfRelayed = Delay * 3;
   Settings.PauseAfterPoll = PauseAfterPoll;
+  Settings.OutageAfter = Settings.PollTimeout + PauseAfterPoll + OutageMargin;
   return Settings;
 }
 
@@ -59,13 +61,27 @@
   }
 }
 
+/// Precondition: Mutex is held.
+time_point object_mirror::lastKnownResponse() const {
+  return std::max(LastResponseAt, RelayResponseAt);
+}
+
+/// Records a response of the platform, to this host or to a peer.
+/// Precondition: Mutex is held.
+void object_mirror::recordResponse(time_point At) {
+  const time_point Previous = lastKnownResponse();
+  if (Previous == time_point() || At - Previous > Settings.OutageAfter)
+    AvailableSince = At;
+}
+
+/// Precondition: Mutex is held.
 void object_mirror::recordSuccess() {
   FailurePause = milliseconds(0);
+  recordResponse(Clock.now());
   LastResponseAt = Clock.now();
   if (PlatformReachable)
     return;
   PlatformReachable = true;
-  PlatformReachableSince = Clock.now();
   logEvent(log_event::MirrorBack, {{"kind", Kind}});
 }
 
@@ -182,9 +198,12 @@
   return PlatformReachable;
 }
 
-time_point object_mirror::platformReachableSince() const {
+platform_availability object_mirror::availability() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  return PlatformReachableSince;
+  const time_point Last = lastKnownResponse();
+  const bool Available =
+      Last == time_point() || Clock.now() - Last <= Settings.OutageAfter;
+  return {Available, AvailableSince};
 }
 
 std::uint64_t object_mirror::cursor() const {
@@ -204,14 +223,17 @@
   Deletions.pop_front();
 }
 
+static std::int64_t countMilliseconds(nanoseconds Time) {
+  return std::chrono::duration_cast<milliseconds>(Time).count();
+}
+
 void object_mirror::writeChangesSince(std::uint64_t PeerCursor,
                                       host_link::MirroredKind &Message) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   Message.set_kind(Kind);
   Message.set_cursor(Cursor);
-  Message.set_heard_ms(
-      std::chrono::duration_cast<milliseconds>(Clock.now() - LastResponseAt)
-          .count());
+  Message.set_heard_ms(countMilliseconds(Clock.now() - LastResponseAt));
+  Message.set_available_ms(countMilliseconds(LastResponseAt - AvailableSince));
   if (!Initialized || LastChange <= PeerCursor)
     return;
   const bool IsIncremental =
@@ -277,11 +299,23 @@
   }
 }
 
+/// Precondition: Mutex is held.
+void object_mirror::recordRelayedResponse(
+    const host_link::MirroredKind &Message) {
+  const time_point At = Clock.now() - milliseconds(Message.heard_ms());
+  recordResponse(At);
+  RelayResponseAt = std::max(RelayResponseAt, At);
+  // A gap in what this host knows is no outage if a peer had responses
+  // meanwhile.
+  if (Clock.now() - At <= Settings.OutageAfter)
+    AvailableSince =
+        std::min(AvailableSince, At - milliseconds(Message.available_ms()));
+}
+
 void object_mirror::merge(const host_link::MirroredKind &Message) {
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
-    RelayResponseAt = std::max(RelayResponseAt,
-                               Clock.now() - milliseconds(Message.heard_ms()));
+    recordRelayedResponse(Message);
     const bool IsIncremental = !Message.complete() && Message.since() > 0;
     if (!Message.complete() && !IsIncremental)
       return;
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -2,6 +2,7 @@
 #define PARSLEYSPINDLE_LIBGATEWAY_OBJECT_MIRROR_H
 
 #include "LibCore/runtime_clock.h"
+#include "LibGateway/platform_availability.h"
 #include "LibPeer/Generated/host_link.pb.h"
 #include "LibPlatform/platform_port.h"
 
@@ -32,6 +33,10 @@
   /// The pause after a poll, so that a kind that changes often costs few calls.
   milliseconds PauseAfterPoll{0};
   milliseconds PauseAfterFailure{250};
+  /// The platform counts as unavailable if no response is known for this long.
+  /// Longer than the time between two polls of a host that relays, and shorter
+  /// than the time after which a registration expires.
+  milliseconds OutageAfter{1'700};
   milliseconds MaxPauseAfterFailure{1'000};
 };
 
@@ -69,9 +74,9 @@
   void applyOwnWrite(const platform_object &Object);
   /// Whether the platform responded to the last poll.
   bool isPlatformReachable() const;
-  /// When the platform responded again after a failure; the epoch if it never
-  /// failed.
-  time_point platformReachableSince() const;
+  /// Whether the platform responds to this host or to a peer that relays, and
+  /// since when.
+  platform_availability availability() const;
   const std::string &kind() const { return Kind; }
 
   /// The revision up to which all changes are known.
@@ -97,6 +102,9 @@
   void mergeObject(const host_link::MirroredObject &Remote);
   void listAll();
   void pollChanges();
+  time_point lastKnownResponse() const;
+  void recordResponse(time_point At);
+  void recordRelayedResponse(const host_link::MirroredKind &Message);
   void recordSuccess();
   milliseconds recordFailure(const std::exception &Error);
 
@@ -111,7 +119,6 @@
   bool Initialized = false;
   bool MustList = true;
   bool PlatformReachable = true;
-  time_point PlatformReachableSince;
   std::uint64_t Cursor = 0;
   /// The revision of the newest change seen, deletions included.
   std::uint64_t LastChange = 0;
@@ -124,6 +131,8 @@
   time_point LastResponseAt;
   /// When the platform last responded to the host that relays to this one.
   time_point RelayResponseAt;
+  /// When the platform responded again after its last outage.
+  time_point AvailableSince;
 };
 
 } // namespace spindle
--- a/Libraries/LibGateway/platform_availability.h
+++ b/Libraries/LibGateway/platform_availability.h
@@ -8,8 +8,8 @@
 /// What a host knows about the platform's availability.
 struct platform_availability {
   bool Available = true;
-  /// When the platform responded again after its last outage; the epoch if no
-  /// outage is known.
+  /// When the platform first responded, or responded again after its last
+  /// outage.
   time_point Since;
 };
 
--- a/Libraries/LibGateway/registered_upstreams.cpp
+++ b/Libraries/LibGateway/registered_upstreams.cpp
@@ -8,11 +8,16 @@
 // within two seconds of its end.
 static constexpr milliseconds RenewalTime{2'200};
 
-static bool mayBeRenewed(const platform_availability &Platform,
+// A host has read the registrations within this time after the end of an
+// outage. What is removed later was removed by the upstream itself.
+static constexpr milliseconds FirstReadTime{600};
+
+static bool mayBeRenewed(const platform_availability &Platform, bool WasMissing,
                          time_point Now) {
   if (!Platform.Available)
     return true;
-  return Platform.Since != time_point() && Now - Platform.Since < RenewalTime;
+  const nanoseconds Time = Now - Platform.Since;
+  return Time < (WasMissing ? RenewalTime : FirstReadTime);
 }
 
 std::vector<std::string>
@@ -24,9 +29,10 @@
   for (const auto &[Name, Entry] : Upstreams.Entries) {
     if (Present.contains(Name) || Entry->Draining)
       continue;
-    if (!mayBeRenewed(Platform, Now))
+    const bool WasMissing = Upstreams.Kept.contains(Name);
+    if (!mayBeRenewed(Platform, WasMissing, Now))
       continue;
-    if (!Upstreams.Kept.contains(Name))
+    if (!WasMissing)
       NewlyKept.push_back(Name);
     Kept.insert(Name);
   }
--- a/Tests/LibGateway/test_object_mirror.cpp
+++ b/Tests/LibGateway/test_object_mirror.cpp
@@ -74,16 +74,73 @@
 
 TEST_CASE("a mirror keeps its objects while the platform is down") {
   mirror_fixture Test;
+  Test.Clock.pause();
   Test.Platform.Create(Kind, "a", "1");
   Test.Mirror.poll();
   Test.Fake.setFaults({.Down = true});
   REQUIRE(Test.Mirror.poll() > milliseconds(0));
   REQUIRE_FALSE(Test.Mirror.isPlatformReachable());
+  Test.Clock.advance(seconds(3));
+  REQUIRE_FALSE(Test.Mirror.availability().Available);
   REQUIRE(Test.body("a") == "1");
   Test.Fake.setFaults({});
   Test.Mirror.poll();
   REQUIRE(Test.Mirror.isPlatformReachable());
-  REQUIRE(Test.Mirror.platformReachableSince() != time_point());
+  REQUIRE(Test.Mirror.availability().Available);
+  REQUIRE(Test.Mirror.availability().Since == Test.Clock.now());
+}
+
+TEST_CASE("a host that the platform turns away takes that for an outage") {
+  mirror_fixture Test;
+  Test.Clock.pause();
+  object_mirror Peer(Test.Clock, Test.Platform, std::string(Kind), {});
+  Test.Mirror.poll();
+  Peer.poll();
+  const time_point Start = Test.Clock.now();
+  for (int Step = 0; Step < 20; ++Step) {
+    Test.Clock.advance(milliseconds(250));
+    Test.Fake.setFaults({.Down = true});
+    Test.Mirror.poll();
+    Test.Fake.setFaults({});
+    Peer.poll();
+    relay(Peer, Test.Mirror);
+    REQUIRE(Test.Mirror.availability().Available);
+  }
+  Test.Mirror.poll();
+  REQUIRE(Test.Mirror.availability().Since == Start);
+}
+
+TEST_CASE("a host that was cut off takes that for an outage") {
+  mirror_fixture Test;
+  Test.Clock.pause();
+  object_mirror Peer(Test.Clock, Test.Platform, std::string(Kind), {});
+  Test.Mirror.poll();
+  Peer.poll();
+  const time_point Start = Test.Clock.now();
+  for (int Step = 0; Step < 5; ++Step) {
+    Test.Clock.advance(seconds(1));
+    Peer.poll();
+  }
+  REQUIRE_FALSE(Test.Mirror.availability().Available);
+  Test.Mirror.poll();
+  REQUIRE(Test.Mirror.availability().Since == Test.Clock.now());
+  relay(Peer, Test.Mirror);
+  REQUIRE(Test.Mirror.availability().Since == Start);
+}
+
+TEST_CASE("a host whose peers had no response either misses an outage") {
+  mirror_fixture Test;
+  Test.Clock.pause();
+  object_mirror Peer(Test.Clock, Test.Platform, std::string(Kind), {});
+  Test.Mirror.poll();
+  Peer.poll();
+  Test.Clock.advance(seconds(4));
+  relay(Peer, Test.Mirror);
+  REQUIRE_FALSE(Test.Mirror.availability().Available);
+  Peer.poll();
+  relay(Peer, Test.Mirror);
+  REQUIRE(Test.Mirror.availability().Available);
+  REQUIRE(Test.Mirror.availability().Since == Test.Clock.now());
 }
 
 TEST_CASE("a mirror that can't reach the platform applies a peer's changes, "
