LibGateway: Keep large objects out of the exchange between hosts

Cause: the exchange by which a leader reports to its hosts is also the sign that it lives, and ends after 400 ms. A configuration of 2,800 routes (700 kB) for each of 17 hosts does not fit into that time on a link of 10 to 200 Mbit/s. Each reply was cut and sent again, which kept the link full; hosts took sound leaders for lost (245 ZoneLeadSilent, 59 ZoneLeadTaken in 30 s), the new leader had the same load, and calls to the platform over the same link timed out too. Hosts applied versions up to 12 s late.

Change: an exchange states only the revision of a change with an object over 32 KiB. A host that is told of a change it lacks polls the platform at once, so each link carries the object once. Only a host that the platform does not answer fetches it from another host, in a call of its own with a limit of 3 s; hosts begin with different peers.

Without the change both new tests fail: "a large configuration makes hosts take a sound leader for lost" (the leader counts as silent), and "a host that the platform turns away gets no large configuration" (every reply is cut). Their link ends a call whose messages take longer than its limit.

--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -207,6 +207,10 @@
   Handlers.Sync = [this](const host_link::SyncRequest &Request) {
     return Coordinator.handleSync(Request);
   };
+  Handlers.FetchChanges =
+      [this](const host_link::FetchChangesRequest &Request) {
+        return Coordinator.handleFetchChanges(Request);
+      };
   Handlers.HoldAdapter = [this](const host_link::HoldAdapterRequest &Request) {
     return Holds.handleHold(Request);
   };
@@ -386,6 +390,8 @@
     RetryBudgets.setHosts(Coordinator.registeredHostCount());
     Fleet.setHosts(Coordinator.hostLocations(), Settings.Name);
   });
+  Tasks.repeat("withheld changes", ExchangeInterval,
+               [this] { Coordinator.fetchWithheldChanges(Settings.Seeds); });
   Tasks.repeat("models", ModelLoadInterval,
                [this] { Controller.loadModels(); });
   Tasks.repeat("registrations", RegistrationCheckInterval, [this] {
--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -46,7 +46,9 @@
     const bool RespondedRecently =
         LastResponseAt != time_point() &&
         Clock.now() - LastResponseAt < Settings.PollIntervalIfRelayed;
-    if (!List && PlatformReachable && RespondedRecently && isRelayCurrent())
+    const bool IsBehind = WithheldChange > Cursor;
+    if (!List && !IsBehind && PlatformReachable && RespondedRecently &&
+        isRelayCurrent())
       return Settings.RelayCheckInterval;
   }
   try {
@@ -131,7 +133,7 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     FromRevision = Cursor;
-    IsRelayCurrent = isRelayCurrent();
+    IsRelayCurrent = WithheldChange <= Cursor && isRelayCurrent();
   }
   const platform_changes Batch = Platform.Changes(
       Kind, FromRevision,
@@ -227,15 +229,18 @@
   return std::chrono::duration_cast<milliseconds>(Time).count();
 }
 
-void object_mirror::writeChangesSince(std::uint64_t PeerCursor,
-                                      host_link::MirroredKind &Message) const {
-  const std::lock_guard<std::mutex> Lock(Mutex);
+/// Writes what is known of the platform, without objects.
+/// Precondition: Mutex is held.
+void object_mirror::writeState(host_link::MirroredKind &Message) const {
   Message.set_kind(Kind);
   Message.set_cursor(Cursor);
   Message.set_heard_ms(countMilliseconds(Clock.now() - LastResponseAt));
   Message.set_available_ms(countMilliseconds(LastResponseAt - AvailableSince));
-  if (!Initialized || LastChange <= PeerCursor)
-    return;
+}
+
+/// Precondition: Mutex is held.
+void object_mirror::writeObjects(std::uint64_t PeerCursor,
+                                 host_link::MirroredKind &Message) const {
   const bool IsIncremental =
       PeerCursor > 0 && PeerCursor >= DeletionsKnownSince;
   Message.set_complete(!IsIncremental);
@@ -262,6 +267,44 @@
   }
 }
 
+// A leader on a slow link sends an object of this size to all hosts of its zone
+// within the time limit of a call.
+static constexpr std::size_t MaxSmallBytes = 32'768;
+
+/// Precondition: Mutex is held.
+bool object_mirror::hasLargeChangeSince(std::uint64_t PeerCursor) const {
+  return std::any_of(Objects.begin(), Objects.end(),
+                     [PeerCursor](const auto &Entry) {
+                       return Entry.second.Version > PeerCursor &&
+                              Entry.second.Body.size() > MaxSmallBytes;
+                     });
+}
+
+void object_mirror::writeChangesSince(std::uint64_t PeerCursor,
+                                      host_link::MirroredKind &Message) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  writeState(Message);
+  if (Initialized && LastChange > PeerCursor)
+    writeObjects(PeerCursor, Message);
+}
+
+void object_mirror::writeSmallChangesSince(
+    std::uint64_t PeerCursor, host_link::MirroredKind &Message) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  writeState(Message);
+  if (!Initialized || LastChange <= PeerCursor)
+    return;
+  if (hasLargeChangeSince(PeerCursor))
+    Message.set_withheld(LastChange);
+  else
+    writeObjects(PeerCursor, Message);
+}
+
+bool object_mirror::needsPeer() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return WithheldChange > Cursor && !PlatformReachable;
+}
+
 /// Precondition: Mutex is held.
 void object_mirror::mergeObject(const host_link::MirroredObject &Remote) {
   platform_object &Local = Objects[Remote.name()];
@@ -316,6 +359,7 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     recordRelayedResponse(Message);
+    WithheldChange = std::max(WithheldChange, Message.withheld());
     const bool IsIncremental = !Message.complete() && Message.since() > 0;
     if (!Message.complete() && !IsIncremental)
       return;
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -85,6 +85,13 @@
   /// objects if those changes are no longer known.
   void writeChangesSince(std::uint64_t PeerCursor,
                          host_link::MirroredKind &Message) const;
+  /// The same for a message that must arrive soon: of changes with a large
+  /// object it only states that they exist.
+  void writeSmallChangesSince(std::uint64_t PeerCursor,
+                              host_link::MirroredKind &Message) const;
+  /// Whether a peer has changes that it did not send, and the platform can't be
+  /// reached to poll them.
+  bool needsPeer() const;
   /// Applies what a peer sent if it is newer than this copy.
   void merge(const host_link::MirroredKind &Message);
 
@@ -96,6 +103,10 @@
   };
 
   bool isRelayCurrent() const;
+  bool hasLargeChangeSince(std::uint64_t PeerCursor) const;
+  void writeState(host_link::MirroredKind &Message) const;
+  void writeObjects(std::uint64_t PeerCursor,
+                    host_link::MirroredKind &Message) const;
   void recordDeletion(const std::string &Name, std::uint64_t Revision);
   void mergeChanges(const host_link::MirroredKind &Message);
   void mergeAll(const host_link::MirroredKind &Message);
@@ -122,6 +133,8 @@
   std::uint64_t Cursor = 0;
   /// The revision of the newest change seen, deletions included.
   std::uint64_t LastChange = 0;
+  /// The newest change that a peer has and did not send.
+  std::uint64_t WithheldChange = 0;
   /// The objects that were deleted after DeletionsKnownSince, the latest one
   /// last.
   std::deque<deleted_object> Deletions;
--- a/Libraries/LibGateway/zone_coordinator.cpp
+++ b/Libraries/LibGateway/zone_coordinator.cpp
@@ -9,6 +9,8 @@
 namespace spindle {
 
 static constexpr milliseconds PeerTimeout{400};
+// The largest object takes about a second on a slow link.
+static constexpr milliseconds FetchTimeout{3'000};
 // A peer that has not sent anything for this long counts as unreachable.
 static constexpr milliseconds PeerExpiry{1'200};
 
@@ -17,7 +19,7 @@
     : Self(std::move(Identity)), Dependencies(std::move(HostDependencies)),
       Leadership(Self, Dependencies.Clock, Dependencies.Platform,
                  Dependencies.Members),
-      Suspects(Dependencies.Clock) {}
+      Suspects(Dependencies.Clock), NextPeer(hashName(Self.Name)) {}
 
 std::size_t zone_coordinator::registeredHostCount() const {
   return std::max<std::size_t>(1, Leadership.hosts().size());
@@ -65,7 +67,7 @@
   for (object_mirror *const Mirror : Dependencies.Mirrors) {
     const std::uint64_t Cursor =
         Known ? Cursors[Mirror->kind()] : Mirror->cursor();
-    Mirror->writeChangesSince(Cursor, *Request.add_kinds());
+    Mirror->writeSmallChangesSince(Cursor, *Request.add_kinds());
   }
 }
 
@@ -268,21 +270,30 @@
   applyReports();
 }
 
-/// Requests from another host the changes that neither the platform nor the
-/// leader delivers.
-void zone_coordinator::exchangeWithAnyHost(std::span<const endpoint> Seeds) {
+/// Another host or seed, a different one at each call; none if none is known.
+std::optional<endpoint>
+zone_coordinator::nextPeer(std::span<const endpoint> Seeds) {
   std::vector<endpoint> Hosts(Seeds.begin(), Seeds.end());
   for (const registered_host &Host : Leadership.hosts())
     if (Host.Link)
       Hosts.push_back(*Host.Link);
   std::erase(Hosts, Self.Link);
   if (Hosts.empty())
+    return std::nullopt;
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Hosts[NextPeer++ % Hosts.size()];
+}
+
+/// Requests from another host the changes that neither the platform nor the
+/// leader delivers.
+void zone_coordinator::exchangeWithAnyHost(std::span<const endpoint> Seeds) {
+  const std::optional<endpoint> Target = nextPeer(Seeds);
+  if (!Target)
     return;
-  const endpoint Target = Hosts[NextPeer++ % Hosts.size()];
-  const std::string Peer = toText(Target);
+  const std::string Peer = toText(*Target);
   try {
     const host_link::SyncReply Reply =
-        Dependencies.Peers.Sync(Target, makeRequest(Peer), PeerTimeout);
+        Dependencies.Peers.Sync(*Target, makeRequest(Peer), PeerTimeout);
     mergeMirroredKinds(Peer, Reply.kinds());
     Suspects.merge(Reply.suspects());
   } catch (const spindle_error &Error) {
@@ -290,6 +301,37 @@
   }
 }
 
+void zone_coordinator::fetchWithheldChanges(std::span<const endpoint> Seeds) {
+  for (object_mirror *const Mirror : Dependencies.Mirrors) {
+    if (!Mirror->needsPeer())
+      continue;
+    const std::optional<endpoint> Target = nextPeer(Seeds);
+    if (!Target)
+      return;
+    host_link::FetchChangesRequest Request;
+    *Request.mutable_sender() = Self.Sender;
+    Request.set_kind(Mirror->kind());
+    Request.set_cursor(Mirror->cursor());
+    try {
+      const host_link::FetchChangesReply Reply =
+          Dependencies.Peers.FetchChanges(*Target, Request, FetchTimeout);
+      Mirror->merge(Reply.changes());
+    } catch (const spindle_error &Error) {
+      logEvent(log_event::PeerSilent,
+               {{"peer", toText(*Target)}, {"cause", Error.what()}});
+    }
+  }
+}
+
+host_link::FetchChangesReply zone_coordinator::handleFetchChanges(
+    const host_link::FetchChangesRequest &Request) const {
+  host_link::FetchChangesReply Reply;
+  for (const object_mirror *const Mirror : Dependencies.Mirrors)
+    if (Mirror->kind() == Request.kind())
+      Mirror->writeChangesSince(Request.cursor(), *Reply.mutable_changes());
+  return Reply;
+}
+
 void zone_coordinator::exchange(std::span<const endpoint> Seeds) {
   const std::optional<endpoint> Peer = Leadership.leaderOf(Self.Zone);
   const bool IsZoneLeader = Leadership.isLeader();
@@ -372,7 +414,7 @@
   for (const host_link::MirroredKind &Kind : Request.kinds())
     for (const object_mirror *const Mirror : Dependencies.Mirrors)
       if (Mirror->kind() == Kind.kind())
-        Mirror->writeChangesSince(Kind.cursor(), *Reply.add_kinds());
+        Mirror->writeSmallChangesSince(Kind.cursor(), *Reply.add_kinds());
   Suspects.write(*Reply.mutable_suspects());
   return Reply;
 }
--- a/Libraries/LibGateway/zone_coordinator.h
+++ b/Libraries/LibGateway/zone_coordinator.h
@@ -60,6 +60,10 @@
   /// the fiber. A host without a responsive leader, or that can't reach the
   /// platform, requests changes from one of the other hosts or of \p Seeds.
   void exchange(std::span<const endpoint> Seeds);
+  /// Fetches, from one of the other hosts or of \p Seeds, the changes that were
+  /// too large for an exchange and that the platform does not deliver. Blocks
+  /// the fiber.
+  void fetchWithheldChanges(std::span<const endpoint> Seeds);
   /// The number of registered hosts, at least 1.
   std::size_t registeredHostCount() const;
   /// The registered hosts.
@@ -89,10 +93,13 @@
   shared_suspects &suspects() { return Suspects; }
 
   host_link::SyncReply handleSync(const host_link::SyncRequest &Request);
+  host_link::FetchChangesReply
+  handleFetchChanges(const host_link::FetchChangesRequest &Request) const;
 
 private:
   void exchangeWithLeader(const endpoint &Peer);
   void exchangeWithAnyHost(std::span<const endpoint> Seeds);
+  std::optional<endpoint> nextPeer(std::span<const endpoint> Seeds);
   void exchangeWithOtherLeaders();
   host_link::SyncRequest makeRequest(std::string_view Peer);
   host_link::SyncRequest makeLeaderRequest(std::string_view Peer,
@@ -125,7 +132,7 @@
   peer_reports Reports;
   customer_usage LastLeaderUsage;
   std::uint64_t LastLeaderIncarnation = 0;
-  std::size_t NextPeer = 0;
+  std::size_t NextPeer;
   std::set<std::string> UnreachableZones;
   std::map<std::string, std::map<std::string, std::uint64_t>> PeerCursors;
 };
--- a/Libraries/LibPeer/host_link_client.cpp
+++ b/Libraries/LibPeer/host_link_client.cpp
@@ -114,6 +114,9 @@
       Channels, &async_stub::ShareSuspects);
   Port.Sync = makeMethod<host_link::SyncRequest, host_link::SyncReply>(
       Channels, &async_stub::Sync);
+  Port.FetchChanges =
+      makeMethod<host_link::FetchChangesRequest, host_link::FetchChangesReply>(
+          Channels, &async_stub::FetchChanges);
   Port.HoldAdapter =
       makeMethod<host_link::HoldAdapterRequest, host_link::HoldAdapterReply>(
           Channels, &async_stub::HoldAdapter);
--- a/Libraries/LibPeer/host_link_client.h
+++ b/Libraries/LibPeer/host_link_client.h
@@ -44,6 +44,10 @@
   std::function<host_link::SyncReply(
       const endpoint &, const host_link::SyncRequest &, milliseconds Limit)>
       Sync;
+  std::function<host_link::FetchChangesReply(
+      const endpoint &, const host_link::FetchChangesRequest &,
+      milliseconds Limit)>
+      FetchChanges;
   std::function<host_link::HoldAdapterReply(
       const endpoint &, const host_link::HoldAdapterRequest &,
       milliseconds Limit)>
--- a/Libraries/LibPeer/host_link_server.cpp
+++ b/Libraries/LibPeer/host_link_server.cpp
@@ -62,6 +62,11 @@
                 host_link::SyncReply *Reply) override {
     return run(Context, Handlers.Sync, Request, Reply);
   }
+  reactor *FetchChanges(context *Context,
+                        const host_link::FetchChangesRequest *Request,
+                        host_link::FetchChangesReply *Reply) override {
+    return run(Context, Handlers.FetchChanges, Request, Reply);
+  }
   reactor *HoldAdapter(context *Context,
                        const host_link::HoldAdapterRequest *Request,
                        host_link::HoldAdapterReply *Reply) override {
--- a/Libraries/LibPeer/host_link_server.h
+++ b/Libraries/LibPeer/host_link_server.h
@@ -29,6 +29,9 @@
       const host_link::ShareSuspectsRequest &)>
       ShareSuspects;
   std::function<host_link::SyncReply(const host_link::SyncRequest &)> Sync;
+  std::function<host_link::FetchChangesReply(
+      const host_link::FetchChangesRequest &)>
+      FetchChanges;
   std::function<host_link::HoldAdapterReply(
       const host_link::HoldAdapterRequest &)>
       HoldAdapter;
--- a/Tests/LibGateway/test_zone_coordinator.cpp
+++ b/Tests/LibGateway/test_zone_coordinator.cpp
@@ -23,6 +23,16 @@
   std::map<endpoint, coordinator_host *> Hosts;
   /// Pairs of hosts that can't reach each other.
   std::set<std::pair<std::string, std::string>> Disconnected;
+  /// A call ends without a reply if its messages take longer than its limit.
+  double LinkBytesPerSecond = 1e9;
+
+  void checkTransfer(std::size_t Bytes, milliseconds Limit) const {
+    const std::chrono::duration<double> Time(static_cast<double>(Bytes) /
+                                             LinkBytesPerSecond);
+    if (Time > Limit)
+      throw spindle_error(result_code::PeerUnreachable, "timeout");
+  }
+  coordinator_host &find(const std::string &From, const endpoint &Peer) const;
 };
 
 /// One host's coordinator and the objects that it uses.
@@ -88,17 +98,35 @@
   zone_coordinator Coordinator;
 };
 
+coordinator_host &coordinator_fleet::find(const std::string &From,
+                                          const endpoint &Peer) const {
+  const auto Found = Hosts.find(Peer);
+  if (Found == Hosts.end() ||
+      Disconnected.contains({From, Found->second->Name}) ||
+      Disconnected.contains({Found->second->Name, From}))
+    throw spindle_error(result_code::PeerUnreachable, "cut off");
+  return *Found->second;
+}
+
 host_link_port coordinator_fleet::portFrom(std::string Name) {
   host_link_port Port;
   Port.Sync = [this, Name](const endpoint &Peer,
                            const host_link::SyncRequest &Request,
-                           milliseconds) {
-    const auto Found = Hosts.find(Peer);
-    if (Found == Hosts.end() ||
-        Disconnected.contains({Name, Found->second->Name}) ||
-        Disconnected.contains({Found->second->Name, Name}))
-      throw spindle_error(result_code::PeerUnreachable, "cut off");
-    return Found->second->Coordinator.handleSync(Request);
+                           milliseconds Limit) {
+    checkTransfer(Request.ByteSizeLong(), Limit);
+    const host_link::SyncReply Reply =
+        find(Name, Peer).Coordinator.handleSync(Request);
+    checkTransfer(Reply.ByteSizeLong(), Limit);
+    return Reply;
+  };
+  Port.FetchChanges = [this,
+                       Name](const endpoint &Peer,
+                             const host_link::FetchChangesRequest &Request,
+                             milliseconds Limit) {
+    const host_link::FetchChangesReply Reply =
+        find(Name, Peer).Coordinator.handleFetchChanges(Request);
+    checkTransfer(Reply.ByteSizeLong(), Limit);
+    return Reply;
   };
   return Port;
 }
@@ -391,3 +419,52 @@
   REQUIRE(Test.One->Coordinator.suspects().isHeldBack(Crashing));
   REQUIRE(Test.Two->Coordinator.suspects().isHeldBack(Crashing));
 }
+
+namespace {
+
+constexpr double SlowLink = 1'250'000;
+constexpr std::size_t LargeObjectBytes = 700'000;
+
+/// Two hosts, the first one the leader, on slow links.
+struct slow_zone : two_hosts {
+  slow_zone() {
+    Fleet.LinkBytesPerSecond = SlowLink;
+    Two->Things.setRelayPredicate(
+        [this] { return Two->Coordinator.isLeaderResponding(); });
+    run(Fleet, {One.get(), Two.get()}, seconds(3));
+    One->Things.poll();
+    Two->Things.poll();
+  }
+
+  void step(bool TurnsTwoAway) {
+    One->Things.poll();
+    Fleet.Fake.setFaults({.Down = TurnsTwoAway});
+    Two->Things.poll();
+    Fleet.Fake.setFaults({});
+    run(Fleet, {One.get(), Two.get()}, milliseconds(100));
+    Two->Coordinator.fetchWithheldChanges({});
+  }
+};
+
+} // namespace
+
+TEST_CASE("a large configuration makes hosts take a sound leader for lost") {
+  slow_zone Test;
+  Test.One->Platform.Create("things", "main",
+                            std::string(LargeObjectBytes, 'x'));
+  for (int Step = 0; Step < 30; ++Step) {
+    Test.step(false);
+    REQUIRE(Test.Two->Coordinator.isLeaderResponding());
+    REQUIRE((Step < 5 || Test.Two->Things.find("main")));
+  }
+}
+
+TEST_CASE("a host that the platform turns away gets no large configuration") {
+  slow_zone Test;
+  Test.One->Platform.Create("things", "main",
+                            std::string(LargeObjectBytes, 'x'));
+  for (int Step = 0; Step < 10; ++Step)
+    Test.step(true);
+  REQUIRE(Test.Two->Things.find("main"));
+  REQUIRE(Test.Two->Coordinator.isLeaderResponding());
+}
