LibResilience: Hold back the part of a prompt that crashes engines

Cause: a suspect was a whole request (customer, target, body). No two of these are alike, so none was lost twice.

Change: the shared parts of a prompt are suspects too. An engine's crash counts for each part of the requests that it ran; a completed request clears its parts. Three independent crashes hold a part back for 300 s: at once for new requests, and before each send for those that wait or repeat.

--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -8,6 +8,11 @@
 
 namespace spindle {
 
+milliseconds partsHeldBackFor(const forwarded_request &Request) {
+  return Request.Services.Coordinator.partSuspects().heldBackFor(
+      Request.SharedParts);
+}
+
 namespace {
 
 constexpr milliseconds RetryAfterShort{400};
@@ -255,6 +260,12 @@
   if (!Held)
     return IsFinished;
   const upstream_entry &Upstream = *Held->Engine;
+  // Upstreams may have crashed on it while it waited, or on its last attempt.
+  if (partsHeldBackFor(Request) > milliseconds(0)) {
+    finishWithoutRetry("a part of the prompt is suspected of crashing "
+                       "upstreams");
+    return true;
+  }
   if (!Request.Services.Fleet.admit(Upstream.Id)) {
     Request.Avoid.push_back(Upstream.Id);
     Target = next_target{};
--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -52,6 +52,11 @@
     Request.Services.Fleet.noteRequestEnd(Upstream.Id, Request.Description);
     Request.Services.Coordinator.suspects().noteRunEnded(
         Upstream.Id, Request.Fingerprint, End);
+    shared_part_suspects &Parts = Request.Services.Coordinator.partSuspects();
+    if (End == run_end::Lost)
+      Parts.noteLost(Upstream, Request.SharedParts);
+    if (End == run_end::Completed)
+      Parts.noteCompleted(Request.SharedParts);
   }
   in_flight_guard(const in_flight_guard &) = delete;
   in_flight_guard &operator=(const in_flight_guard &) = delete;
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -95,6 +95,11 @@
     throw retry_after_error(result_code::RequestHeldBack,
                             "the request is suspected of crashing upstreams",
                             RetryAfterLong);
+  if (const milliseconds Time = partsHeldBackFor(Request);
+      Time > milliseconds(0))
+    throw retry_after_error(
+        result_code::RequestHeldBack,
+        "a part of the prompt is suspected of crashing upstreams", Time);
   Services.RetryBudgets.noteRequest(Request.Service.Name);
   quota_charge Charge(Request);
   Request.Exchange.watchCaller(Request.Cancellation);
@@ -138,6 +143,7 @@
   const request_fingerprint Fingerprint = fingerprintOf(
       customer_id::ofName(Customer ? Customer->Name : ""), Head.Target, Body);
   const time_point Deadline = deadlineOf(Route, Description, Start);
+  std::vector<part_id> SharedParts = sharedParts(Description, Service.Name);
   forwarded_request Request{Services,
                             Exchange,
                             Configuration,
@@ -147,6 +153,7 @@
                             std::move(Description),
                             std::move(Body),
                             Fingerprint,
+                            std::move(SharedParts),
                             Start,
                             Deadline,
                             std::make_shared<cancellation>(),
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -26,6 +26,8 @@
   request_description Description;
   std::string Body;
   request_fingerprint Fingerprint;
+  /// The parts of the prompt that other requests may share.
+  std::vector<part_id> SharedParts;
   time_point Start;
   /// When the final response is due.
   time_point Deadline;
@@ -51,6 +53,10 @@
   }
 };
 
+/// How much longer requests that share a part of the prompt are held back, as
+/// they crash upstreams; 0 if they are not.
+milliseconds partsHeldBackFor(const forwarded_request &Request);
+
 /// The urgency of a request from 0 (most urgent) to 9: the customer's priority
 /// if it has one, otherwise the route's.
 int urgencyOf(const forwarded_request &Request);
--- a/Libraries/LibGateway/sync_message.cpp
+++ b/Libraries/LibGateway/sync_message.cpp
@@ -40,6 +40,28 @@
   return Record;
 }
 
+void writePartSuspect(const part_suspect_record &Record,
+                      host_link::PartSuspect &Message) {
+  Message.set_part(Record.Part.Value);
+  Message.set_position(Record.Position);
+  for (const part_suspect_record::crash &Crash : Record.Crashes) {
+    host_link::PartCrash &Written = *Message.add_crashes();
+    Written.set_start(Crash.Start.Value);
+    Written.set_age_ms(Crash.Age.count());
+    Written.set_cleared(Crash.Cleared);
+  }
+}
+
+part_suspect_record readPartSuspect(const host_link::PartSuspect &Message) {
+  part_suspect_record Record;
+  Record.Part = part_id{Message.part()};
+  Record.Position = Message.position();
+  for (const host_link::PartCrash &Crash : Message.crashes())
+    Record.Crashes.push_back({upstream_start_id{Crash.start()},
+                              milliseconds(Crash.age_ms()), Crash.cleared()});
+  return Record;
+}
+
 void writeAdapterUse(const adapter_use &Use, host_link::AdapterUse &Message) {
   Message.set_upstream(Use.Engine.Value);
   Message.set_model(Use.Adapter.Model);
--- a/Libraries/LibGateway/sync_message.h
+++ b/Libraries/LibGateway/sync_message.h
@@ -5,6 +5,7 @@
 #include "LibGateway/fleet_table.h"
 #include "LibPeer/Generated/host_link.pb.h"
 #include "LibResilience/crash_suspects.h"
+#include "LibResilience/part_suspects.h"
 
 #include <span>
 #include <vector>
@@ -20,6 +21,9 @@
     const google::protobuf::RepeatedPtrField<host_link::CustomerUse> &Messages);
 void writeSuspect(const suspect_record &Record, host_link::Suspect &Message);
 suspect_record readSuspect(const host_link::Suspect &Message);
+void writePartSuspect(const part_suspect_record &Record,
+                      host_link::PartSuspect &Message);
+part_suspect_record readPartSuspect(const host_link::PartSuspect &Message);
 void writeAdapterUse(const adapter_use &Use, host_link::AdapterUse &Message);
 adapter_use readAdapterUse(const host_link::AdapterUse &Message);
 void writeAvailableSlots(
--- a/Libraries/LibGateway/zone_coordinator.cpp
+++ b/Libraries/LibGateway/zone_coordinator.cpp
@@ -19,7 +19,8 @@
     : Self(std::move(Identity)), Dependencies(std::move(HostDependencies)),
       Leadership(Self, Dependencies.Clock, Dependencies.Platform,
                  Dependencies.Members),
-      Suspects(Dependencies.Clock), NextPeer(hashName(Self.Name)) {}
+      Suspects(Dependencies.Clock), PartSuspects(Dependencies.Clock),
+      NextPeer(hashName(Self.Name)) {}
 
 std::size_t zone_coordinator::registeredHostCount() const {
   return std::max<std::size_t>(1, Leadership.hosts().size());
@@ -89,6 +90,7 @@
     writeAdapterUse(Use, *Request.add_adapters());
   addMirroredKinds(Peer, Request);
   Suspects.write(*Request.mutable_suspects());
+  PartSuspects.write(*Request.mutable_part_suspects());
   return Request;
 }
 
@@ -124,6 +126,7 @@
   writeAvailableSlots(Dependencies.AvailableSlots(), *Request.mutable_rooms());
   addMirroredKinds(Peer, Request);
   Suspects.write(*Request.mutable_suspects());
+  PartSuspects.write(*Request.mutable_part_suspects());
   return Request;
 }
 
@@ -177,6 +180,7 @@
                                         const host_link::SyncReply &Reply) {
   mergeMirroredKinds(Peer, Reply.kinds());
   Suspects.merge(Reply.suspects());
+  PartSuspects.merge(Reply.part_suspects());
   for (const host_link::EngineRoom &Slots : Reply.rooms())
     Dependencies.Fleet.noteAvailableSlots(
         {upstream_id{Slots.upstream()}, Slots.room()});
@@ -296,6 +300,7 @@
         Dependencies.Peers.Sync(*Target, makeRequest(Peer), PeerTimeout);
     mergeMirroredKinds(Peer, Reply.kinds());
     Suspects.merge(Reply.suspects());
+    PartSuspects.merge(Reply.part_suspects());
   } catch (const spindle_error &Error) {
     logEvent(log_event::PeerSilent, {{"peer", Peer}, {"cause", Error.what()}});
   }
@@ -385,6 +390,7 @@
       (FromLeader ? "from zone " : "host ") + Request.host_name();
   mergeMirroredKinds(Peer, Request.kinds());
   Suspects.merge(Request.suspects());
+  PartSuspects.merge(Request.part_suspects());
   for (const host_link::EngineRoom &Slots : Request.rooms())
     Dependencies.Fleet.noteAvailableSlots(
         {upstream_id{Slots.upstream()}, Slots.room()});
@@ -416,6 +422,7 @@
       if (Mirror->kind() == Kind.kind())
         Mirror->writeSmallChangesSince(Kind.cursor(), *Reply.add_kinds());
   Suspects.write(*Reply.mutable_suspects());
+  PartSuspects.write(*Reply.mutable_part_suspects());
   return Reply;
 }
 
--- a/Libraries/LibGateway/zone_coordinator.h
+++ b/Libraries/LibGateway/zone_coordinator.h
@@ -6,6 +6,7 @@
 #include "LibGateway/fleet_table.h"
 #include "LibGateway/object_mirror.h"
 #include "LibGateway/peer_reports.h"
+#include "LibGateway/shared_part_suspects.h"
 #include "LibGateway/shared_suspects.h"
 #include "LibGateway/usage_ledger.h"
 #include "LibGateway/zone_leadership.h"
@@ -91,6 +92,8 @@
   const endpoint &link() const { return Self.Link; }
   /// The requests that crash upstreams, shared by all hosts.
   shared_suspects &suspects() { return Suspects; }
+  /// The parts of prompts that crash upstreams, shared by all hosts.
+  shared_part_suspects &partSuspects() { return PartSuspects; }
 
   host_link::SyncReply handleSync(const host_link::SyncRequest &Request);
   host_link::FetchChangesReply
@@ -123,6 +126,7 @@
   const zone_coordinator_dependencies Dependencies;
   zone_leadership Leadership;
   shared_suspects Suspects;
+  shared_part_suspects PartSuspects;
   mutable std::mutex Mutex;
   time_point LeaderRepliedAt;
   bool LeaderUnresponsive = false;
