LibGateway: Treat a stream that ends inside an event as broken off

Callers could get a stream that looked complete though its engine had broken it off: an answer may come with neither length nor chunks and end with its connection, so the end of the transport does not show it.

Cause: forwardStream wrote the rest of an unfinished event and finished the stream. Change: a stream that ends inside an event is cut off for the caller, or resumed at another engine where the route allows it. The new end-to-end test failed before: the resumable stream was returned with half an event.

--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -113,12 +113,19 @@
   return Limits;
 }
 
-/// Forwards only complete events and records the id of the last one, so that
-/// the stream can be resumed after any event.
-void forwardCompleteEvents(forwarded_request &Request,
-                           event_stream_reader &Reader) {
+/// Forwards the complete events of a resumable stream and records the id of the
+/// last one, so that the stream can be resumed after any event. Other streams
+/// are forwarded as they arrive; \p Reader only follows them.
+void forwardBytes(forwarded_request &Request, std::string_view Bytes,
+                  event_stream_reader &Reader) {
+  const bool Resumable = Request.Route.Resumable;
+  if (!Resumable)
+    Request.Exchange.writeSome(Bytes);
+  Reader.feed(Bytes);
   stream_event Event;
   while (Reader.next(Event)) {
+    if (!Resumable)
+      continue;
     Request.Exchange.writeSome(Event.Raw);
     if (!Event.Id.empty())
       Request.LastEventId = Event.Id;
@@ -129,22 +136,17 @@
                    http_call &Call, in_flight_guard &InFlight) {
   std::array<char, ReadBufferBytes> Buffer{};
   event_stream_reader Reader;
-  const bool Resumable = Request.Route.Resumable;
   if (!Request.StreamStarted)
     Request.Exchange.startStream(Call.head());
   Request.StreamStarted = true;
   while (const std::size_t Count = Call.readSome(Buffer)) {
     InFlight.markPromptProcessed();
     Request.Services.Fleet.noteActivity(Upstream.Id);
-    const std::string_view Bytes(Buffer.data(), Count);
-    if (!Resumable) {
-      Request.Exchange.writeSome(Bytes);
-      continue;
-    }
-    Reader.feed(Bytes);
-    forwardCompleteEvents(Request, Reader);
+    forwardBytes(Request, std::string_view(Buffer.data(), Count), Reader);
   }
-  Request.Exchange.writeSome(Reader.remainder());
+  if (Reader.hasRemainder())
+    throw spindle_error(result_code::AnswerCutShort,
+                        "the stream ended inside an event");
   Request.Exchange.finishStream();
 }
 
--- a/StandIns/LibForwarding/upstream_stand_in.cpp
+++ b/StandIns/LibForwarding/upstream_stand_in.cpp
@@ -210,7 +210,7 @@
     if (Now.BreaksAfter > 0 && Sent == Now.BreaksAfter) {
       // The break comes in the middle of an event.
       Exchange.writeSome("id: " + std::to_string(Event) + "\ndata: par");
-      return Exchange.abort();
+      return Now.EndsBroken ? Exchange.finishStream() : Exchange.abort();
     }
     if (!pause(Exchange, Now.EventPause))
       return Exchange.abort();
--- a/StandIns/LibForwarding/upstream_stand_in.h
+++ b/StandIns/LibForwarding/upstream_stand_in.h
@@ -25,6 +25,8 @@
   bool LosesAnswers = false;
   /// Breaks a stream off after so many events; 0 for never.
   int BreaksAfter = 0;
+  /// Ends a stream that breaks off as if it were complete.
+  bool EndsBroken = false;
   milliseconds EventPause{0};
 };
 
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -121,6 +121,23 @@
   REQUIRE(Runs == 1);
 }
 
+TEST_CASE("forwarding: a stream that ends inside an event looks whole") {
+  forwarding_fleet Fleet;
+  REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
+  upstream_switches Ending;
+  Ending.BreaksAfter = 2;
+  Ending.EndsBroken = true;
+  for (const std::unique_ptr<upstream_stand_in> &Engine : Fleet.Engines)
+    if (Engine->runs() > 0)
+      Engine->set(Ending);
+  const forwarded_answer Resumed = Fleet.ask(0, "r1", "a1", "/resume/x");
+  REQUIRE(Resumed.Whole);
+  REQUIRE(Resumed.Body == WholeStream);
+
+  setAll(Fleet.Engines, Ending);
+  REQUIRE_FALSE(Fleet.ask(0, "s1", "a1").Whole);
+}
+
 TEST_CASE("forwarding: a withdrawn key and a new version are in force within "
           "two seconds") {
   forwarding_fleet Fleet;
