--- a/Tests/LibGateway/test_zone_coordinator.cpp
+++ b/Tests/LibGateway/test_zone_coordinator.cpp
@@ -114,7 +114,7 @@
                            const host_link::SyncRequest &Request,
                            milliseconds Limit) {
     checkTransfer(Request.ByteSizeLong(), Limit);
-    const host_link::SyncReply Reply =
+    host_link::SyncReply Reply =
         find(Name, Peer).Coordinator.handleSync(Request);
     checkTransfer(Reply.ByteSizeLong(), Limit);
     return Reply;
@@ -123,7 +123,7 @@
                        Name](const endpoint &Peer,
                              const host_link::FetchChangesRequest &Request,
                              milliseconds Limit) {
-    const host_link::FetchChangesReply Reply =
+    host_link::FetchChangesReply Reply =
         find(Name, Peer).Coordinator.handleFetchChanges(Request);
     checkTransfer(Reply.ByteSizeLong(), Limit);
     return Reply;
