LibResilience: Forget rare crashes of prompt parts on a host without peers

Cause: old crashes were dropped only when a peer's message was merged, and what is held back was not decided anew after that. Change: they are dropped before each new crash as well, and dropping decides anew.

--- a/Libraries/LibGateway/shared_part_suspects.cpp
+++ b/Libraries/LibGateway/shared_part_suspects.cpp
@@ -42,8 +42,10 @@
                                     std::span<const part_id> Parts) {
   const upstream_start_id Start = upstream_start_id::ofName(
       Upstream.Name + "@" + std::to_string(Upstream.StartedAt));
+  const time_point Now = Clock.now();
   const std::lock_guard<std::mutex> Lock(Mutex);
-  noteCrash(Suspects, Parts, Start, Clock.now());
+  expirePartSuspects(Suspects, Now);
+  noteCrash(Suspects, Parts, Start, Now);
   logChanges();
 }
 
--- a/Libraries/LibResilience/part_suspects.cpp
+++ b/Libraries/LibResilience/part_suspects.cpp
@@ -269,6 +269,7 @@
   }
   std::erase_if(Suspects.Suspects,
                 [](const auto &Entry) { return Entry.second.Crashes.empty(); });
+  updateHeldBack(Suspects, Now);
 }
 
 } // namespace spindle
--- a/Tests/LibResilience/test_part_suspects.cpp
+++ b/Tests/LibResilience/test_part_suspects.cpp
@@ -118,6 +118,7 @@
   REQUIRE(isHeldBack(Suspects, DeadlyPrompt, *Until - milliseconds(1)));
   expirePartSuspects(Suspects, *Until);
   REQUIRE_FALSE(isHeldBack(Suspects, DeadlyPrompt, *Until));
+  REQUIRE(Suspects.HeldBack.empty());
 }
 
 TEST_CASE("rare crashes over a long time put a part into quarantine") {
