LibResilience: Bound what an exchange states of suspected prompt parts

Change: an exchange carries the 64 parts with the most crashes. What is held back has the most, so all hosts still learn it.

--- a/Libraries/LibResilience/part_suspects.cpp
+++ b/Libraries/LibResilience/part_suspects.cpp
@@ -216,19 +216,40 @@
   return std::nullopt;
 }
 
+static part_suspect_record makeRecord(part_id Part, const part_suspect &Suspect,
+                                      time_point Now) {
+  part_suspect_record Record;
+  Record.Part = Part;
+  Record.Position = Suspect.Position;
+  for (const part_crash &Crash : Suspect.Crashes)
+    Record.Crashes.push_back(
+        {Crash.Start, std::chrono::duration_cast<milliseconds>(Now - Crash.At),
+         Crash.Cleared});
+  return Record;
+}
+
 std::vector<part_suspect_record>
 writePartSuspects(const part_suspects &Suspects, time_point Now) {
+  std::vector<std::pair<part_id, const part_suspect *>> Parts;
+  Parts.reserve(Suspects.Suspects.size());
+  for (const auto &[Part, Suspect] : Suspects.Suspects)
+    Parts.emplace_back(Part, &Suspect);
+  const std::size_t Count =
+      std::min(Parts.size(), Suspects.Settings.MaxRecords);
+  const auto Rank = [](const auto &Entry) {
+    return std::pair(Entry.second->Crashes.size(),
+                     Entry.second->Crashes.back().At);
+  };
+  std::partial_sort(Parts.begin(),
+                    Parts.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Parts.end(), [&Rank](const auto &Left, const auto &Right) {
+                      return Rank(Left) > Rank(Right);
+                    });
   std::vector<part_suspect_record> Records;
-  for (const auto &[Part, Suspect] : Suspects.Suspects) {
-    part_suspect_record &Record = Records.emplace_back();
-    Record.Part = Part;
-    Record.Position = Suspect.Position;
-    for (const part_crash &Crash : Suspect.Crashes)
-      Record.Crashes.push_back(
-          {Crash.Start,
-           std::chrono::duration_cast<milliseconds>(Now - Crash.At),
-           Crash.Cleared});
-  }
+  Records.reserve(Count);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Records.push_back(
+        makeRecord(Parts[Index].first, *Parts[Index].second, Now));
   return Records;
 }
 
--- a/Libraries/LibResilience/part_suspects.h
+++ b/Libraries/LibResilience/part_suspects.h
@@ -51,6 +51,8 @@
   std::size_t CrashesForQuarantine = 3;
   std::size_t MaxSuspects = 1'024;
   std::size_t MaxCrashes = 32;
+  /// Suspects in one message to another host.
+  std::size_t MaxRecords = 64;
   /// Parts whose last completion is remembered.
   std::size_t MaxSoundParts = 4'096;
 };
@@ -101,7 +103,7 @@
 std::optional<time_point> heldBackUntil(const part_suspects &Suspects,
                                         std::span<const part_id> Parts,
                                         time_point Now);
-/// Returns the suspects, for other hosts.
+/// Returns the suspects with the most crashes, for other hosts.
 std::vector<part_suspect_record>
 writePartSuspects(const part_suspects &Suspects, time_point Now);
 /// Merges the suspects of another host.
--- a/Tests/LibResilience/test_part_suspects.cpp
+++ b/Tests/LibResilience/test_part_suspects.cpp
@@ -146,6 +146,18 @@
   REQUIRE(isHeldBack(Suspects, DeadlyPrompt, at(3'500)));
 }
 
+TEST_CASE("a full table of suspects outgrows the exchange between hosts") {
+  part_suspects Suspects;
+  crash(Suspects, 3);
+  for (std::uint64_t Part = 100; Part < 1'100; ++Part)
+    noteCrash(Suspects, std::vector{makePartId("models", Part)}, upstream(9),
+              at(2'100));
+  REQUIRE(writePartSuspects(Suspects, at(2'200)).size() <= 64);
+  part_suspects Peer;
+  send(Suspects, Peer, at(2'200));
+  REQUIRE(isHeldBack(Peer, DeadlyPrompt, at(2'300)));
+}
+
 TEST_CASE("hosts that see one crash each send the deadly requests on") {
   std::vector<part_suspects> Hosts(3);
   for (int Number = 0; Number < 3; ++Number)
