LibGateway: Bound what an exchange states of lost requests

Enough of them would make hosts take sound leaders for lost.

Change: an exchange carries the 256 suspects with the most losses, among these the ones that changed last, so that a new suspect meets its second loss at another host.

--- a/Libraries/LibGateway/shared_suspects.h
+++ b/Libraries/LibGateway/shared_suspects.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <mutex>
+#include <vector>
 
 namespace spindle {
 
@@ -29,11 +30,18 @@
   void merge(const messages &Messages);
 
 private:
+  struct announced_suspect {
+    suspect_record Record;
+    time_point LastChangeAt;
+  };
+
+  std::vector<const announced_suspect *> mostCrashed() const;
+
   const runtime_clock &Clock;
   std::mutex Mutex;
   crash_suspects Suspects;
-  /// Suspects that are sent with every message until they expire.
-  std::map<request_fingerprint, suspect_record> Announced;
+  /// Suspects for messages to other hosts, until they expire.
+  std::map<request_fingerprint, announced_suspect> Announced;
 };
 
 } // namespace spindle
