--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -164,9 +164,9 @@
   return false;
 }
 
-/// Which upstreams the next attempt may use: any, or a single one.
+/// Which upstreams the next attempt may use.
 struct next_target {
-  bool Any = true;
+  /// The only one if set, otherwise any.
   upstream_id Only;
 };
 
@@ -175,7 +175,7 @@
   if (Request.SendCount >= MaxSends)
     return std::nullopt;
   if (Report.Outcome == attempt_outcome::AdapterMissing)
-    return next_target{false, Request.SentTo.back()};
+    return next_target{Request.SentTo.back()};
   if (Request.SentTo.size() >= Request.Route.Attempts)
     return std::nullopt;
   return next_target{};
