LibGateway: Parse the registration of a host once a revision

Each host parsed the registrations of all hosts about twenty times a second: in each exchange three times, and in each round of membership. Now a registration is parsed when its revision changes, and the exchange's task asks for the hosts once. No change of behaviour; TestLibGateway passes as before. The processor time saved was not measured.

--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -387,8 +387,9 @@
     for (const available_slots &Room : Controller.listAvailableSlots())
       Fleet.noteAvailableSlots(Room);
     Coordinator.exchange(Settings.Seeds);
-    RetryBudgets.setHosts(Coordinator.registeredHostCount());
-    Fleet.setHosts(Coordinator.hostLocations(), Settings.Name);
+    std::vector<host_location> Hosts = Coordinator.hostLocations();
+    RetryBudgets.setHosts(std::max<std::size_t>(1, Hosts.size()));
+    Fleet.setHosts(std::move(Hosts), Settings.Name);
   });
   Tasks.repeat("withheld changes", ExchangeInterval,
                [this] { Coordinator.fetchWithheldChanges(Settings.Seeds); });
--- a/Libraries/LibGateway/zone_leadership.cpp
+++ b/Libraries/LibGateway/zone_leadership.cpp
@@ -88,22 +88,33 @@
   }
 }
 
+static registered_host parseHost(const platform_object &Object) {
+  const nlohmann::json Body =
+      nlohmann::json::parse(Object.Body, nullptr, false);
+  registered_host Host;
+  Host.Name = Object.Name.substr(HostPrefix.size());
+  Host.Revision = Object.Version;
+  if (Body.is_object()) {
+    Host.Zone = Body.value("zone", "");
+    Host.Link = readLink(Body);
+  }
+  return Host;
+}
+
 std::vector<registered_host> zone_leadership::hosts() const {
   std::vector<registered_host> Hosts;
+  std::map<std::string, registered_host> Parsed;
+  const std::lock_guard<std::mutex> Lock(ParsedMutex);
   for (const platform_object &Object : Members.objects()) {
     if (!Object.Name.starts_with(HostPrefix))
       continue;
-    const nlohmann::json Body =
-        nlohmann::json::parse(Object.Body, nullptr, false);
-    registered_host Host;
-    Host.Name = Object.Name.substr(HostPrefix.size());
-    Host.Revision = Object.Version;
-    if (Body.is_object()) {
-      Host.Zone = Body.value("zone", "");
-      Host.Link = readLink(Body);
-    }
-    Hosts.push_back(std::move(Host));
+    const auto Known = ParsedHosts.find(Object.Name);
+    const bool IsSame =
+        Known != ParsedHosts.end() && Known->second.Revision == Object.Version;
+    Hosts.push_back(IsSame ? Known->second : parseHost(Object));
+    Parsed[Object.Name] = Hosts.back();
   }
+  ParsedHosts = std::move(Parsed);
   return Hosts;
 }
 
--- a/Libraries/LibGateway/zone_leadership.h
+++ b/Libraries/LibGateway/zone_leadership.h
@@ -99,6 +99,10 @@
   const runtime_clock &Clock;
   const platform_port &Platform;
   object_mirror &Members;
+  /// Guards ParsedHosts. Never locked while Mutex is held.
+  mutable std::mutex ParsedMutex;
+  /// The registered hosts by object name, so that only changed ones are parsed.
+  mutable std::map<std::string, registered_host> ParsedHosts;
   mutable std::mutex Mutex;
   bool Leaving = false;
   /// Set while this host is its zone's leader.
