LibGateway, LibHTTP: Log how long a failed poll waited, and on what

MirrorLost now states how long the poll waited and how old the relayed state was, MirrorBack for how long the platform could not be followed, and the text of a failed call how long its connection had been idle before. No decision changes.

--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -8,6 +8,14 @@
 
 namespace spindle {
 
+static std::int64_t countMilliseconds(nanoseconds Time) {
+  return std::chrono::duration_cast<milliseconds>(Time).count();
+}
+
+static std::string countText(nanoseconds Time) {
+  return std::to_string(countMilliseconds(Time));
+}
+
 mirror_settings makeMirrorSettings(milliseconds ChangeDelay,
                                    milliseconds PauseAfterPoll) {
   static constexpr milliseconds MinDelay{1'000};
@@ -43,6 +51,7 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     List = MustList;
+    PollStartedAt = Clock.now();
     const bool RespondedRecently =
         LastResponseAt != time_point() &&
         Clock.now() - LastResponseAt < Settings.PollIntervalIfRelayed;
@@ -84,7 +93,8 @@
   if (PlatformReachable)
     return;
   PlatformReachable = true;
-  logEvent(log_event::MirrorBack, {{"kind", Kind}});
+  logEvent(log_event::MirrorBack,
+           {{"kind", Kind}, {"lost_ms", countText(Clock.now() - LostSince)}});
 }
 
 milliseconds object_mirror::recordFailure(const std::exception &Error) {
@@ -98,8 +108,17 @@
   FailurePause =
       std::min(Settings.MaxPauseAfterFailure,
                std::max(Settings.PauseAfterFailure, FailurePause * 2));
-  if (PlatformReachable)
-    logEvent(log_event::MirrorLost, {{"kind", Kind}, {"reason", Error.what()}});
+  if (PlatformReachable) {
+    const time_point Now = Clock.now();
+    logEvent(log_event::MirrorLost,
+             {{"kind", Kind},
+              {"waited_ms", countText(Now - PollStartedAt)},
+              {"relay_age_ms", RelayResponseAt == time_point()
+                                   ? std::string()
+                                   : countText(Now - RelayResponseAt)},
+              {"reason", Error.what()}});
+    LostSince = Now;
+  }
   PlatformReachable = false;
   return FailurePause;
 }
@@ -225,10 +244,6 @@
   Deletions.pop_front();
 }
 
-static std::int64_t countMilliseconds(nanoseconds Time) {
-  return std::chrono::duration_cast<milliseconds>(Time).count();
-}
-
 /// Writes what is known of the platform, without objects.
 /// Precondition: Mutex is held.
 void object_mirror::writeState(host_link::MirroredKind &Message) const {
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -140,6 +140,9 @@
   std::deque<deleted_object> Deletions;
   std::uint64_t DeletionsKnownSince = 0;
   milliseconds FailurePause{0};
+  time_point PollStartedAt;
+  /// When a poll failed after one that succeeded.
+  time_point LostSince;
   /// When the platform last responded to this host.
   time_point LastResponseAt;
   /// When the platform last responded to the host that relays to this one.
--- a/Libraries/LibHTTP/beast_call.cpp
+++ b/Libraries/LibHTTP/beast_call.cpp
@@ -74,8 +74,10 @@
 void beast_call::fail(const io_result &Result, result_code Lost,
                       std::string_view Step) {
   throwIfCancelled();
-  const std::string Where =
-      toText(Connection->Peer) + " while " + std::string(Step);
+  std::string Where = toText(Connection->Peer) + " while " + std::string(Step);
+  if (Connection->IdleBefore)
+    Where += " on a connection idle for " +
+             std::to_string(Connection->IdleBefore->count()) + " ms before";
   if (Result.Error == beast::error::timeout)
     throw spindle_error(Lost == result_code::UpstreamUnreachable
                             ? Lost
--- a/Libraries/LibHTTP/client_connection.h
+++ b/Libraries/LibHTTP/client_connection.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace spindle {
 
@@ -25,6 +26,8 @@
   /// How often the peer had been suspected when the connection was opened.
   std::uint64_t SuspicionCount = 0;
   time_point IdleSince;
+  /// How long it lay idle before this use; none at its first use.
+  std::optional<milliseconds> IdleBefore;
   /// How long it may lie idle before its server closes it.
   milliseconds MostIdle{0};
 };
--- a/Libraries/LibHTTP/connection_pool.cpp
+++ b/Libraries/LibHTTP/connection_pool.cpp
@@ -13,8 +13,10 @@
 }
 
 bool connection_pool::usable(client_connection &Connection) {
-  const bool Expired =
-      boot_clock::now() - Connection.IdleSince > Connection.MostIdle;
+  const milliseconds Idle = std::chrono::duration_cast<milliseconds>(
+      boot_clock::now() - Connection.IdleSince);
+  Connection.IdleBefore = Idle;
+  const bool Expired = Idle > Connection.MostIdle;
   const bool Alive = peek(Connection.Stream) == socket_peek::Quiet;
   const std::lock_guard<std::mutex> Lock(Mutex);
   const bool Suspect =
