LibGateway: End a poll in time for a host whose leader falls silent

Cause: while a leader relays changes, a host held its own poll open for 5 s, and the poll failed only 0.7 s later. If its connection had gone silent, or the platform had turned the host away without an answer when the poll began, the host had no way to the platform for up to 5.7 s. When its leader was turned away meanwhile, neither delivered changes. Class: a long wait, begun under an assumption, goes on after the assumption has ended.

Why this works: every poll is held open for 1 s and fails after 1.7 s, so a host has a working poll again within 3 s of any disturbance of its own, which is what a disturbed host is allowed, and then learns of a stale leader within 1.5 s. Polls of relayed hosts are 10 s apart instead of 6 s, so they are as rare as before.

--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -26,7 +26,7 @@
   mirror_settings Settings;
   Settings.PollTimeout = std::max(MinPollTimeout, Delay / 3);
   Settings.RelayMaxAge = Delay * 13 / 20;
-  Settings.PollIntervalIfRelayed = Delay * 3;
+  Settings.PollIntervalIfRelayed = Delay * 5;
   Settings.PauseAfterPoll = PauseAfterPoll;
   Settings.OutageAfter = Settings.PollTimeout + PauseAfterPoll + OutageMargin;
   return Settings;
@@ -147,16 +147,8 @@
 }
 
 void object_mirror::pollChanges() {
-  std::uint64_t FromRevision = 0;
-  bool IsRelayCurrent = false;
-  {
-    const std::lock_guard<std::mutex> Lock(Mutex);
-    FromRevision = Cursor;
-    IsRelayCurrent = WithheldChange <= Cursor && isRelayCurrent();
-  }
-  const platform_changes Batch = Platform.Changes(
-      Kind, FromRevision,
-      IsRelayCurrent ? Settings.PollTimeoutIfRelayed : Settings.PollTimeout);
+  const platform_changes Batch =
+      Platform.Changes(Kind, cursor(), Settings.PollTimeout);
   bool HasChanges = false;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -19,10 +19,9 @@
 
 struct mirror_settings {
   /// How long the platform may hold a poll for changes open. A poll may return
-  /// nothing although there are changes, so this bounds their delay.
+  /// nothing although there are changes, or wait on a dead connection, so this
+  /// bounds their delay.
   milliseconds PollTimeout{1'000};
-  /// The same while another host relays changes that this one misses.
-  milliseconds PollTimeoutIfRelayed{5'000};
   /// The interval between two polls while another host relays changes, and the
   /// interval of the checks whether it still does.
   milliseconds PollIntervalIfRelayed{3'000};
