LibHTTP: Don't wait on one silent connection after the other

An undisturbed host has 2 s.

Cause: the client's pool hands out the connection that was returned last. A call that gets no response closes only its own connection, so the next one takes another that fell silent at the same moment. A host that polls rarely also keeps connections for up to 30 s that nothing has used since. Class: an open connection is taken for a working one.

Evidence: silent at 4.0 s, MirrorLost of a leader's configuration at 5.43 s and MirrorBack at 8.89 s, two polls of 1.7 s in vain in between.

Why this works: an idempotent call without a response makes the idle connections to its peer unusable, so the next call opens one.

The two tests failed before (a connection was reused: 2 == 1, 1 == 0).

--- a/Libraries/LibHTTP/connection_pool.cpp
+++ b/Libraries/LibHTTP/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "LibHTTP/connection_pool.h"
 
+#include <algorithm>
+
 namespace spindle {
 
 client_connection_pointer connection_pool::takeLast(const endpoint &Peer) {
@@ -12,11 +14,12 @@
   return Connection;
 }
 
-bool connection_pool::usable(client_connection &Connection) {
+bool connection_pool::usable(client_connection &Connection,
+                             milliseconds MaxIdle) {
   const milliseconds Idle = std::chrono::duration_cast<milliseconds>(
       boot_clock::now() - Connection.IdleSince);
   Connection.IdleBefore = Idle;
-  const bool Expired = Idle > Connection.MostIdle;
+  const bool Expired = Idle > std::min(Connection.MostIdle, MaxIdle);
   const bool Alive = peek(Connection.Stream) == socket_peek::Quiet;
   const std::lock_guard<std::mutex> Lock(Mutex);
   const bool Suspect =
@@ -29,9 +32,10 @@
   return false;
 }
 
-client_connection_pointer connection_pool::take(const endpoint &Peer) {
+client_connection_pointer connection_pool::take(const endpoint &Peer,
+                                                milliseconds MaxIdle) {
   while (client_connection_pointer Connection = takeLast(Peer))
-    if (usable(*Connection))
+    if (usable(*Connection, MaxIdle))
       return Connection;
   return nullptr;
 }
--- a/Libraries/LibHTTP/connection_pool.h
+++ b/Libraries/LibHTTP/connection_pool.h
@@ -16,9 +16,10 @@
   /// \p MostIdle bounds the idle connections a thread and peer.
   explicit connection_pool(std::size_t MostIdle) : MostIdle(MostIdle) {}
 
-  /// Takes an idle connection of the calling thread that looks alive; null if
-  /// there is none. Precondition: onRuntimeThread().
-  client_connection_pointer take(const endpoint &Peer);
+  /// Takes a connection of the calling thread that looks alive and was idle for
+  /// at most \p MaxIdle; null if there is none.
+  /// Precondition: onRuntimeThread().
+  client_connection_pointer take(const endpoint &Peer, milliseconds MaxIdle);
   /// Opens a connection's bookkeeping; it is not connected yet.
   /// Precondition: onRuntimeThread().
   client_connection_pointer make(const endpoint &Peer);
@@ -34,7 +35,7 @@
   using idle_list = std::vector<client_connection_pointer>;
 
   client_connection_pointer takeLast(const endpoint &Peer);
-  bool usable(client_connection &Connection);
+  bool usable(client_connection &Connection, milliseconds MaxIdle);
 
   const std::size_t MostIdle;
   mutable std::mutex Mutex;
--- a/Libraries/LibHTTP/http_client.cpp
+++ b/Libraries/LibHTTP/http_client.cpp
@@ -47,7 +47,7 @@
                                               connection_use Use) {
   client_connection_pointer Idle;
   if (Use != connection_use::FreshOnce)
-    Idle = State->Pool->take(Peer);
+    Idle = State->Pool->take(Peer, Limits.MaxIdle);
   if (!Idle)
     return startFresh(State->Pool, Peer, Request, Body, Limits);
   std::unique_ptr<beast_call> Call =
@@ -55,7 +55,11 @@
   try {
     Call->exchangeHeads(Request, Body);
     return Call;
-  } catch (const spindle_error &) {
+  } catch (const spindle_error &Error) {
+    // What silenced this connection may have silenced the others, too.
+    if (Use == connection_use::PooledIdempotent &&
+        Error.code() == result_code::UpstreamTimeout)
+      discardIdle(Peer);
     // The peer may close an idle connection just when it is used again.
     if (Use == connection_use::PooledOnce || !Call->closedBeforeAnswer())
       throw;
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -23,6 +23,9 @@
   /// Between two parts of the body.
   milliseconds BetweenBytes{10'000};
   std::size_t HeaderBytes = 16 * 1024;
+  /// A pooled connection that was idle for longer is not used: whether it still
+  /// works shows only when the call has waited in vain.
+  milliseconds MaxIdle = milliseconds::max();
   /// When the call ends at the latest, whatever the limits above leave.
   time_point Until = time_point::max();
   /// Tells the answer to this request from a late answer to an earlier one,
@@ -35,8 +38,9 @@
 /// How a call uses pooled connections.
 enum class connection_use {
   /// A pooled connection if there is one. If it proves closed before any byte
-  /// of the answer, the call is sent once more on a new connection. Only for
-  /// idempotent calls.
+  /// of the answer, the call is sent once more on a new connection. If no
+  /// answer comes in time, no idle connection to the peer is used again. Only
+  /// for idempotent calls.
   PooledIdempotent,
   /// A pooled connection if there is one, never sent twice: a connection that
   /// closes may mean that the request has crashed its server.
--- a/Tests/LibHTTP/test_http.cpp
+++ b/Tests/LibHTTP/test_http.cpp
@@ -37,6 +37,23 @@
   http_server Server;
 };
 
+/// Calls the server from a fiber.
+void get(loopback &Loopback, const http_call_limits &Limits) {
+  Loopback.Client.call(Loopback.Server.address(), {"GET", "/", {}}, "", Limits,
+                       connection_use::PooledIdempotent, 100);
+}
+
+/// Leaves several idle connections to the server, for the calling thread.
+void fillPool(loopback &Loopback) {
+  std::vector<std::unique_ptr<http_call>> Calls;
+  for (int Count = 0; Count < 4; ++Count)
+    Calls.push_back(Loopback.Client.start(Loopback.Server.address(),
+                                          {"GET", "/", {}}, "", {},
+                                          connection_use::FreshOnce));
+  for (const std::unique_ptr<http_call> &Call : Calls)
+    Call->readAll(100);
+}
+
 result_code codeOf(const std::function<void()> &Work) {
   try {
     Work();
@@ -168,6 +185,43 @@
   REQUIRE(Loopback.Client.counts().Opened == Opened + 1);
 }
 
+TEST_CASE("the call after one without a response waits on another connection "
+          "that went silent") {
+  std::atomic<bool> Silent{false};
+  loopback Loopback([&Silent](http_exchange &Exchange) {
+    while (Silent.load() && !Exchange.callerGone())
+      sleepFor(milliseconds(1));
+    Exchange.respond({200, {}}, "ok");
+  });
+  Loopback.Runtime.runBlocking([&] {
+    fillPool(Loopback);
+    Silent = true;
+    http_call_limits Limits;
+    Limits.FirstByte = milliseconds(30);
+    CHECK(codeOf([&] { get(Loopback, Limits); }) ==
+          result_code::UpstreamTimeout);
+    Silent = false;
+    const std::size_t Reused = Loopback.Client.counts().Reused;
+    get(Loopback, Limits);
+    CHECK(Loopback.Client.counts().Reused == Reused);
+  });
+}
+
+TEST_CASE("a call that must be quick waits on a connection that was idle for "
+          "long") {
+  loopback Loopback([](http_exchange &Exchange) {
+    Exchange.respond({200, {}}, "ok");
+  });
+  Loopback.Runtime.runBlocking([&] {
+    fillPool(Loopback);
+    sleepFor(milliseconds(20));
+    http_call_limits Limits;
+    Limits.MaxIdle = milliseconds(10);
+    get(Loopback, Limits);
+    CHECK(Loopback.Client.counts().Reused == 0);
+  });
+}
+
 TEST_CASE("a draining server finishes what runs and closes afterwards") {
   std::atomic<bool> Entered{false};
   std::atomic<bool> Release{false};
