LibGateway: Refuse a route or a key for good only on a current copy

What callers saw: 404 for a route that had been added, 2 s and more after the change was confirmed. Callers take 401 and 404 for final and don't come back.

Cause: a host did not know how old its copy of the configuration may be, so it refused on an outdated one as on a current one. Class: absence in a cache is taken for absence at the source.

Change: each mirror keeps the time at which it had all that the platform had. A response of the platform sets it, and so does a message of a peer if it states no change since a revision that the receiver has (new field base; a peer without it states nothing). If that is over nine tenths of the time limit of a change ago, a request that the known configuration refuses gets 503 (1604) with Retry-After instead: it has not run, and another host, or this one, can serve it. A poll is held open the shorter the older the copy is, so that undisturbed hosts always confirm theirs in time.

Why this works: a refusal is given only if every change confirmed 1.8 s ago or earlier is known. The property "a host takes a copy that is behind for current" checks both sides on drawn histories of several hosts: who lacks a change for 2 s is not confident, who is undisturbed is. The end-to-end test "a host that can't learn of changes refuses a route or a key for good" failed before (404 == 503).

--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -41,6 +41,40 @@
   return *Route;
 }
 
+/// Reports a refusal that callers take for final. A newer configuration may
+/// allow the request, so one that may be outdated refuses nothing for good.
+[[noreturn]] void refuse(const gateway_services &Services,
+                         const spindle_error &Refusal) {
+  const object_mirror &Objects = Services.ConfigurationObjects;
+  if (Objects.isConfirmed())
+    throw Refusal;
+  const milliseconds Age =
+      std::chrono::duration_cast<milliseconds>(Objects.age());
+  throw retry_after_error(result_code::ConfigurationOutdated,
+                          std::string(Refusal.what()) +
+                              "; the configuration was last confirmed " +
+                              std::to_string(Age.count()) + " ms ago",
+                          RetryAfterLong);
+}
+
+struct admitted_route {
+  const gateway_route &Route;
+  /// Null if the route requires no key.
+  const gateway_customer *Customer;
+};
+
+admitted_route admit(const gateway_services &Services,
+                     const gateway_configuration &Configuration,
+                     const http_request_head &Head,
+                     const request_description &Description) {
+  try {
+    const gateway_route &Route = routeOf(Configuration, Head);
+    return {Route, authenticate(Configuration, Route, Description)};
+  } catch (const spindle_error &Refusal) {
+    refuse(Services, Refusal);
+  }
+}
+
 const gateway_service &serviceOf(const gateway_configuration &Configuration,
                                  const gateway_route &Route) {
   const gateway_service *const Service =
@@ -135,9 +169,8 @@
                             RetryAfterLong);
   const http_request_head &Head = Exchange.request();
   request_description Description = Services.Codec.ReadRequest(Head);
-  const gateway_route &Route = routeOf(*Configuration, Head);
-  const gateway_customer *const Customer =
-      authenticate(*Configuration, Route, Description);
+  const auto [Route, Customer] =
+      admit(Services, *Configuration, Head, Description);
   const gateway_service &Service = serviceOf(*Configuration, Route);
   std::string Body = Exchange.readBody(Configuration->Limits.BodyBytes);
   const request_fingerprint Fingerprint = fingerprintOf(
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -148,8 +148,9 @@
            [this] { return Controller.listAvailableSlots(); }}),
       Controller(Clock, Fleet, makeControllerPorts()),
       Holds(Clock, Fleet, Coordinator, Controller, Link, Self),
-      Services{Clock, Ports.Codec, Metrics, Client,   Configuration, Fleet,
-               Quota, Coordinator, Holds,   Releases, RetryBudgets},
+      Services{Clock,         Ports.Codec,    Metrics,  Client,
+               Configuration, Configurations, Fleet,    Quota,
+               Coordinator,   Holds,          Releases, RetryBudgets},
       Tasks(Runtime) {
   Configurations.onChange([this] { applyConfiguration(); });
   Upstreams.onChange([this] { applyUpstreams(); });
--- a/Libraries/LibGateway/gateway_services.h
+++ b/Libraries/LibGateway/gateway_services.h
@@ -5,6 +5,7 @@
 #include "LibGateway/customer_quota.h"
 #include "LibGateway/fleet_table.h"
 #include "LibGateway/gateway_codec.h"
+#include "LibGateway/object_mirror.h"
 #include "LibGateway/release_table.h"
 #include "LibGateway/service_retry_budgets.h"
 #include "LibGateway/zone_coordinator.h"
@@ -42,6 +43,8 @@
   metrics &Metrics;
   http_client &Client;
   active_configuration &Configuration;
+  /// The objects that Configuration is read from.
+  const object_mirror &ConfigurationObjects;
   fleet_table &Fleet;
   customer_quota &Quota;
   zone_coordinator &Coordinator;
--- a/Libraries/LibGateway/object_mirror.cpp
+++ b/Libraries/LibGateway/object_mirror.cpp
@@ -22,6 +22,7 @@
   static constexpr milliseconds MaxDelay{5'000};
   static constexpr milliseconds MinPollTimeout{1'000};
   static constexpr milliseconds OutageMargin{200};
+  static constexpr milliseconds AgeMargin{500};
   const milliseconds Delay = std::clamp(ChangeDelay, MinDelay, MaxDelay);
   mirror_settings Settings;
   Settings.PollTimeout = std::max(MinPollTimeout, Delay / 3);
@@ -29,6 +30,8 @@
   Settings.PollIntervalIfRelayed = Delay * 5;
   Settings.PauseAfterPoll = PauseAfterPoll;
   Settings.OutageAfter = Settings.PollTimeout + PauseAfterPoll + OutageMargin;
+  Settings.MaxAge = std::max(Delay * 9 / 10,
+                             Settings.PollTimeout + PauseAfterPoll + AgeMargin);
   return Settings;
 }
 
@@ -90,6 +93,7 @@
   FailurePause = milliseconds(0);
   recordResponse(Clock.now());
   LastResponseAt = Clock.now();
+  CompleteAt = LastResponseAt;
   if (PlatformReachable)
     return;
   PlatformReachable = true;
@@ -146,9 +150,19 @@
     OnChange();
 }
 
+/// How long the next poll may be held open: the older the copy, the sooner it
+/// has to be confirmed.
+milliseconds object_mirror::nextPollTimeout() const {
+  const milliseconds MaxAge =
+      Settings.RelayMaxAge + Settings.RelayCheckInterval;
+  const milliseconds Left =
+      MaxAge - std::chrono::duration_cast<milliseconds>(age());
+  return std::clamp(Left, milliseconds(0), Settings.PollTimeout);
+}
+
 void object_mirror::pollChanges() {
   const platform_changes Batch =
-      Platform.Changes(Kind, cursor(), Settings.PollTimeout);
+      Platform.Changes(Kind, cursor(), nextPollTimeout());
   bool HasChanges = false;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -211,6 +225,11 @@
   return PlatformReachable;
 }
 
+nanoseconds object_mirror::age() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Clock.now() - CompleteAt;
+}
+
 platform_availability object_mirror::availability() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const time_point Last = lastKnownResponse();
@@ -238,9 +257,12 @@
 
 /// Writes what is known of the platform, without objects.
 /// Precondition: Mutex is held.
-void object_mirror::writeState(host_link::MirroredKind &Message) const {
+void object_mirror::writeState(std::uint64_t PeerCursor,
+                               host_link::MirroredKind &Message) const {
   Message.set_kind(Kind);
   Message.set_cursor(Cursor);
+  if (Initialized)
+    Message.set_base(PeerCursor);
   Message.set_heard_ms(countMilliseconds(Clock.now() - LastResponseAt));
   Message.set_available_ms(countMilliseconds(LastResponseAt - AvailableSince));
 }
@@ -290,7 +312,7 @@
 void object_mirror::writeChangesSince(std::uint64_t PeerCursor,
                                       host_link::MirroredKind &Message) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  writeState(Message);
+  writeState(PeerCursor, Message);
   if (Initialized && LastChange > PeerCursor)
     writeObjects(PeerCursor, Message);
 }
@@ -298,7 +320,7 @@
 void object_mirror::writeSmallChangesSince(
     std::uint64_t PeerCursor, host_link::MirroredKind &Message) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  writeState(Message);
+  writeState(PeerCursor, Message);
   if (!Initialized || LastChange <= PeerCursor)
     return;
   if (hasLargeChangeSince(PeerCursor))
@@ -349,10 +371,16 @@
   }
 }
 
+/// When the platform responded to the sender of a message.
+time_point
+object_mirror::respondedAt(const host_link::MirroredKind &Message) const {
+  return Clock.now() - milliseconds(Message.heard_ms());
+}
+
 /// Precondition: Mutex is held.
 void object_mirror::recordRelayedResponse(
     const host_link::MirroredKind &Message) {
-  const time_point At = Clock.now() - milliseconds(Message.heard_ms());
+  const time_point At = respondedAt(Message);
   recordResponse(At);
   RelayResponseAt = std::max(RelayResponseAt, At);
   // A gap in what this host knows is no outage if a peer had responses
@@ -362,27 +390,50 @@
         std::min(AvailableSince, At - milliseconds(Message.available_ms()));
 }
 
+/// Merges the objects of a message, and returns whether it had any that are
+/// new. Precondition: Mutex is held.
+bool object_mirror::mergeObjects(const host_link::MirroredKind &Message) {
+  const bool IsIncremental = !Message.complete() && Message.since() > 0;
+  if (!Message.complete() && !IsIncremental)
+    return false;
+  if (Message.cursor() <= Cursor)
+    return false;
+  // Changes that start after this mirror's cursor would leave a gap.
+  if (IsIncremental && (!Initialized || Message.since() > Cursor))
+    return false;
+  if (IsIncremental)
+    mergeChanges(Message);
+  else
+    mergeAll(Message);
+  Initialized = true;
+  MustList = false;
+  Cursor = Message.cursor();
+  LastChange = Message.cursor();
+  return true;
+}
+
+/// Whether this copy has all that the sender of a merged message has.
+/// Precondition: Mutex is held.
+bool object_mirror::hasAllOf(const host_link::MirroredKind &Message) const {
+  if (!Initialized || !Message.has_base())
+    return false;
+  if (Message.cursor() <= Cursor)
+    return true;
+  const bool StatesNoChange =
+      !Message.complete() && Message.since() == 0 && Message.withheld() == 0;
+  return StatesNoChange && Message.base() <= Cursor;
+}
+
 void object_mirror::merge(const host_link::MirroredKind &Message) {
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     recordRelayedResponse(Message);
     WithheldChange = std::max(WithheldChange, Message.withheld());
-    const bool IsIncremental = !Message.complete() && Message.since() > 0;
-    if (!Message.complete() && !IsIncremental)
+    const bool HasNew = mergeObjects(Message);
+    if (hasAllOf(Message))
+      CompleteAt = std::max(CompleteAt, respondedAt(Message));
+    if (!HasNew)
       return;
-    if (Message.cursor() <= Cursor)
-      return;
-    // Changes that start after this mirror's cursor would leave a gap.
-    if (IsIncremental && (!Initialized || Message.since() > Cursor))
-      return;
-    if (IsIncremental)
-      mergeChanges(Message);
-    else
-      mergeAll(Message);
-    Initialized = true;
-    MustList = false;
-    Cursor = Message.cursor();
-    LastChange = Message.cursor();
   }
   logEvent(log_event::MirrorRelayed,
            {{"kind", Kind}, {"revision", std::to_string(Message.cursor())}});
--- a/Libraries/LibGateway/object_mirror.h
+++ b/Libraries/LibGateway/object_mirror.h
@@ -37,6 +37,9 @@
   /// than the time after which a registration expires.
   milliseconds OutageAfter{1'700};
   milliseconds MaxPauseAfterFailure{1'000};
+  /// A copy that was last complete longer ago may lack a change that must be in
+  /// force. Longer than undisturbed hosts need to learn that they have all.
+  milliseconds MaxAge{1'800};
 };
 
 /// Settings of a mirror that shows each change within \p ChangeDelay, as long
@@ -71,6 +74,11 @@
   std::optional<platform_object> find(std::string_view Name) const;
   /// Applies a write of this host without waiting for the next poll.
   void applyOwnWrite(const platform_object &Object);
+  /// How long ago this copy had all objects that the platform had, at the
+  /// latest.
+  nanoseconds age() const;
+  /// Whether this copy has each change that must be in force.
+  bool isConfirmed() const { return age() <= Settings.MaxAge; }
   /// Whether the platform responded to the last poll.
   bool isPlatformReachable() const;
   /// Whether the platform responds to this host or to a peer that relays, and
@@ -103,17 +111,22 @@
 
   bool isRelayCurrent() const;
   bool hasLargeChangeSince(std::uint64_t PeerCursor) const;
-  void writeState(host_link::MirroredKind &Message) const;
+  void writeState(std::uint64_t PeerCursor,
+                  host_link::MirroredKind &Message) const;
   void writeObjects(std::uint64_t PeerCursor,
                     host_link::MirroredKind &Message) const;
   void recordDeletion(const std::string &Name, std::uint64_t Revision);
+  bool mergeObjects(const host_link::MirroredKind &Message);
+  bool hasAllOf(const host_link::MirroredKind &Message) const;
   void mergeChanges(const host_link::MirroredKind &Message);
   void mergeAll(const host_link::MirroredKind &Message);
   void mergeObject(const host_link::MirroredObject &Remote);
   void listAll();
+  milliseconds nextPollTimeout() const;
   void pollChanges();
   time_point lastKnownResponse() const;
   void recordResponse(time_point At);
+  time_point respondedAt(const host_link::MirroredKind &Message) const;
   void recordRelayedResponse(const host_link::MirroredKind &Message);
   void recordSuccess();
   milliseconds recordFailure(const std::exception &Error);
@@ -146,6 +159,8 @@
   time_point LastResponseAt;
   /// When the platform last responded to the host that relays to this one.
   time_point RelayResponseAt;
+  /// When this copy had all objects that the platform had.
+  time_point CompleteAt;
   /// When the platform responded again after its last outage.
   time_point AvailableSince;
 };
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -187,6 +187,22 @@
   REQUIRE(Fleet.call(1, "c1", "/check/1", "").Status == 200);
 }
 
+TEST_CASE("forwarding: a host that can't learn of changes refuses a route or "
+          "a key for good") {
+  forwarding_fleet Fleet;
+  REQUIRE(Fleet.call(0, "x1", "/nowhere/", "").Status == 404);
+  REQUIRE(Fleet.ask(0, "s1", "a1", "/once/x", "unknown").Status == 401);
+  Fleet.Store.setDown(true);
+  sleepFor(milliseconds(2'500));
+  const forwarded_answer Refused = Fleet.call(0, "x2", "/nowhere/", "");
+  REQUIRE(Refused.Status == 503);
+  REQUIRE_FALSE(findField(Refused.Fields, "Retry-After").empty());
+  REQUIRE(Fleet.ask(0, "s2", "a1", "/once/x", "unknown").Status == 503);
+  Fleet.Store.setDown(false);
+  sleepFor(milliseconds(2'500));
+  REQUIRE(Fleet.call(0, "x3", "/nowhere/", "").Status == 404);
+}
+
 TEST_CASE("forwarding: a store that forgot its history is read anew") {
   forwarding_fleet Fleet;
   Fleet.Store.compact();
--- a/Tests/LibGateway/mirror_fleet.cpp
+++ b/Tests/LibGateway/mirror_fleet.cpp
@@ -165,4 +165,8 @@
          Hosts[Host]->Mirror->cursor() >= Newest->Revision;
 }
 
+bool mirror_fleet::takesCopyForCurrent(std::size_t Host) const {
+  return !Hosts[Host]->Paused && Hosts[Host]->Mirror->isConfirmed();
+}
+
 } // namespace spindle
--- a/Tests/LibGateway/mirror_fleet.h
+++ b/Tests/LibGateway/mirror_fleet.h
@@ -46,6 +46,9 @@
   /// earlier.
   bool isCurrent(std::size_t Host, milliseconds Delay) const;
 
+  /// Whether a host that runs takes its copy for current.
+  bool takesCopyForCurrent(std::size_t Host) const;
+
 private:
   struct host {
     platform_port Port;
--- a/Tests/LibGateway/test_mirror_fleet.cpp
+++ b/Tests/LibGateway/test_mirror_fleet.cpp
@@ -25,6 +25,22 @@
   return true;
 }
 
+/// Runs the fleet and checks meanwhile that hosts that lack a change for too
+/// long notice it, and that undisturbed hosts don't take their copy for old.
+bool noticesDelay(mirror_fleet &Fleet, milliseconds Time) {
+  for (milliseconds Passed{0}; Passed < Time; Passed += Tick) {
+    Fleet.run(Tick);
+    for (std::size_t Host = 0; Host < Fleet.size(); ++Host) {
+      const bool IsConfident = Fleet.takesCopyForCurrent(Host);
+      if (IsConfident && !Fleet.isCurrent(Host, ChangeDelay))
+        return false;
+      if (!IsConfident && Fleet.isUndisturbed(Host, StableWindow))
+        return false;
+    }
+  }
+  return true;
+}
+
 /// A step of a drawn history. Hosts are the bits of a set.
 struct fleet_step {
   int Kind = 0;
@@ -101,6 +117,21 @@
   REQUIRE(appliesInTime(Fleet, milliseconds(6'000)));
 }
 
+// A refusal on a copy that lacks a change is final for the caller, so a host
+// must know when its copy may be behind.
+TEST_CASE("a host takes a copy that is behind for current") {
+  rc::prop("a host that lacks a change does not take its copy for current", [] {
+    const std::vector<fleet_step> Steps =
+        *rc::gen::container<std::vector<fleet_step>>(genStep());
+    mirror_fleet Fleet(3, 2, makeMirrorSettings(ChangeDelay, {}));
+    Fleet.run(seconds(2));
+    for (const fleet_step &Step : Steps) {
+      apply(Fleet, Step);
+      RC_ASSERT(noticesDelay(Fleet, milliseconds(Step.PauseMilliseconds)));
+    }
+  });
+}
+
 TEST_CASE("undisturbed hosts apply changes late beside disturbed ones") {
   rc::prop("each undisturbed host has each change in time", [] {
     const std::vector<fleet_step> Steps =
