--- a/StandIns/LibForwarding/upstream_stand_in.cpp
+++ b/StandIns/LibForwarding/upstream_stand_in.cpp
@@ -12,6 +12,7 @@
 static constexpr std::string_view IdField = "X-Parsleyspindle-Request-Id";
 static constexpr std::string_view SealField = "X-Parsleyspindle-Server-Seal";
 static constexpr std::string_view NotRunField = "X-Parsleyspindle-Not-Executed";
+static constexpr std::string_view LimitField = "Server-Limit";
 static constexpr std::string_view OnlyField =
     "X-Parsleyspindle-Expect-Instance";
 static constexpr std::string_view VersionField =
@@ -66,6 +67,11 @@
   return Sum;
 }
 
+std::vector<time_point> upstream_stand_in::arrivals() const {
+  const lock Lock(Mutex);
+  return Arrivals;
+}
+
 http_request_head upstream_stand_in::lastRequest() const {
   const lock Lock(Mutex);
   return Last;
@@ -134,6 +140,14 @@
   Exchange.respond({Status, {}}, "");
 }
 
+/// Adds to the fields of an answer what the upstream states of itself.
+static http_fields withStatements(http_fields Fields,
+                                  const upstream_switches &Now) {
+  if (!Now.Limit.empty())
+    Fields.push_back({std::string(LimitField), Now.Limit});
+  return Fields;
+}
+
 /// Answers a request that is not run, if it is one.
 bool upstream_stand_in::refuses(http_exchange &Exchange,
                                 const upstream_switches &Now) {
@@ -153,7 +167,8 @@
   }
   if (Status == 0)
     return false;
-  Exchange.respond({Status, {{std::string(NotRunField), "1"}}}, "");
+  Exchange.respond(
+      {Status, withStatements({{std::string(NotRunField), "1"}}, Now)}, "");
   return true;
 }
 
@@ -162,6 +177,7 @@
   {
     const lock Lock(Mutex);
     Now = Switches;
+    Arrivals.push_back(boot_clock::now());
   }
   const std::string Body = Exchange.readBody(StandInBodyLimitBytes);
   if (refuses(Exchange, Now))
@@ -177,10 +193,10 @@
     return Exchange.abort();
   if (!Model.empty())
     return stream(Exchange, Now);
-  Exchange.respond(
-      {Now.Failing ? 500 : 200,
-       {{std::string(IdField), Id}, {std::string(SealField), "seal-" + Name}}},
-      Name + ":" + Body);
+  const http_fields Signed{{std::string(IdField), Id},
+                           {std::string(SealField), "seal-" + Name}};
+  Exchange.respond({Now.Failing ? 500 : 200, withStatements(Signed, Now)},
+                   Name + ":" + Body);
 }
 
 bool upstream_stand_in::pause(http_exchange &Exchange, milliseconds Time) {
@@ -200,11 +216,11 @@
   const http_fields &Fields = Exchange.request().Fields;
   const std::string Resumed(findField(Fields, "Last-Event-Id"));
   const int First = Resumed.empty() ? 1 : std::atoi(Resumed.c_str()) + 1;
-  Exchange.startStream(
-      {200,
-       {{"Content-Type", "text/event-stream"},
-        {std::string(IdField), std::string(findField(Fields, IdField))},
-        {std::string(SealField), "seal-" + Name}}});
+  const http_fields Signed{
+      {"Content-Type", "text/event-stream"},
+      {std::string(IdField), std::string(findField(Fields, IdField))},
+      {std::string(SealField), "seal-" + Name}};
+  Exchange.startStream({200, withStatements(Signed, Now)});
   int Sent = 0;
   for (int Event = First; Event <= Events; ++Event) {
     if (Now.BreaksAfter > 0 && Sent == Now.BreaksAfter) {
--- a/StandIns/LibForwarding/upstream_stand_in.h
+++ b/StandIns/LibForwarding/upstream_stand_in.h
@@ -28,6 +28,8 @@
   /// Ends a stream that breaks off as if it were complete.
   bool EndsBroken = false;
   milliseconds EventPause{0};
+  /// The Server-Limit of every answer, as text; empty for none.
+  std::string Limit;
 };
 
 /// An upstream as the platform's page describes it: a plain service, or a model
@@ -45,6 +47,8 @@
   /// How often a request of that id was run.
   int runsOf(const std::string &AttemptId) const;
   std::size_t runs() const;
+  /// When each request arrived, those that were refused included.
+  std::vector<time_point> arrivals() const;
   /// How many callers left while their stream was pending.
   int abandoned() const { return Abandoned.load(); }
   /// The header fields of the last request that was run.
@@ -76,6 +80,7 @@
   mutable std::mutex Mutex;
   upstream_switches Switches;
   std::map<std::string, int> Runs;
+  std::vector<time_point> Arrivals;
   std::map<std::string, std::uint64_t> Adapters;
   std::uint64_t OrderCount = 0;
   std::uint64_t HighestFence = 0;
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -1,6 +1,7 @@
 #include "EndToEnd/caller.h"
 #include "EndToEnd/forwarding_fleet.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <thread>
@@ -244,6 +245,27 @@
   REQUIRE(Fleet.host(0).wait() == 0);
 }
 
+TEST_CASE("forwarding: an upstream that states a limit gets far more") {
+  static constexpr double RequestsPerSecond = 1.1;
+  static constexpr double MaxArrivals = 1.5 * 4 * RequestsPerSecond + 5;
+  forwarding_fleet Fleet;
+  upstream_switches Limited;
+  Limited.Limit = "1.1";
+  Fleet.Services[0]->set(Limited);
+  const time_point Start = boot_clock::now();
+  for (int Number = 0; boot_clock::now() < Start + seconds(7); ++Number) {
+    Fleet.call(static_cast<std::size_t>(Number % 3),
+               "c" + std::to_string(Number), "/check/1", "");
+    sleepFor(milliseconds(20));
+  }
+  const std::vector<time_point> Arrivals = Fleet.Services[0]->arrivals();
+  const auto Late =
+      std::count_if(Arrivals.begin(), Arrivals.end(),
+                    [&](time_point At) { return At > Start + seconds(3); });
+  REQUIRE(static_cast<double>(Late) <= MaxArrivals);
+  REQUIRE(Fleet.Services[1]->runs() > 100);
+}
+
 TEST_CASE("forwarding: SIGHUP reloads the settings, and bad ones change "
           "nothing") {
   forwarding_fleet Fleet;
