LibGateway: Hold the requests of all hosts to the limit that an upstream states

What callers saw: an upstream in need, which states the requests a second that it accepts from all hosts together, got many times that.

Cause: nothing read the field. Class: a constraint that the other side states is not part of the protocol as we decode it.

Change: the field is decoded in platform/ and kept for one start of the upstream (upstream_limits). The rate is divided as that of an upstream that warms up is: warm_up_budget is now send_rate_budget, and upstream_admission asks it for the lower of both rates immediately before each send, first or repeated. Hosts pass limits and their ends on in the exchange with their age, at most 64. A limited upstream is no affinity engine and loads adapters only if no other can. A limit that can't be read is ignored and logged (2416), a change of one logged (2415), gauge spindle_limited_upstreams.

Why this works: few hosts send, each at its own interval, so their sum holds without a message; any 4 s have at most 4.5 times the rate and one request, where 6 times the rate and 5 are allowed. The others learn of a limit by the exchange, and of its end, for which only the senders' responses can speak.

--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -42,6 +42,7 @@
 public:
   in_flight_guard(forwarded_request &Request, const upstream_entry &Upstream)
       : Request(Request), Upstream(Upstream),
+        SentAt(Request.Services.Clock.now()),
         UnprocessedTokens(Request.Description.PromptTokens) {
     Request.Services.Fleet.noteRequestSent(Upstream.Id, Request.Description);
     Request.Services.Coordinator.suspects().noteRunStarted(Upstream.Id,
@@ -67,10 +68,12 @@
     UnprocessedTokens = 0;
   }
   void setRunEnd(run_end NewEnd) { End = NewEnd; }
+  time_point sentAt() const { return SentAt; }
 
 private:
   forwarded_request &Request;
   const upstream_entry &Upstream;
+  const time_point SentAt;
   std::int64_t UnprocessedTokens;
   run_end End = run_end::Failed;
 };
@@ -157,6 +160,22 @@
   return Report;
 }
 
+/// Applies what the upstream states of itself, whatever it responds.
+void noteStatement(forwarded_request &Request, const upstream_entry &Upstream,
+                   const upstream_statement &Statement, time_point SentAt) {
+  const std::string &AttemptId = Request.Description.AttemptId;
+  if (Statement.IsMalformed)
+    logEvent(log_event::UpstreamLimitMalformed,
+             {{"request", AttemptId}, {"upstream", Upstream.Name}});
+  if (!Request.Services.Fleet.noteStatement(Upstream.Id, Statement, SentAt))
+    return;
+  const std::optional<double> &Limit = Statement.RequestsPerSecond;
+  logEvent(log_event::UpstreamLimitStated,
+           {{"upstream", Upstream.Name},
+            {"per_second", Limit ? std::to_string(*Limit) : "none"},
+            {"request", AttemptId}});
+}
+
 /// Handles the head of a response; reads and forwards the body if the response
 /// is meant for the caller.
 attempt_report forwardResponse(forwarded_request &Request,
@@ -166,6 +185,8 @@
   const http_response_head Head = Call.head();
   const upstream_response_metadata ResponseMetadata =
       Request.Services.Codec.ReadResponse(Head);
+  noteStatement(Request, Upstream, ResponseMetadata.Statement,
+                InFlight.sentAt());
   if (ResponseMetadata.NotRun || Head.Status == HttpMisdirectedRequest) {
     Call.readAll(MaxResponseBytes);
     return makeReport(Head.Status == HttpMisdirectedRequest
@@ -229,7 +250,6 @@
       makeRequestMetadata(Request, Upstream, AdapterVersion));
   in_flight_guard InFlight(Request, Upstream);
   const bool MayHaveRunBefore = Request.MayHaveRun;
-  const time_point SentAt = Services.Clock.now();
   ++Request.SendCount;
   try {
     Request.MayHaveRun = true;
@@ -254,7 +274,7 @@
     // A failure on the caller's side is no failure of the upstream.
     if (Request.Cancellation->reason() ||
         Error.code() == result_code::CallerTooSlow) {
-      noteFailureIfSilent(Request, Upstream, SentAt);
+      noteFailureIfSilent(Request, Upstream, InFlight.sentAt());
       throw;
     }
     attempt_report Report;
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -56,6 +56,7 @@
   const std::lock_guard<std::mutex> Lock(Mutex);
   std::map<upstream_id, known_upstream> Next;
   std::vector<zoned_upstream> Places;
+  std::set<upstream_id> Registered;
   for (const upstream_pointer &Entry : Entries) {
     const auto Found = Upstreams.find(Entry->Id);
     const bool IsSame = Found != Upstreams.end() &&
@@ -75,14 +76,13 @@
     if (Cache != CacheTokens.end())
       Known.Prompts.setCapacity(Cache->second);
     Places.push_back({Entry->Id, zone_id::ofName(Entry->Service)});
+    Registered.insert(Entry->Id);
   }
   for (const auto &[Id, Known] : Upstreams)
     if (Known.Entry && !Next.contains(Id))
       logEvent(log_event::UpstreamGone, {{"upstream", Known.Entry->Name}});
   Upstreams = std::move(Next);
-  std::erase_if(Admission.WarmUps, [this](const auto &WarmUp) {
-    return !Upstreams.contains(WarmUp.first);
-  });
+  retainUpstreams(Admission, Registered);
   setUpstreams(Outliers, Places, Clock.now());
 }
 
@@ -101,7 +101,8 @@
 void fleet_table::setHosts(std::vector<host_location> Hosts,
                            std::string OwnName) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  spindle::setHosts(Admission, std::move(Hosts), std::move(OwnName), entries());
+  Admission.Hosts = std::move(Hosts);
+  Admission.OwnName = std::move(OwnName);
 }
 
 void fleet_table::setEvacuatedZones(std::set<std::string, std::less<>> Zones) {
@@ -124,6 +125,69 @@
     spindle::noteUnreachable(Admission, *Found->second.Entry, Clock.now());
 }
 
+static void logLimit(const upstream_entry &Upstream,
+                     const upstream_limit &Limit, time_point Now) {
+  const milliseconds Age =
+      std::chrono::duration_cast<milliseconds>(Now - Limit.StatedAt);
+  logEvent(log_event::UpstreamLimitStated,
+           {{"upstream", Upstream.Name},
+            {"per_second", Limit.RequestsPerSecond
+                               ? std::to_string(*Limit.RequestsPerSecond)
+                               : std::string("none")},
+            {"age_ms", std::to_string(Age.count())}});
+}
+
+bool fleet_table::noteStatement(upstream_id Id,
+                                const upstream_statement &Statement,
+                                time_point SentAt) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Upstreams.find(Id);
+  return Found != Upstreams.end() &&
+         spindle::noteStatement(Admission.Limits, *Found->second.Entry,
+                                Statement, SentAt, Clock.now());
+}
+
+void fleet_table::writeLimits(limit_list &Message) const {
+  static constexpr std::size_t MaxLimits = 64;
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const time_point Now = Clock.now();
+  for (const reported_limit &Reported :
+       limitsToReport(Admission.Limits, MaxLimits, Now)) {
+    const upstream_limit &Limit = Reported.Limit;
+    host_link::UpstreamLimit &Written = *Message.Add();
+    Written.set_upstream(Reported.Upstream.Value);
+    Written.set_started_at(Limit.StartedAt);
+    if (Limit.RequestsPerSecond)
+      Written.set_requests_per_second(*Limit.RequestsPerSecond);
+    Written.set_age_ms(
+        std::chrono::duration_cast<milliseconds>(Now - Limit.StatedAt).count());
+  }
+}
+
+std::size_t fleet_table::limitedUpstreams() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return static_cast<std::size_t>(std::count_if(
+      Upstreams.begin(), Upstreams.end(),
+      [this](const auto &Pair) { return isLimited(Pair.second); }));
+}
+
+void fleet_table::mergeLimits(const limit_list &Message) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const time_point Now = Clock.now();
+  for (const host_link::UpstreamLimit &Reported : Message) {
+    const auto Found = Upstreams.find(upstream_id{Reported.upstream()});
+    if (Found == Upstreams.end())
+      continue;
+    upstream_limit Limit;
+    Limit.StartedAt = Reported.started_at();
+    if (Reported.has_requests_per_second())
+      Limit.RequestsPerSecond = Reported.requests_per_second();
+    Limit.StatedAt = Now - milliseconds(Reported.age_ms());
+    if (mergeLimit(Admission.Limits, *Found->second.Entry, Limit))
+      logLimit(*Found->second.Entry, Limit, Now);
+  }
+}
+
 upstream_pointer fleet_table::find(upstream_id Id) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Upstreams.find(Id);
@@ -175,7 +239,7 @@
   std::uint64_t Best = 0;
   for (const auto &[Id, Known] : Upstreams) {
     if (!isEligible(Known, Query) || healthOf(Known) <= 0 ||
-        isWarmingUp(Admission, *Known.Entry, Clock.now()))
+        sendRate(Admission, *Known.Entry, Clock.now()))
       continue;
     const std::uint64_t Rank =
         hashName(Query.Model->Adapter + "@" + Known.Entry->Name);
@@ -237,21 +301,44 @@
   return Candidate;
 }
 
-std::optional<chosen_upstream>
-fleet_table::choose(const upstream_query &Query) const {
-  const std::lock_guard<std::mutex> Lock(Mutex);
+/// Whether the upstream states a limit.
+/// Precondition: Mutex is held.
+bool fleet_table::isLimited(const known_upstream &Known) const {
+  return limitOf(Admission.Limits, *Known.Entry).has_value();
+}
+
+/// The upstreams to which this host may send the request now. A limited one
+/// that would have to load the adapter is among them only if \p LoadsOnLimited
+/// is set, as its turn may be over when the adapter is loaded.
+/// Precondition: Mutex is held.
+fleet_table::candidate_list fleet_table::candidates(const upstream_query &Query,
+                                                    bool LoadsOnLimited) const {
   const upstream_id AffinityEngine =
       Query.Model ? affinityEngine(Query) : upstream_id{};
-  std::vector<upstream_candidate> Candidates;
-  std::vector<const known_upstream *> States;
+  candidate_list List;
   for (const auto &[Id, Known] : Upstreams) {
     if (!isEligible(Known, Query) ||
         !maySend(Admission, *Known.Entry, Clock.now()))
       continue;
-    Candidates.push_back(candidate(Known, Query));
-    Candidates.back().IsAffinityEngine = Id == AffinityEngine;
-    States.push_back(&Known);
+    upstream_candidate Candidate = candidate(Known, Query);
+    if (!LoadsOnLimited && isLimited(Known) &&
+        Candidate.Adapter == adapter_presence::Absent)
+      continue;
+    Candidate.IsAffinityEngine = Id == AffinityEngine;
+    List.Candidates.push_back(Candidate);
+    List.States.push_back(&Known);
   }
+  return List;
+}
+
+std::optional<chosen_upstream>
+fleet_table::choose(const upstream_query &Query) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  candidate_list List = candidates(Query, false);
+  if (List.Candidates.empty())
+    List = candidates(Query, true);
+  const std::vector<upstream_candidate> &Candidates = List.Candidates;
+  const std::vector<const known_upstream *> &States = List.States;
   choice_request Request;
   Request.ObjectiveMilliseconds = static_cast<double>(Query.Objective.count());
   Request.RemainingMilliseconds = static_cast<double>(Query.Remaining.count());
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -95,6 +95,18 @@
   /// it immediately before the send, as a request may have waited since
   /// choose().
   bool admit(upstream_id Id);
+  /// Applies what a response of the upstream states of itself; the request was
+  /// sent at \p SentAt. Returns whether the upstream's limit has changed.
+  bool noteStatement(upstream_id Id, const upstream_statement &Statement,
+                     time_point SentAt);
+  using limit_list =
+      google::protobuf::RepeatedPtrField<host_link::UpstreamLimit>;
+  /// Writes the limits that upstreams have stated, for other hosts.
+  void writeLimits(limit_list &Message) const;
+  /// The number of upstreams that state a limit.
+  std::size_t limitedUpstreams() const;
+  /// Applies the limits that another host knows.
+  void mergeLimits(const limit_list &Message);
   /// Records that no connection to the upstream could be opened.
   void noteUnreachable(upstream_id Id);
   /// Records that a request was sent. Its prompt tokens count as unread until
@@ -145,6 +157,15 @@
     time_point AvailableSlotsValidUntil;
   };
 
+  /// Candidates, each with its state.
+  struct candidate_list {
+    std::vector<upstream_candidate> Candidates;
+    std::vector<const known_upstream *> States;
+  };
+
+  bool isLimited(const known_upstream &Known) const;
+  candidate_list candidates(const upstream_query &Query,
+                            bool LoadsOnLimited) const;
   upstream_candidate candidate(const known_upstream &Known,
                                const upstream_query &Query) const;
   std::vector<upstream_pointer> entries() const;
--- a/Libraries/LibGateway/gateway_codec.h
+++ b/Libraries/LibGateway/gateway_codec.h
@@ -4,6 +4,7 @@
 #include "LibGateway/gateway_configuration.h"
 #include "LibGateway/request_description.h"
 #include "LibGateway/upstream_entry.h"
+#include "LibGateway/upstream_statement.h"
 #include "LibHTTP/http_message.h"
 
 #include <functional>
@@ -35,6 +36,7 @@
   bool NotRun = false;
   /// Whether the upstream's signature is present.
   bool Signed = false;
+  upstream_statement Statement;
 };
 
 /// Encodes and decodes the requests, responses and records of external systems.
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -389,6 +389,8 @@
       Fleet.noteAvailableSlots(Room);
     Coordinator.exchange(Settings.Seeds);
     std::vector<host_location> Hosts = Coordinator.hostLocations();
+    Metrics.gauge("spindle_limited_upstreams", {},
+                  static_cast<double>(Fleet.limitedUpstreams()));
     RetryBudgets.setHosts(std::max<std::size_t>(1, Hosts.size()));
     Fleet.setHosts(std::move(Hosts), Settings.Name);
   });
--- a/Libraries/LibGateway/warm_up_budget.cpp
+++ b/Libraries/LibGateway/send_rate_budget.cpp
@@ -1,4 +1,4 @@
-#include "LibGateway/warm_up_budget.h"
+#include "LibGateway/send_rate_budget.h"
 
 #include "LibCore/strong_id.h"
 
@@ -11,6 +11,7 @@
 // Each host that sends adds up to one request to the busiest second, as its
 // requests and that second may begin together.
 static constexpr double RequestsPerSender = 2;
+static constexpr double MinRequestsPerSecond = 0.1;
 
 static std::vector<std::string_view>
 eligibleHosts(std::string_view Zone, std::span<const host_location> Hosts) {
@@ -38,24 +39,24 @@
       }));
 }
 
-std::optional<nanoseconds> warmUpInterval(const upstream_entry &Upstream,
-                                          double RequestsPerSecond,
-                                          std::span<const host_location> Hosts,
-                                          std::string_view OwnName) {
+std::optional<nanoseconds> sendInterval(const upstream_entry &Upstream,
+                                        double RequestsPerSecond,
+                                        std::span<const host_location> Hosts,
+                                        std::string_view OwnName) {
   const std::vector<std::string_view> Eligible =
       eligibleHosts(Upstream.Zone, Hosts);
   const bool IsEligible =
       std::find(Eligible.begin(), Eligible.end(), OwnName) != Eligible.end();
-  if (RequestsPerSecond <= 0 || !IsEligible)
+  if (!IsEligible)
     return std::nullopt;
-  const double Wanted =
-      std::max(1.0, std::floor(RequestsPerSecond / RequestsPerSender));
+  const double Rate = std::max(RequestsPerSecond, MinRequestsPerSecond);
+  const double Wanted = std::max(1.0, std::floor(Rate / RequestsPerSender));
   const double Senders = std::min(Wanted, static_cast<double>(Eligible.size()));
   const std::size_t Rank = rankOf(OwnName, Upstream.Name, Eligible);
   if (static_cast<double>(Rank) >= Senders)
     return std::nullopt;
   return std::chrono::duration_cast<nanoseconds>(
-      std::chrono::duration<double>(Senders / RequestsPerSecond));
+      std::chrono::duration<double>(Senders / Rate));
 }
 
 } // namespace spindle
--- a/Libraries/LibGateway/upstream_admission.cpp
+++ b/Libraries/LibGateway/upstream_admission.cpp
@@ -13,32 +13,9 @@
   return Rate == Admission.WarmUpRates.end() ? 0 : Rate->second;
 }
 
-static std::optional<nanoseconds>
-ownInterval(const upstream_admission &Admission,
-            const upstream_entry &Upstream) {
-  return warmUpInterval(Upstream, warmUpRate(Admission, Upstream),
-                        Admission.Hosts, Admission.OwnName);
-}
-
 static void warmUpUntil(upstream_admission &Admission,
                         const upstream_entry &Upstream, time_point Until) {
-  upstream_warm_up &WarmUp = Admission.WarmUps[Upstream.Id];
-  WarmUp.Until = Until;
-  WarmUp.Interval = ownInterval(Admission, Upstream);
-}
-
-void setHosts(upstream_admission &Admission, std::vector<host_location> Hosts,
-              std::string OwnName,
-              std::span<const upstream_pointer> Upstreams) {
-  if (Admission.Hosts == Hosts && Admission.OwnName == OwnName)
-    return;
-  Admission.Hosts = std::move(Hosts);
-  Admission.OwnName = std::move(OwnName);
-  for (const upstream_pointer &Upstream : Upstreams) {
-    const auto WarmUp = Admission.WarmUps.find(Upstream->Id);
-    if (WarmUp != Admission.WarmUps.end())
-      WarmUp->second.Interval = ownInterval(Admission, *Upstream);
-  }
+  Admission.WarmUps[Upstream.Id] = Until;
 }
 
 void setEvacuatedZones(upstream_admission &Admission,
@@ -54,8 +31,19 @@
   Admission.EvacuatedZones = std::move(Zones);
 }
 
+void retainUpstreams(upstream_admission &Admission,
+                     const std::set<upstream_id> &Registered) {
+  const auto IsGone = [&Registered](const auto &Entry) {
+    return !Registered.contains(Entry.first);
+  };
+  std::erase_if(Admission.WarmUps, IsGone);
+  std::erase_if(Admission.Limits.Limits, IsGone);
+  std::erase_if(Admission.LastSends, IsGone);
+}
+
 void noteRegistration(upstream_admission &Admission,
                       const upstream_entry &Upstream, time_point Now) {
+  noteStart(Admission.Limits, Upstream);
   if (Upstream.WarmUpLeft > milliseconds(0))
     warmUpUntil(Admission, Upstream, Now + Upstream.WarmUpLeft);
   else
@@ -75,29 +63,39 @@
 
 bool isWarmingUp(const upstream_admission &Admission,
                  const upstream_entry &Upstream, time_point Now) {
-  const auto WarmUp = Admission.WarmUps.find(Upstream.Id);
+  const auto Until = Admission.WarmUps.find(Upstream.Id);
   return warmUpRate(Admission, Upstream) > 0 &&
-         WarmUp != Admission.WarmUps.end() && WarmUp->second.Until > Now;
+         Until != Admission.WarmUps.end() && Until->second > Now;
+}
+
+std::optional<double> sendRate(const upstream_admission &Admission,
+                               const upstream_entry &Upstream, time_point Now) {
+  const std::optional<double> Limit = limitOf(Admission.Limits, Upstream);
+  if (!isWarmingUp(Admission, Upstream, Now))
+    return Limit;
+  const double WarmUpRate = warmUpRate(Admission, Upstream);
+  return std::min(WarmUpRate, Limit.value_or(WarmUpRate));
 }
 
 bool maySend(const upstream_admission &Admission,
              const upstream_entry &Upstream, time_point Now) {
   if (isEvacuated(Admission, Upstream))
     return false;
-  if (!isWarmingUp(Admission, Upstream, Now))
+  const std::optional<double> Rate = sendRate(Admission, Upstream, Now);
+  if (!Rate)
     return true;
-  const upstream_warm_up &WarmUp = Admission.WarmUps.at(Upstream.Id);
-  return WarmUp.Interval && WarmUp.NextSendAt <= Now;
+  const std::optional<nanoseconds> Interval =
+      sendInterval(Upstream, *Rate, Admission.Hosts, Admission.OwnName);
+  const auto LastSend = Admission.LastSends.find(Upstream.Id);
+  const bool IsFirst = LastSend == Admission.LastSends.end();
+  return Interval && (IsFirst || LastSend->second + *Interval <= Now);
 }
 
 bool admitSend(upstream_admission &Admission, const upstream_entry &Upstream,
                time_point Now) {
   if (!maySend(Admission, Upstream, Now))
     return false;
-  if (!isWarmingUp(Admission, Upstream, Now))
-    return true;
-  upstream_warm_up &WarmUp = Admission.WarmUps.at(Upstream.Id);
-  WarmUp.NextSendAt = Now + *WarmUp.Interval;
+  Admission.LastSends[Upstream.Id] = Now;
   return true;
 }
 
--- a/Libraries/LibGateway/upstream_admission.h
+++ b/Libraries/LibGateway/upstream_admission.h
@@ -2,8 +2,9 @@
 #define PARSLEYSPINDLE_LIBGATEWAY_UPSTREAM_ADMISSION_H
 
 #include "LibCore/runtime_clock.h"
+#include "LibGateway/send_rate_budget.h"
 #include "LibGateway/upstream_entry.h"
-#include "LibGateway/warm_up_budget.h"
+#include "LibGateway/upstream_limits.h"
 
 #include <map>
 #include <optional>
@@ -16,31 +17,25 @@
 
 namespace spindle {
 
-/// The warm-up of one upstream, and this host's part in it.
-struct upstream_warm_up {
-  time_point Until;
-  /// The least interval between two requests of this host; none if it may send
-  /// none.
-  std::optional<nanoseconds> Interval;
-  time_point NextSendAt;
-};
-
 /// Decides whether this host may send a request to an upstream now: not if its
-/// zone is evacuated, and only at a limited rate while it warms up. Modified
-/// only through the functions below, none of which is thread-safe.
+/// zone is evacuated, and only at a limited rate while it warms up or states a
+/// limit. Modified only through the functions below, none of which is
+/// thread-safe.
 struct upstream_admission {
   std::string OwnName;
+  /// The registered hosts, which share the rate of each upstream.
   std::vector<host_location> Hosts;
   /// The request rate that the upstreams of a service tolerate while they warm
   /// up, by service. Upstreams of other services need no warm-up.
   std::map<std::string, double, std::less<>> WarmUpRates;
   std::set<std::string, std::less<>> EvacuatedZones;
-  std::unordered_map<upstream_id, upstream_warm_up> WarmUps;
+  /// The ends of the warm-ups.
+  std::unordered_map<upstream_id, time_point> WarmUps;
+  upstream_limits Limits;
+  /// When this host sent its last request to an upstream.
+  std::unordered_map<upstream_id, time_point> LastSends;
 };
 
-/// Sets the registered hosts, which share the warm-up of each of \p Upstreams.
-void setHosts(upstream_admission &Admission, std::vector<host_location> Hosts,
-              std::string OwnName, std::span<const upstream_pointer> Upstreams);
 /// Sets the zones whose upstreams get no requests. The upstreams of a zone that
 /// returns count as warming up until their registrations are certain to show
 /// it if they are.
@@ -48,6 +43,9 @@
                        std::set<std::string, std::less<>> Zones,
                        std::span<const upstream_pointer> Upstreams,
                        time_point Now);
+/// Drops the state of upstreams that are not registered.
+void retainUpstreams(upstream_admission &Admission,
+                     const std::set<upstream_id> &Registered);
 /// Applies a new or changed registration.
 void noteRegistration(upstream_admission &Admission,
                       const upstream_entry &Upstream, time_point Now);
@@ -59,6 +57,10 @@
                  const upstream_entry &Upstream);
 bool isWarmingUp(const upstream_admission &Admission,
                  const upstream_entry &Upstream, time_point Now);
+/// The rate at which all hosts together may send to the upstream; none if it is
+/// not limited.
+std::optional<double> sendRate(const upstream_admission &Admission,
+                               const upstream_entry &Upstream, time_point Now);
 /// Whether a request may be sent to the upstream now.
 bool maySend(const upstream_admission &Admission,
              const upstream_entry &Upstream, time_point Now);
--- a/Libraries/LibGateway/zone_coordinator.cpp
+++ b/Libraries/LibGateway/zone_coordinator.cpp
@@ -91,6 +91,7 @@
   addMirroredKinds(Peer, Request);
   Suspects.write(*Request.mutable_suspects());
   PartSuspects.write(*Request.mutable_part_suspects());
+  Dependencies.Fleet.writeLimits(*Request.mutable_limits());
   return Request;
 }
 
@@ -127,6 +128,7 @@
   addMirroredKinds(Peer, Request);
   Suspects.write(*Request.mutable_suspects());
   PartSuspects.write(*Request.mutable_part_suspects());
+  Dependencies.Fleet.writeLimits(*Request.mutable_limits());
   return Request;
 }
 
@@ -181,6 +183,7 @@
   mergeMirroredKinds(Peer, Reply.kinds());
   Suspects.merge(Reply.suspects());
   PartSuspects.merge(Reply.part_suspects());
+  Dependencies.Fleet.mergeLimits(Reply.limits());
   for (const host_link::EngineRoom &Slots : Reply.rooms())
     Dependencies.Fleet.noteAvailableSlots(
         {upstream_id{Slots.upstream()}, Slots.room()});
@@ -301,6 +304,7 @@
     mergeMirroredKinds(Peer, Reply.kinds());
     Suspects.merge(Reply.suspects());
     PartSuspects.merge(Reply.part_suspects());
+    Dependencies.Fleet.mergeLimits(Reply.limits());
   } catch (const spindle_error &Error) {
     logEvent(log_event::PeerSilent, {{"peer", Peer}, {"cause", Error.what()}});
   }
@@ -391,6 +395,7 @@
   mergeMirroredKinds(Peer, Request.kinds());
   Suspects.merge(Request.suspects());
   PartSuspects.merge(Request.part_suspects());
+  Dependencies.Fleet.mergeLimits(Request.limits());
   for (const host_link::EngineRoom &Slots : Request.rooms())
     Dependencies.Fleet.noteAvailableSlots(
         {upstream_id{Slots.upstream()}, Slots.room()});
@@ -423,6 +428,7 @@
         Mirror->writeSmallChangesSince(Kind.cursor(), *Reply.add_kinds());
   Suspects.write(*Reply.mutable_suspects());
   PartSuspects.write(*Reply.mutable_part_suspects());
+  Dependencies.Fleet.writeLimits(*Reply.mutable_limits());
   return Reply;
 }
 
--- a/Tests/LibGateway/test_warm_up_budget.cpp
+++ b/Tests/LibGateway/test_send_rate_budget.cpp
@@ -1,5 +1,5 @@
 #include "LibGateway/fleet_table.h"
-#include "LibGateway/warm_up_budget.h"
+#include "LibGateway/send_rate_budget.h"
 
 #include <algorithm>
 #include <memory>
@@ -105,7 +105,7 @@
     double InOneSecond = 0;
     for (const host_location &Host : Hosts)
       if (const std::optional<nanoseconds> Interval =
-              warmUpInterval(*Engine, Rate, Hosts, Host.Name))
+              sendInterval(*Engine, Rate, Hosts, Host.Name))
         InOneSecond +=
             1 + std::floor(1e9 / static_cast<double>(Interval->count()));
     RC_ASSERT(InOneSecond > 0);
@@ -120,7 +120,7 @@
   const auto Senders = [&Hosts](const upstream_entry &Engine) {
     std::vector<std::string> Zones;
     for (const host_location &Host : Hosts)
-      if (warmUpInterval(Engine, 7, Hosts, Host.Name))
+      if (sendInterval(Engine, 7, Hosts, Host.Name))
         Zones.push_back(Host.Zone);
     return Zones;
   };
@@ -134,8 +134,7 @@
 
 TEST_CASE("a host that knows no registered hosts sends nothing to an upstream "
           "that warms up") {
-  REQUIRE_FALSE(
-      warmUpInterval(*engine("e", "a", milliseconds(1)), 7, {}, "a0"));
+  REQUIRE_FALSE(sendInterval(*engine("e", "a", milliseconds(1)), 7, {}, "a0"));
 }
 
 TEST_CASE("an upstream that has warmed up gets any number of requests") {
--- a/Tests/Platform/test_codecs.cpp
+++ b/Tests/Platform/test_codecs.cpp
@@ -232,3 +232,22 @@
   REQUIRE(State.Running == 12);
   REQUIRE(State.Waiting == 1);
 }
+
+TEST_CASE("a stated limit that can't be read is taken for none or for an "
+          "endless one") {
+  const auto limitOf = [](const http_fields &Fields) {
+    return readResponse({200, Fields}).Statement;
+  };
+  REQUIRE_FALSE(limitOf({}).RequestsPerSecond);
+  REQUIRE_FALSE(limitOf({}).IsMalformed);
+  REQUIRE(limitOf({{"server-limit", "1.4"}}).RequestsPerSecond == 1.4);
+  REQUIRE(limitOf({{"Server-Limit", "0"}}).RequestsPerSecond == 0);
+  REQUIRE(limitOf({{"Server-Limit", "3"}, {"Server-Limit", "2"}})
+              .RequestsPerSecond == 2);
+  for (const std::string Text :
+       {"", "-1", "nan", "inf", "1,4", "1.4 a", "Fri, 04 Dec 2026"}) {
+    const upstream_statement Statement = limitOf({{"Server-Limit", Text}});
+    REQUIRE_FALSE(Statement.RequestsPerSecond);
+    REQUIRE(Statement.IsMalformed);
+  }
+}
