--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -4,7 +4,7 @@
 #include "LibGateway/forward_request.h"
 #include "LibGateway/gateway_services.h"
 #include "LibGateway/load_rate_limiter.h"
-#include "LibGateway/registered_upstreams.h"
+#include "LibGateway/registration_applier.h"
 #include "LibHTTP/server_quiet.h"
 #include "LibLog/log.h"
 #include "LibPeer/host_link_server.h"
@@ -51,12 +51,6 @@
   return Sender;
 }
 
-/// A parsed registration. The entry is null if it describes no usable upstream.
-struct parsed_registration {
-  std::uint64_t Revision = 0;
-  upstream_pointer Entry;
-};
-
 } // namespace
 
 struct gateway_host::state {
@@ -69,9 +63,6 @@
   host_link_handlers makeLinkHandlers();
   std::string leastDeployedModel(std::string_view Service) const;
   void applyConfiguration();
-  std::map<std::string, upstream_pointer> parseRegistrations();
-  void applyUpstreams();
-  bool keepsUpstreams();
   void applyReleases();
   void applyEvacuations();
   bool hasEvacuations() const;
@@ -105,9 +96,7 @@
   adapter_controller Controller;
   adapter_holds Holds;
   gateway_services Services;
-  /// Parsed registrations by name, so that only changed ones are parsed again.
-  std::map<std::string, parsed_registration> ParsedRegistrations;
-  registered_upstreams Registered;
+  registration_applier Registrations;
   std::mutex ApplyMutex;
   std::atomic<bool> IsDraining{false};
   std::atomic<bool> HasLeft{false};
@@ -151,9 +140,9 @@
       Services{Clock,         Ports.Codec,    Metrics,  Client,
                Configuration, Configurations, Fleet,    Quota,
                Coordinator,   Holds,          Releases, RetryBudgets},
-      Tasks(Runtime) {
+      Registrations(Clock, Upstreams, Ports.Codec, Fleet), Tasks(Runtime) {
   Configurations.onChange([this] { applyConfiguration(); });
-  Upstreams.onChange([this] { applyUpstreams(); });
+  Upstreams.onChange([this] { Registrations.apply(); });
   ReleaseObjects.onChange([this] { applyReleases(); });
   Evacuations.onChange([this] { applyEvacuations(); });
   LinkServer.emplace(Runtime, Settings.HostLink, makeLinkHandlers());
@@ -284,59 +273,6 @@
   Configuration.set(std::move(Next));
 }
 
-/// The upstreams that are registered now, by name.
-/// Precondition: ApplyMutex is held.
-std::map<std::string, upstream_pointer>
-gateway_host::state::parseRegistrations() {
-  std::map<std::string, upstream_pointer> Present;
-  std::map<std::string, parsed_registration> Parsed;
-  for (const platform_object &Object : Upstreams.objects()) {
-    const auto Known = ParsedRegistrations.find(Object.Name);
-    const bool IsSame = Known != ParsedRegistrations.end() &&
-                        Known->second.Revision == Object.Version;
-    const upstream_pointer Entry =
-        IsSame ? Known->second.Entry
-               : Ports.Codec.ReadUpstream(Object.Name, Object.Body);
-    Parsed[Object.Name] = {Object.Version, Entry};
-    if (Entry)
-      Present.emplace(Object.Name, Entry);
-  }
-  ParsedRegistrations = std::move(Parsed);
-  return Present;
-}
-
-static void logKeptUpstream(const std::string &Name,
-                            const platform_availability &Platform,
-                            time_point Now) {
-  const milliseconds Age =
-      std::chrono::duration_cast<milliseconds>(Now - Platform.Since);
-  logEvent(log_event::UpstreamKept,
-           {{"upstream", Name},
-            {"platform", Platform.Available ? "back" : "unavailable"},
-            {"back_ms", Platform.Available ? std::to_string(Age.count())
-                                           : std::string()}});
-}
-
-void gateway_host::state::applyUpstreams() {
-  const std::lock_guard<std::mutex> Lock(ApplyMutex);
-  const platform_availability Platform = Upstreams.availability();
-  const time_point Now = Clock.now();
-  for (const std::string &Name :
-       applyRegistrations(Registered, parseRegistrations(), Platform, Now))
-    logKeptUpstream(Name, Platform, Now);
-  std::vector<upstream_pointer> Entries;
-  Entries.reserve(Registered.Entries.size());
-  for (const auto &[Name, Entry] : Registered.Entries)
-    Entries.push_back(Entry);
-  Fleet.applyUpstreams(Entries);
-}
-
-/// Whether upstreams are used whose registration is missing.
-bool gateway_host::state::keepsUpstreams() {
-  const std::lock_guard<std::mutex> Lock(ApplyMutex);
-  return !Registered.Kept.empty();
-}
-
 void gateway_host::state::applyReleases() {
   std::vector<adapter_release> All;
   for (const platform_object &Object : ReleaseObjects.objects())
@@ -398,10 +334,8 @@
                [this] { Coordinator.fetchWithheldChanges(Settings.Seeds); });
   Tasks.repeat("models", ModelLoadInterval,
                [this] { Controller.loadModels(); });
-  Tasks.repeat("registrations", RegistrationCheckInterval, [this] {
-    if (keepsUpstreams())
-      applyUpstreams();
-  });
+  Tasks.repeat("registrations", RegistrationCheckInterval,
+               [this] { Registrations.applyIfKept(); });
 }
 
 bool gateway_host::state::isReady() const {
