LibGateway: Send nothing to an upstream that states that it leaves

What callers saw: none yet; the rule is new. An upstream that leaves says so in all its responses (Server-Leaving), also if its registration does not show it, is older, or out of reach.

Hosts pass it on in the exchange with its age, at most 64.

--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -167,7 +167,12 @@
   if (Statement.IsMalformed)
     logEvent(log_event::UpstreamLimitMalformed,
              {{"request", AttemptId}, {"upstream", Upstream.Name}});
-  if (!Request.Services.Fleet.noteStatement(Upstream.Id, Statement, SentAt))
+  const statement_news News =
+      Request.Services.Fleet.noteStatement(Upstream.Id, Statement, SentAt);
+  if (News.Leaving)
+    logEvent(log_event::UpstreamLeavingStated,
+             {{"upstream", Upstream.Name}, {"request", AttemptId}});
+  if (!News.Limit)
     return;
   const std::optional<double> &Limit = Statement.RequestsPerSecond;
   logEvent(log_event::UpstreamLimitStated,
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -57,7 +57,8 @@
   std::map<upstream_id, known_upstream> Next;
   std::vector<zoned_upstream> Places;
   std::set<upstream_id> Registered;
-  for (const upstream_pointer &Entry : Entries) {
+  for (const upstream_pointer &Registration : Entries) {
+    const upstream_pointer Entry = withStatements(Registration);
     const auto Found = Upstreams.find(Entry->Id);
     const bool IsSame = Found != Upstreams.end() &&
                         Found->second.Entry->StartedAt == Entry->StartedAt;
@@ -83,6 +84,9 @@
       logEvent(log_event::UpstreamGone, {{"upstream", Known.Entry->Name}});
   Upstreams = std::move(Next);
   retainUpstreams(Admission, Registered);
+  std::erase_if(Leaving.Stated, [&Registered](const auto &Stated) {
+    return !Registered.contains(Stated.first);
+  });
   setUpstreams(Outliers, Places, Clock.now());
 }
 
@@ -137,33 +141,107 @@
             {"age_ms", std::to_string(Age.count())}});
 }
 
-bool fleet_table::noteStatement(upstream_id Id,
-                                const upstream_statement &Statement,
-                                time_point SentAt) {
+/// The entry of a registration, which counts as draining if the upstream has
+/// stated that it leaves.
+/// Precondition: Mutex is held.
+upstream_pointer
+fleet_table::withStatements(const upstream_pointer &Entry) const {
+  if (Entry->Draining || !isLeaving(Leaving, *Entry, Clock.now()))
+    return Entry;
+  upstream_entry Draining = *Entry;
+  Draining.Draining = true;
+  return std::make_shared<const upstream_entry>(std::move(Draining));
+}
+
+/// Precondition: Mutex is held.
+bool fleet_table::recordLeaving(known_upstream &Known, time_point StatedAt) {
+  const upstream_entry &Entry = *Known.Entry;
+  if (!noteLeaving(Leaving, {Entry.Id, Entry.StartedAt, StatedAt}))
+    return false;
+  Known.Entry = withStatements(Known.Entry);
+  return true;
+}
+
+statement_news fleet_table::noteStatement(upstream_id Id,
+                                          const upstream_statement &Statement,
+                                          time_point SentAt) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Upstreams.find(Id);
-  return Found != Upstreams.end() &&
-         spindle::noteStatement(Admission.Limits, *Found->second.Entry,
-                                Statement, SentAt, Clock.now());
+  if (Found == Upstreams.end())
+    return {};
+  const time_point Now = Clock.now();
+  statement_news News;
+  News.Limit = spindle::noteStatement(Admission.Limits, *Found->second.Entry,
+                                      Statement, SentAt, Now);
+  News.Leaving = Statement.Leaving && recordLeaving(Found->second, Now);
+  return News;
 }
 
-void fleet_table::writeLimits(limit_list &Message) const {
-  static constexpr std::size_t MaxLimits = 64;
+static std::int64_t countMilliseconds(nanoseconds Time) {
+  return std::chrono::duration_cast<milliseconds>(Time).count();
+}
+
+void fleet_table::writeStatements(
+    host_link::UpstreamStatements &Message) const {
+  static constexpr std::size_t MaxReported = 64;
   const std::lock_guard<std::mutex> Lock(Mutex);
   const time_point Now = Clock.now();
   for (const reported_limit &Reported :
-       limitsToReport(Admission.Limits, MaxLimits, Now)) {
+       limitsToReport(Admission.Limits, MaxReported, Now)) {
     const upstream_limit &Limit = Reported.Limit;
-    host_link::UpstreamLimit &Written = *Message.Add();
+    host_link::UpstreamLimit &Written = *Message.add_limits();
     Written.set_upstream(Reported.Upstream.Value);
     Written.set_started_at(Limit.StartedAt);
     if (Limit.RequestsPerSecond)
       Written.set_requests_per_second(*Limit.RequestsPerSecond);
-    Written.set_age_ms(
-        std::chrono::duration_cast<milliseconds>(Now - Limit.StatedAt).count());
+    Written.set_age_ms(countMilliseconds(Now - Limit.StatedAt));
+  }
+  for (const stated_leaving &Reported :
+       leavingToReport(Leaving, MaxReported, Now)) {
+    host_link::UpstreamLeaving &Written = *Message.add_leaving();
+    Written.set_upstream(Reported.Upstream.Value);
+    Written.set_started_at(Reported.StartedAt);
+    Written.set_age_ms(countMilliseconds(Now - Reported.StatedAt));
   }
 }
 
+/// Precondition: Mutex is held.
+void fleet_table::mergeLimitOf(const host_link::UpstreamLimit &Reported) {
+  const auto Found = Upstreams.find(upstream_id{Reported.upstream()});
+  if (Found == Upstreams.end())
+    return;
+  const time_point Now = Clock.now();
+  upstream_limit Limit;
+  Limit.StartedAt = Reported.started_at();
+  if (Reported.has_requests_per_second())
+    Limit.RequestsPerSecond = Reported.requests_per_second();
+  Limit.StatedAt = Now - milliseconds(Reported.age_ms());
+  if (mergeLimit(Admission.Limits, *Found->second.Entry, Limit))
+    logLimit(*Found->second.Entry, Limit, Now);
+}
+
+/// Precondition: Mutex is held.
+void fleet_table::mergeLeaving(const host_link::UpstreamLeaving &Reported) {
+  const auto Found = Upstreams.find(upstream_id{Reported.upstream()});
+  if (Found == Upstreams.end() ||
+      Found->second.Entry->StartedAt != Reported.started_at())
+    return;
+  const time_point StatedAt = Clock.now() - milliseconds(Reported.age_ms());
+  if (recordLeaving(Found->second, StatedAt))
+    logEvent(log_event::UpstreamLeavingStated,
+             {{"upstream", Found->second.Entry->Name},
+              {"age_ms", std::to_string(Reported.age_ms())}});
+}
+
+void fleet_table::mergeStatements(
+    const host_link::UpstreamStatements &Message) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  for (const host_link::UpstreamLimit &Limit : Message.limits())
+    mergeLimitOf(Limit);
+  for (const host_link::UpstreamLeaving &Stated : Message.leaving())
+    mergeLeaving(Stated);
+}
+
 std::size_t fleet_table::limitedUpstreams() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   return static_cast<std::size_t>(std::count_if(
@@ -171,23 +249,6 @@
       [this](const auto &Pair) { return isLimited(Pair.second); }));
 }
 
-void fleet_table::mergeLimits(const limit_list &Message) {
-  const std::lock_guard<std::mutex> Lock(Mutex);
-  const time_point Now = Clock.now();
-  for (const host_link::UpstreamLimit &Reported : Message) {
-    const auto Found = Upstreams.find(upstream_id{Reported.upstream()});
-    if (Found == Upstreams.end())
-      continue;
-    upstream_limit Limit;
-    Limit.StartedAt = Reported.started_at();
-    if (Reported.has_requests_per_second())
-      Limit.RequestsPerSecond = Reported.requests_per_second();
-    Limit.StatedAt = Now - milliseconds(Reported.age_ms());
-    if (mergeLimit(Admission.Limits, *Found->second.Entry, Limit))
-      logLimit(*Found->second.Entry, Limit, Now);
-  }
-}
-
 upstream_pointer fleet_table::find(upstream_id Id) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Upstreams.find(Id);
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -2,6 +2,7 @@
 #define PARSLEYSPINDLE_LIBGATEWAY_FLEET_TABLE_H
 
 #include "LibCore/runtime_clock.h"
+#include "LibGateway/leaving_upstreams.h"
 #include "LibGateway/prompt_cache_estimate.h"
 #include "LibGateway/request_description.h"
 #include "LibGateway/upstream_admission.h"
@@ -65,6 +66,12 @@
 rankByWorth(std::span<const upstream_candidate> Candidates,
             const choice_request &Request);
 
+/// What of a statement was not known before.
+struct statement_news {
+  bool Limit = false;
+  bool Leaving = false;
+};
+
 /// The upstreams known to this host, with their load, cached prompts and
 /// health. All methods are thread-safe and none blocks.
 class fleet_table {
@@ -96,17 +103,16 @@
   /// choose().
   bool admit(upstream_id Id);
   /// Applies what a response of the upstream states of itself; the request was
-  /// sent at \p SentAt. Returns whether the upstream's limit has changed.
-  bool noteStatement(upstream_id Id, const upstream_statement &Statement,
-                     time_point SentAt);
-  using limit_list =
-      google::protobuf::RepeatedPtrField<host_link::UpstreamLimit>;
-  /// Writes the limits that upstreams have stated, for other hosts.
-  void writeLimits(limit_list &Message) const;
+  /// sent at \p SentAt.
+  statement_news noteStatement(upstream_id Id,
+                               const upstream_statement &Statement,
+                               time_point SentAt);
+  /// Writes what upstreams have stated, for other hosts.
+  void writeStatements(host_link::UpstreamStatements &Message) const;
+  /// Applies what upstreams have stated to other hosts.
+  void mergeStatements(const host_link::UpstreamStatements &Message);
   /// The number of upstreams that state a limit.
   std::size_t limitedUpstreams() const;
-  /// Applies the limits that another host knows.
-  void mergeLimits(const limit_list &Message);
   /// Records that no connection to the upstream could be opened.
   void noteUnreachable(upstream_id Id);
   /// Records that a request was sent. Its prompt tokens count as unread until
@@ -163,6 +169,10 @@
     std::vector<const known_upstream *> States;
   };
 
+  upstream_pointer withStatements(const upstream_pointer &Entry) const;
+  bool recordLeaving(known_upstream &Known, time_point StatedAt);
+  void mergeLimitOf(const host_link::UpstreamLimit &Reported);
+  void mergeLeaving(const host_link::UpstreamLeaving &Reported);
   bool isLimited(const known_upstream &Known) const;
   candidate_list candidates(const upstream_query &Query,
                             bool LoadsOnLimited) const;
@@ -182,6 +192,7 @@
   std::map<std::string, std::int64_t, std::less<>> CacheTokens;
   std::map<std::string, time_point, std::less<>> SilentUntil;
   upstream_admission Admission;
+  leaving_upstreams Leaving;
   outlier_detector Outliers;
 };
 
--- a/Libraries/LibGateway/upstream_statement.h
+++ b/Libraries/LibGateway/upstream_statement.h
@@ -13,6 +13,8 @@
   /// Whether the response has a limit that can't be read. It neither sets nor
   /// ends one.
   bool IsMalformed = false;
+  /// Whether it leaves, so that it must get no further requests.
+  bool Leaving = false;
 };
 
 } // namespace spindle
--- a/Libraries/LibGateway/zone_coordinator.cpp
+++ b/Libraries/LibGateway/zone_coordinator.cpp
@@ -91,7 +91,7 @@
   addMirroredKinds(Peer, Request);
   Suspects.write(*Request.mutable_suspects());
   PartSuspects.write(*Request.mutable_part_suspects());
-  Dependencies.Fleet.writeLimits(*Request.mutable_limits());
+  Dependencies.Fleet.writeStatements(*Request.mutable_statements());
   return Request;
 }
 
@@ -128,7 +128,7 @@
   addMirroredKinds(Peer, Request);
   Suspects.write(*Request.mutable_suspects());
   PartSuspects.write(*Request.mutable_part_suspects());
-  Dependencies.Fleet.writeLimits(*Request.mutable_limits());
+  Dependencies.Fleet.writeStatements(*Request.mutable_statements());
   return Request;
 }
 
@@ -183,7 +183,7 @@
   mergeMirroredKinds(Peer, Reply.kinds());
   Suspects.merge(Reply.suspects());
   PartSuspects.merge(Reply.part_suspects());
-  Dependencies.Fleet.mergeLimits(Reply.limits());
+  Dependencies.Fleet.mergeStatements(Reply.statements());
   for (const host_link::EngineRoom &Slots : Reply.rooms())
     Dependencies.Fleet.noteAvailableSlots(
         {upstream_id{Slots.upstream()}, Slots.room()});
@@ -304,7 +304,7 @@
     mergeMirroredKinds(Peer, Reply.kinds());
     Suspects.merge(Reply.suspects());
     PartSuspects.merge(Reply.part_suspects());
-    Dependencies.Fleet.mergeLimits(Reply.limits());
+    Dependencies.Fleet.mergeStatements(Reply.statements());
   } catch (const spindle_error &Error) {
     logEvent(log_event::PeerSilent, {{"peer", Peer}, {"cause", Error.what()}});
   }
@@ -395,7 +395,7 @@
   mergeMirroredKinds(Peer, Request.kinds());
   Suspects.merge(Request.suspects());
   PartSuspects.merge(Request.part_suspects());
-  Dependencies.Fleet.mergeLimits(Request.limits());
+  Dependencies.Fleet.mergeStatements(Request.statements());
   for (const host_link::EngineRoom &Slots : Request.rooms())
     Dependencies.Fleet.noteAvailableSlots(
         {upstream_id{Slots.upstream()}, Slots.room()});
@@ -428,7 +428,7 @@
         Mirror->writeSmallChangesSince(Kind.cursor(), *Reply.add_kinds());
   Suspects.write(*Reply.mutable_suspects());
   PartSuspects.write(*Reply.mutable_part_suspects());
-  Dependencies.Fleet.writeLimits(*Reply.mutable_limits());
+  Dependencies.Fleet.writeStatements(*Reply.mutable_statements());
   return Reply;
 }
 
--- a/StandIns/LibForwarding/upstream_stand_in.cpp
+++ b/StandIns/LibForwarding/upstream_stand_in.cpp
@@ -13,6 +13,7 @@
 static constexpr std::string_view SealField = "X-Parsleyspindle-Server-Seal";
 static constexpr std::string_view NotRunField = "X-Parsleyspindle-Not-Executed";
 static constexpr std::string_view LimitField = "Server-Limit";
+static constexpr std::string_view LeavingField = "Server-Leaving";
 static constexpr std::string_view OnlyField =
     "X-Parsleyspindle-Expect-Instance";
 static constexpr std::string_view VersionField =
@@ -145,6 +146,8 @@
                                   const upstream_switches &Now) {
   if (!Now.Limit.empty())
     Fields.push_back({std::string(LimitField), Now.Limit});
+  if (Now.Leaving)
+    Fields.push_back({std::string(LeavingField), "1"});
   return Fields;
 }
 
--- a/StandIns/LibForwarding/upstream_stand_in.h
+++ b/StandIns/LibForwarding/upstream_stand_in.h
@@ -30,6 +30,8 @@
   milliseconds EventPause{0};
   /// The Server-Limit of every answer, as text; empty for none.
   std::string Limit;
+  /// States in every answer that it leaves.
+  bool Leaving = false;
 };
 
 /// An upstream as the platform's page describes it: a plain service, or a model
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -266,6 +266,25 @@
   REQUIRE(Fleet.Services[1]->runs() > 100);
 }
 
+TEST_CASE("forwarding: an upstream that states that it leaves gets further "
+          "requests") {
+  forwarding_fleet Fleet;
+  upstream_switches Leaving;
+  Leaving.Leaving = true;
+  Fleet.Services[0]->set(Leaving);
+  const auto CallAll = [&Fleet](const std::string &Name) {
+    for (int Number = 0; Number < 30; ++Number)
+      REQUIRE(Fleet
+                  .call(static_cast<std::size_t>(Number % 3),
+                        Name + std::to_string(Number), "/check/1", "")
+                  .Status == 200);
+  };
+  CallAll("a");
+  const std::size_t Runs = Fleet.Services[0]->runs();
+  CallAll("b");
+  REQUIRE(Fleet.Services[0]->runs() == Runs);
+}
+
 TEST_CASE("forwarding: SIGHUP reloads the settings, and bad ones change "
           "nothing") {
   forwarding_fleet Fleet;
--- a/Tests/LibGateway/limit_fleet.cpp
+++ b/Tests/LibGateway/limit_fleet.cpp
@@ -108,9 +108,9 @@
 void limit_fleet::exchangeBetween(std::size_t From, std::size_t To) {
   if (!areConnected(From, To))
     return;
-  fleet_table::limit_list Message;
-  Hosts[From].Table->writeLimits(Message);
-  Hosts[To].Table->mergeLimits(Message);
+  host_link::UpstreamStatements Message;
+  Hosts[From].Table->writeStatements(Message);
+  Hosts[To].Table->mergeStatements(Message);
 }
 
 void limit_fleet::exchange() {
