LibGateway: Leave an upstream alone for the time that it turned this host away

What callers saw: none yet; the rule is new. An upstream that turns a request away with 503 may state for how long it wants nothing of that host (Retry-After).

Change: the time is decoded in platform/, for status 503 only, at most 300 s, and kept for one start of the upstream in upstream_admission, which the choice and each send ask. A caller that finds no upstream is told when this host may send to one, at least 0.4 s and at most 2 s, with jitter, instead of always 0.4 s.

--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr milliseconds RetryAfterShort{400};
+/// Other hosts may serve a request earlier than this one knows.
+constexpr milliseconds MaxRetryAfter{2'000};
 /// Unreachable upstreams that are tried before the request fails; no byte of
 /// the request has been sent to them.
 constexpr std::uint32_t MaxUnreachable = 4;
@@ -42,12 +44,19 @@
   return milliseconds(static_cast<std::int64_t>(Milliseconds));
 }
 
+/// When a repeat of a request that found no upstream may succeed.
+milliseconds retryTime(const forwarded_request &Request) {
+  const std::optional<milliseconds> Wait =
+      Request.Services.Fleet.timeUntilSend(Request.Service.Name);
+  return withJitter(std::clamp(Wait.value_or(RetryAfterShort), RetryAfterShort,
+                               MaxRetryAfter));
+}
+
 /// Throws the error that the caller gets when no attempts remain.
 [[noreturn]] void throwFinalError(const forwarded_request &Request,
                                   const std::string &Cause) {
   if (!Request.MayHaveRun)
-    throw retry_after_error(result_code::NoUpstream, Cause,
-                            withJitter(RetryAfterShort));
+    throw retry_after_error(result_code::NoUpstream, Cause, retryTime(Request));
   if (Request.timeLeft() <= MinAttemptTime)
     throw spindle_error(result_code::UpstreamTimeout, Cause);
   throw spindle_error(result_code::UpstreamLost, Cause);
--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -165,8 +165,13 @@
                    const upstream_statement &Statement, time_point SentAt) {
   const std::string &AttemptId = Request.Description.AttemptId;
   if (Statement.IsMalformed)
-    logEvent(log_event::UpstreamLimitMalformed,
+    logEvent(log_event::UpstreamStatementMalformed,
              {{"request", AttemptId}, {"upstream", Upstream.Name}});
+  if (Statement.RefusesFor)
+    logEvent(log_event::UpstreamRefuses,
+             {{"upstream", Upstream.Name},
+              {"for_ms", std::to_string(Statement.RefusesFor->count())},
+              {"request", AttemptId}});
   const statement_news News =
       Request.Services.Fleet.noteStatement(Upstream.Id, Statement, SentAt);
   if (News.Leaving)
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -173,6 +173,8 @@
   statement_news News;
   News.Limit = spindle::noteStatement(Admission.Limits, *Found->second.Entry,
                                       Statement, SentAt, Now);
+  if (Statement.RefusesFor)
+    noteRefusal(Admission, *Found->second.Entry, *Statement.RefusesFor, Now);
   News.Leaving = Statement.Leaving && recordLeaving(Found->second, Now);
   return News;
 }
@@ -276,6 +278,25 @@
   });
 }
 
+std::optional<milliseconds>
+fleet_table::timeUntilSend(std::string_view Service) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const time_point Now = Clock.now();
+  std::optional<time_point> Earliest;
+  for (const auto &[Id, Known] : Upstreams) {
+    if (Known.Entry->Service != Service || Known.Entry->Draining)
+      continue;
+    const std::optional<time_point> Next =
+        nextSendAt(Admission, *Known.Entry, Now);
+    if (Next && (!Earliest || *Next < *Earliest))
+      Earliest = Next;
+  }
+  if (!Earliest)
+    return std::nullopt;
+  return std::chrono::duration_cast<milliseconds>(std::max(*Earliest, Now) -
+                                                  Now);
+}
+
 bool fleet_table::isEligible(const known_upstream &Known,
                              const upstream_query &Query) const {
   const upstream_entry &Entry = *Known.Entry;
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -98,6 +98,10 @@
   /// Whether the service has an upstream that accepts requests.
   bool hasUpstream(std::string_view Service) const;
 
+  /// How long it takes until this host may send to some upstream of the
+  /// service; none if that is not known.
+  std::optional<milliseconds> timeUntilSend(std::string_view Service) const;
+
   /// Whether a request may be sent to the upstream now; if so, counts it. Call
   /// it immediately before the send, as a request may have waited since
   /// choose().
--- a/Libraries/LibGateway/upstream_admission.cpp
+++ b/Libraries/LibGateway/upstream_admission.cpp
@@ -38,6 +38,7 @@
   };
   std::erase_if(Admission.WarmUps, IsGone);
   std::erase_if(Admission.Limits.Limits, IsGone);
+  std::erase_if(Admission.Refusals, IsGone);
   std::erase_if(Admission.LastSends, IsGone);
 }
 
@@ -56,6 +57,21 @@
     warmUpUntil(Admission, Upstream, Now + RegistrationDelay);
 }
 
+static time_point refusedUntil(const upstream_admission &Admission,
+                               const upstream_entry &Upstream) {
+  const auto Refusal = Admission.Refusals.find(Upstream.Id);
+  const bool Holds = Refusal != Admission.Refusals.end() &&
+                     Refusal->second.StartedAt == Upstream.StartedAt;
+  return Holds ? Refusal->second.Until : time_point();
+}
+
+void noteRefusal(upstream_admission &Admission, const upstream_entry &Upstream,
+                 milliseconds Time, time_point Now) {
+  const time_point Known = refusedUntil(Admission, Upstream);
+  Admission.Refusals[Upstream.Id] = {Upstream.StartedAt,
+                                     std::max(Known, Now + Time)};
+}
+
 bool isEvacuated(const upstream_admission &Admission,
                  const upstream_entry &Upstream) {
   return Admission.EvacuatedZones.contains(Upstream.Zone);
@@ -77,18 +93,29 @@
   return std::min(WarmUpRate, Limit.value_or(WarmUpRate));
 }
 
-bool maySend(const upstream_admission &Admission,
-             const upstream_entry &Upstream, time_point Now) {
+std::optional<time_point> nextSendAt(const upstream_admission &Admission,
+                                     const upstream_entry &Upstream,
+                                     time_point Now) {
   if (isEvacuated(Admission, Upstream))
-    return false;
+    return std::nullopt;
+  const time_point AcceptsFrom = refusedUntil(Admission, Upstream);
   const std::optional<double> Rate = sendRate(Admission, Upstream, Now);
   if (!Rate)
-    return true;
+    return AcceptsFrom;
   const std::optional<nanoseconds> Interval =
       sendInterval(Upstream, *Rate, Admission.Hosts, Admission.OwnName);
+  if (!Interval)
+    return std::nullopt;
   const auto LastSend = Admission.LastSends.find(Upstream.Id);
-  const bool IsFirst = LastSend == Admission.LastSends.end();
-  return Interval && (IsFirst || LastSend->second + *Interval <= Now);
+  if (LastSend == Admission.LastSends.end())
+    return AcceptsFrom;
+  return std::max(AcceptsFrom, LastSend->second + *Interval);
+}
+
+bool maySend(const upstream_admission &Admission,
+             const upstream_entry &Upstream, time_point Now) {
+  const std::optional<time_point> Next = nextSendAt(Admission, Upstream, Now);
+  return Next && *Next <= Now;
 }
 
 bool admitSend(upstream_admission &Admission, const upstream_entry &Upstream,
--- a/Libraries/LibGateway/upstream_admission.h
+++ b/Libraries/LibGateway/upstream_admission.h
@@ -17,10 +17,16 @@
 
 namespace spindle {
 
+/// Until when one start of an upstream accepts no request of this host.
+struct stated_refusal {
+  std::int64_t StartedAt = 0;
+  time_point Until;
+};
+
 /// Decides whether this host may send a request to an upstream now: not if its
-/// zone is evacuated, and only at a limited rate while it warms up or states a
-/// limit. Modified only through the functions below, none of which is
-/// thread-safe.
+/// zone is evacuated or it has turned this host away for a time, and only at a
+/// limited rate while it warms up or states a limit. Modified only through the
+/// functions below, none of which is thread-safe.
 struct upstream_admission {
   std::string OwnName;
   /// The registered hosts, which share the rate of each upstream.
@@ -32,6 +38,7 @@
   /// The ends of the warm-ups.
   std::unordered_map<upstream_id, time_point> WarmUps;
   upstream_limits Limits;
+  std::unordered_map<upstream_id, stated_refusal> Refusals;
   /// When this host sent its last request to an upstream.
   std::unordered_map<upstream_id, time_point> LastSends;
 };
@@ -53,6 +60,9 @@
 /// warm up before its registration shows it.
 void noteUnreachable(upstream_admission &Admission,
                      const upstream_entry &Upstream, time_point Now);
+/// Records that an upstream accepts no request of this host for \p Time.
+void noteRefusal(upstream_admission &Admission, const upstream_entry &Upstream,
+                 milliseconds Time, time_point Now);
 bool isEvacuated(const upstream_admission &Admission,
                  const upstream_entry &Upstream);
 bool isWarmingUp(const upstream_admission &Admission,
@@ -61,6 +71,11 @@
 /// not limited.
 std::optional<double> sendRate(const upstream_admission &Admission,
                                const upstream_entry &Upstream, time_point Now);
+/// When a request may be sent to the upstream, which may be in the past; none
+/// if this host may send none.
+std::optional<time_point> nextSendAt(const upstream_admission &Admission,
+                                     const upstream_entry &Upstream,
+                                     time_point Now);
 /// Whether a request may be sent to the upstream now.
 bool maySend(const upstream_admission &Admission,
              const upstream_entry &Upstream, time_point Now);
--- a/StandIns/LibForwarding/upstream_stand_in.cpp
+++ b/StandIns/LibForwarding/upstream_stand_in.cpp
@@ -170,8 +170,10 @@
   }
   if (Status == 0)
     return false;
-  Exchange.respond(
-      {Status, withStatements({{std::string(NotRunField), "1"}}, Now)}, "");
+  http_fields Refusal{{std::string(NotRunField), "1"}};
+  if (!Now.RetryAfter.empty())
+    Refusal.push_back({"Retry-After", Now.RetryAfter});
+  Exchange.respond({Status, withStatements(Refusal, Now)}, "");
   return true;
 }
 
--- a/StandIns/LibForwarding/upstream_stand_in.h
+++ b/StandIns/LibForwarding/upstream_stand_in.h
@@ -32,6 +32,8 @@
   std::string Limit;
   /// States in every answer that it leaves.
   bool Leaving = false;
+  /// The Retry-After of every refusal, as text; empty for none.
+  std::string RetryAfter;
 };
 
 /// An upstream as the platform's page describes it: a plain service, or a model
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -285,6 +285,27 @@
   REQUIRE(Fleet.Services[0]->runs() == Runs);
 }
 
+TEST_CASE("forwarding: an upstream gets requests in the time for which it "
+          "turned the host away") {
+  forwarding_fleet Fleet;
+  upstream_switches Full;
+  Full.Full = true;
+  Full.RetryAfter = "2.5";
+  Fleet.Services[0]->set(Full);
+  const time_point Start = boot_clock::now();
+  for (int Number = 0; boot_clock::now() < Start + milliseconds(2'300);
+       ++Number) {
+    Fleet.call(0, "c" + std::to_string(Number), "/check/1", "");
+    sleepFor(milliseconds(20));
+  }
+  REQUIRE(Fleet.Services[0]->arrivals().size() <= 3);
+  Fleet.Services[0]->set({});
+  sleepFor(milliseconds(500));
+  for (int Number = 0; Number < 20; ++Number)
+    Fleet.call(0, "d" + std::to_string(Number), "/check/1", "");
+  REQUIRE(Fleet.Services[0]->runs() > 0);
+}
+
 TEST_CASE("forwarding: SIGHUP reloads the settings, and bad ones change "
           "nothing") {
   forwarding_fleet Fleet;
--- a/Tests/Platform/test_codecs.cpp
+++ b/Tests/Platform/test_codecs.cpp
@@ -251,3 +251,24 @@
     REQUIRE(Statement.IsMalformed);
   }
 }
+
+TEST_CASE("a time to retry after that can't be read shuts an upstream out") {
+  const auto statementOf = [](int Status, const http_fields &Fields) {
+    return readResponse({Status, Fields}).Statement;
+  };
+  REQUIRE(statementOf(503, {{"Retry-After", "1.5"}}).RefusesFor ==
+          milliseconds(1'500));
+  REQUIRE(statementOf(503, {{"Retry-After", "1"}, {"retry-after", "2"}})
+              .RefusesFor == milliseconds(2'000));
+  REQUIRE(statementOf(503, {{"Retry-After", "1e9"}}).IsMalformed);
+  REQUIRE(statementOf(503, {{"Retry-After", "999999999999"}}).RefusesFor ==
+          milliseconds(300'000));
+  REQUIRE_FALSE(statementOf(429, {{"Retry-After", "1"}}).RefusesFor);
+  for (const std::string Text :
+       {"", "-1", "nan", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    const upstream_statement Statement =
+        statementOf(503, {{"Retry-After", Text}});
+    REQUIRE_FALSE(Statement.RefusesFor);
+    REQUIRE(Statement.IsMalformed);
+  }
+}
