--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -172,12 +172,12 @@
              {{"upstream", Upstream.Name},
               {"for_ms", std::to_string(Statement.RefusesFor->count())},
               {"request", AttemptId}});
-  const statement_news News =
+  const statement_changes Changes =
       Request.Services.Fleet.noteStatement(Upstream.Id, Statement, SentAt);
-  if (News.Leaving)
+  if (Changes.Leaving)
     logEvent(log_event::UpstreamLeavingStated,
              {{"upstream", Upstream.Name}, {"request", AttemptId}});
-  if (!News.Limit)
+  if (!Changes.Limit)
     return;
   const std::optional<double> &Limit = Statement.RequestsPerSecond;
   logEvent(log_event::UpstreamLimitStated,
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -66,8 +66,8 @@
 rankByWorth(std::span<const upstream_candidate> Candidates,
             const choice_request &Request);
 
-/// What of a statement was not known before.
-struct statement_news {
+/// What a statement has changed.
+struct statement_changes {
   bool Limit = false;
   bool Leaving = false;
 };
@@ -108,9 +108,9 @@
   bool admit(upstream_id Id);
   /// Applies what a response of the upstream states of itself; the request was
   /// sent at \p SentAt.
-  statement_news noteStatement(upstream_id Id,
-                               const upstream_statement &Statement,
-                               time_point SentAt);
+  statement_changes noteStatement(upstream_id Id,
+                                  const upstream_statement &Statement,
+                                  time_point SentAt);
   /// Writes what upstreams have stated, for other hosts.
   void writeStatements(host_link::UpstreamStatements &Message) const;
   /// Applies what upstreams have stated to other hosts.
@@ -175,7 +175,7 @@
 
   upstream_pointer withStatements(const upstream_pointer &Entry) const;
   bool recordLeaving(known_upstream &Known, time_point StatedAt);
-  void mergeLimitOf(const host_link::UpstreamLimit &Reported);
+  void mergeLimit(const host_link::UpstreamLimit &Reported);
   void mergeLeaving(const host_link::UpstreamLeaving &Reported);
   bool isLimited(const known_upstream &Known) const;
   candidate_list candidates(const upstream_query &Query,
