--- a/Tests/LibHTTP/test_http.cpp
+++ b/Tests/LibHTTP/test_http.cpp
@@ -45,8 +45,10 @@
 
 /// Leaves several idle connections to the server, for the calling thread.
 void fillPool(loopback &Loopback) {
+  static constexpr std::size_t Connections = 4;
   std::vector<std::unique_ptr<http_call>> Calls;
-  for (int Count = 0; Count < 4; ++Count)
+  Calls.reserve(Connections);
+  while (Calls.size() < Connections)
     Calls.push_back(Loopback.Client.start(Loopback.Server.address(),
                                           {"GET", "/", {}}, "", {},
                                           connection_use::FreshOnce));
--- a/Tests/Platform/test_codecs.cpp
+++ b/Tests/Platform/test_codecs.cpp
@@ -235,39 +235,39 @@
 
 TEST_CASE("a stated limit that can't be read is taken for none or for an "
           "endless one") {
-  const auto limitOf = [](const http_fields &Fields) {
+  const auto LimitOf = [](const http_fields &Fields) {
     return readResponse({200, Fields}).Statement;
   };
-  REQUIRE_FALSE(limitOf({}).RequestsPerSecond);
-  REQUIRE_FALSE(limitOf({}).IsMalformed);
-  REQUIRE(limitOf({{"server-limit", "1.4"}}).RequestsPerSecond == 1.4);
-  REQUIRE(limitOf({{"Server-Limit", "0"}}).RequestsPerSecond == 0);
-  REQUIRE(limitOf({{"Server-Limit", "3"}, {"Server-Limit", "2"}})
+  REQUIRE_FALSE(LimitOf({}).RequestsPerSecond);
+  REQUIRE_FALSE(LimitOf({}).IsMalformed);
+  REQUIRE(LimitOf({{"server-limit", "1.4"}}).RequestsPerSecond == 1.4);
+  REQUIRE(LimitOf({{"Server-Limit", "0"}}).RequestsPerSecond == 0);
+  REQUIRE(LimitOf({{"Server-Limit", "3"}, {"Server-Limit", "2"}})
               .RequestsPerSecond == 2);
   for (const std::string Text :
        {"", "-1", "nan", "inf", "1,4", "1.4 a", "Fri, 04 Dec 2026"}) {
-    const upstream_statement Statement = limitOf({{"Server-Limit", Text}});
+    const upstream_statement Statement = LimitOf({{"Server-Limit", Text}});
     REQUIRE_FALSE(Statement.RequestsPerSecond);
     REQUIRE(Statement.IsMalformed);
   }
 }
 
 TEST_CASE("a time to retry after that can't be read shuts an upstream out") {
-  const auto statementOf = [](int Status, const http_fields &Fields) {
+  const auto StatementOf = [](int Status, const http_fields &Fields) {
     return readResponse({Status, Fields}).Statement;
   };
-  REQUIRE(statementOf(503, {{"Retry-After", "1.5"}}).RefusesFor ==
+  REQUIRE(StatementOf(503, {{"Retry-After", "1.5"}}).RefusesFor ==
           milliseconds(1'500));
-  REQUIRE(statementOf(503, {{"Retry-After", "1"}, {"retry-after", "2"}})
+  REQUIRE(StatementOf(503, {{"Retry-After", "1"}, {"retry-after", "2"}})
               .RefusesFor == milliseconds(2'000));
-  REQUIRE(statementOf(503, {{"Retry-After", "1e9"}}).IsMalformed);
-  REQUIRE(statementOf(503, {{"Retry-After", "999999999999"}}).RefusesFor ==
+  REQUIRE(StatementOf(503, {{"Retry-After", "1e9"}}).IsMalformed);
+  REQUIRE(StatementOf(503, {{"Retry-After", "999999999999"}}).RefusesFor ==
           milliseconds(300'000));
-  REQUIRE_FALSE(statementOf(429, {{"Retry-After", "1"}}).RefusesFor);
+  REQUIRE_FALSE(StatementOf(429, {{"Retry-After", "1"}}).RefusesFor);
   for (const std::string Text :
        {"", "-1", "nan", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
     const upstream_statement Statement =
-        statementOf(503, {{"Retry-After", Text}});
+        StatementOf(503, {{"Retry-After", Text}});
     REQUIRE_FALSE(Statement.RefusesFor);
     REQUIRE(Statement.IsMalformed);
   }
