--- a/review/2/scenario.cpp
+++ b/review/2/scenario.cpp
@@ -3,14 +3,15 @@
 // taken for the answer to the second send, which has run; the request is then
 // sent a third time.
 
-#include "standins/caller.h"
-#include "standins/deployment.h"
-#include "standins/engine.h"
+#include "../standins/caller.h"
+#include "../standins/deployment.h"
+#include "../standins/engine.h"
 
 using namespace review;
 
 namespace {
 
+constexpr int HostCount = 2;
 constexpr int AdaptersOfAnEngine = 5;
 constexpr milliseconds TrafficTime{60'000};
 constexpr milliseconds RequestPause{20};
@@ -39,6 +40,22 @@
   int Status = 0;
 };
 
+/// Announces new versions of two adapters until \p Until.
+void announceReleases(store &Store, steady::time_point Until) {
+  for (int Version = 2; steady::now() < Until; ++Version) {
+    pauseFor(ReleasePause);
+    for (int Index = 1; Index <= 2; ++Index) {
+      const std::string Adapter = "a" + std::to_string(Index);
+      Store.put(
+          "versions", "m0." + Adapter,
+          nlohmann::json(
+              {{"model", "m0"}, {"adapter", Adapter}, {"version", Version}})
+              .dump());
+    }
+    record("version %d of a1 and a2 is announced", Version);
+  }
+}
+
 } // namespace
 
 int main() try {
@@ -58,33 +75,15 @@
     return IsFaulty && Faulty.Extras - ExtrasBefore + 1 <=
                            MaxExtraShare * (Faulty.Answers - AnswersBefore);
   };
-  for (const std::string Name : {"front-gent-a-1", "front-gent-a-2"})
-    Hosts.push_back(
-        std::make_unique<host>(Name, "gent-a", Store.address(), caseFolder()));
-  for (const std::unique_ptr<host> &Host : Hosts)
-    Host->start({Hosts[0]->link(), Hosts[1]->link()});
-  if (!waitUntilReady(Hosts))
+  std::vector<std::uint16_t> Seeds;
+  if (!startHosts(Hosts, HostCount, Store.address(), caseFolder(), Seeds))
     finish(Hosts, CouldNotRun);
-  pauseFor(milliseconds(4'000));
 
   std::mutex Mutex;
   std::vector<sent_request> Sent;
   std::atomic<int> Open{0};
   const steady::time_point Until = steady::now() + TrafficTime;
-  std::thread Releases([&] {
-    for (int Version = 2; steady::now() < Until; ++Version) {
-      pauseFor(ReleasePause);
-      for (int Index = 1; Index <= 2; ++Index) {
-        const std::string Adapter = "a" + std::to_string(Index);
-        Store.put(
-            "versions", "m0." + Adapter,
-            nlohmann::json(
-                {{"model", "m0"}, {"adapter", Adapter}, {"version", Version}})
-                .dump());
-      }
-      record("version %d of a1 and a2 is announced", Version);
-    }
-  });
+  std::thread Releases([&] { announceReleases(Store, Until); });
   std::thread Faults([&] {
     while (Trouble && steady::now() < Until) {
       AnswersBefore = Faulty.Answers.load();
--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -1,8 +1,8 @@
 // An entry of another writer whose fields are nested lists ends every process.
 
-#include "standins/caller.h"
-#include "standins/deployment.h"
-#include "standins/engine.h"
+#include "../standins/caller.h"
+#include "../standins/deployment.h"
+#include "../standins/engine.h"
 
 using namespace review;
 
@@ -14,7 +14,6 @@
 constexpr milliseconds EntryAt{5'000};
 constexpr milliseconds TrafficTime{20'000};
 constexpr milliseconds RequestPause{100};
-constexpr milliseconds RestartPause{1'000};
 constexpr int AllowedEnds = 2;
 
 } // namespace
@@ -38,25 +37,15 @@
   Settings.EventPause = milliseconds(50);
   engine Engine(Settings, Store);
   std::vector<std::uint16_t> Seeds;
-  for (int Number = 1; Number <= HostCount; ++Number) {
-    Hosts.push_back(
-        std::make_unique<host>("front-gent-a-" + std::to_string(Number),
-                               "gent-a", Store.address(), caseFolder()));
-    Seeds.push_back(Hosts.back()->link());
-  }
-  for (const std::unique_ptr<host> &Host : Hosts)
-    Host->start(Seeds);
-  if (!waitUntilReady(Hosts))
+  if (!startHosts(Hosts, HostCount, Store.address(), caseFolder(), Seeds))
     finish(Hosts, CouldNotRun);
-  pauseFor(milliseconds(4'000));
 
   std::mutex Mutex;
   std::map<std::string, int> Outcomes;
   std::atomic<int> Open{0};
   const steady::time_point Start = steady::now();
   bool EntryWritten = false;
-  std::vector<int> Ends(Hosts.size());
-  std::vector<steady::time_point> EndedAt(Hosts.size());
+  restarter Restarter(Hosts, Seeds);
   for (int Number = 0; steady::now() - Start < TrafficTime; ++Number) {
     if (!EntryWritten && steady::now() - Start > EntryAt) {
       const std::string Value =
@@ -67,16 +56,7 @@
       record("an entry of another writer: its address is a list, %d deep",
              Trouble ? Depth : 1);
     }
-    for (std::size_t Index = 0; Index < Hosts.size(); ++Index) {
-      host &Host = *Hosts[Index];
-      if (Host.hasEnded()) {
-        ++Ends[Index];
-        EndedAt[Index] = steady::now();
-      } else if (!Host.isRunning() &&
-                 steady::now() - EndedAt[Index] > RestartPause) {
-        Host.start(Seeds);
-      }
-    }
+    Restarter.look();
     ++Open;
     std::thread([&, Number] {
       call Call;
@@ -104,8 +84,8 @@
   int Worn = 0;
   for (std::size_t Index = 0; Index < Hosts.size(); ++Index) {
     record("host %s ended by itself %d times", Hosts[Index]->name().c_str(),
-           Ends[Index]);
-    Worn += Ends[Index] > AllowedEnds ? 1 : 0;
+           Restarter.ends()[Index]);
+    Worn += Restarter.ends()[Index] > AllowedEnds ? 1 : 0;
   }
   record("%d hosts ended by themselves three times or more", Worn);
   finish(Hosts, Worn >= 2 ? Broken : Held);
--- a/review/standins/hosts.h
+++ b/review/standins/hosts.h
@@ -240,6 +240,57 @@
   return false;
 }
 
+/// Makes and starts hosts in one zone, and returns their seeds. Waits until
+/// they are ready and know the engines; false if they don't get ready.
+inline bool startHosts(std::vector<std::unique_ptr<host>> &Hosts, int Count,
+                       const std::string &Store, const std::string &Folder,
+                       std::vector<std::uint16_t> &Seeds) {
+  for (int Number = 1; Number <= Count; ++Number) {
+    Hosts.push_back(std::make_unique<host>(
+        "front-gent-a-" + std::to_string(Number), "gent-a", Store, Folder));
+    Seeds.push_back(Hosts.back()->link());
+  }
+  for (const std::unique_ptr<host> &Host : Hosts)
+    Host->start(Seeds);
+  if (!waitUntilReady(Hosts))
+    return false;
+  pauseFor(milliseconds(4'000));
+  return true;
+}
+
+/// Starts processes that have ended by themselves again after a pause, as the
+/// platform does, and counts the ends.
+class restarter {
+public:
+  restarter(std::vector<std::unique_ptr<host>> &Hosts,
+            std::vector<std::uint16_t> Seeds)
+      : Hosts(Hosts), Seeds(std::move(Seeds)), Ends(Hosts.size()),
+        EndedAt(Hosts.size()) {}
+
+  void look() {
+    static constexpr milliseconds RestartPause{1'000};
+    for (std::size_t Index = 0; Index < Hosts.size(); ++Index) {
+      host &Host = *Hosts[Index];
+      if (Host.hasEnded()) {
+        ++Ends[Index];
+        EndedAt[Index] = steady::now();
+      } else if (!Host.isRunning() &&
+                 steady::now() - EndedAt[Index] > RestartPause) {
+        Host.start(Seeds);
+      }
+    }
+  }
+
+  /// How often each process has ended.
+  const std::vector<int> &ends() const { return Ends; }
+
+private:
+  std::vector<std::unique_ptr<host>> &Hosts;
+  const std::vector<std::uint16_t> Seeds;
+  std::vector<int> Ends;
+  std::vector<steady::time_point> EndedAt;
+};
+
 /// Ends the hosts and this process, whatever threads still run.
 [[noreturn]] inline void finish(std::vector<std::unique_ptr<host>> &Hosts,
                                 verdict Verdict) {
