LibMembership, StandIns: Give each type a name of its own

Callers and the platform saw: a host that could not listen at one of its four addresses ended with "free(): invalid pointer" and signal 6, and named no port.

Cause: LibGateway/fleet_table.h and LibMembership/zone_table.h each defined spindle::fleet_table. Both are linked into spindled, and both have an implicit destructor of one symbol. The linker keeps the first, that of LibMembership, so that unwinding the constructor of gateway_host::state destroyed the upstreams' table as if it were the other type. A host that runs never destroys its parts (it ends by _exit), so only an exception at the start showed it, whatever its cause.

Evidence: gdb on the core: ~fleet_table gets the right object, but its code frees a string at offset 56, where fleet_table of LibGateway has the manager of a std::function (the freed address is that of _M_manager) and fleet_table of LibMembership its nonce.

Fix: the record of zones' grants is zone_grants now.

--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -211,16 +211,16 @@
   return AffinityEngine;
 }
 
-static adapter_presence
+static adapter_need
 presenceOf(const std::map<adapter_name, std::uint64_t> &Adapters,
            const upstream_query &Query) {
   const request_description &Request = *Query.Model;
   if (Request.Adapter.empty())
-    return adapter_presence::NotNeeded;
+    return adapter_need::NotNeeded;
   const auto Found = Adapters.find({Request.Model, Request.Adapter});
   return Found != Adapters.end() && Found->second >= Query.AdapterVersion
-             ? adapter_presence::Loaded
-             : adapter_presence::Absent;
+             ? adapter_need::Loaded
+             : adapter_need::Absent;
 }
 
 double fleet_table::healthOf(const known_upstream &Known) const {
@@ -276,7 +276,7 @@
       continue;
     upstream_candidate Candidate = candidate(Known, Query);
     if (!LoadsOnLimited && isLimited(Known) &&
-        Candidate.Adapter == adapter_presence::Absent)
+        Candidate.Adapter == adapter_need::Absent)
       continue;
     Candidate.IsAffinityEngine = Id == AffinityEngine;
     List.Candidates.push_back(Candidate);
@@ -303,12 +303,12 @@
   if (Ranked.empty())
     return std::nullopt;
   const upstream_choice &Best = Ranked.front();
-  const adapter_presence Presence = Candidates[Best.Index].Adapter;
+  const adapter_need Presence = Candidates[Best.Index].Adapter;
   chosen_upstream Chosen;
   Chosen.Upstream = States[Best.Index]->Entry;
   Chosen.ExpectedMilliseconds = Best.ExpectedMilliseconds;
   Chosen.ServiceMilliseconds = Best.ServiceMilliseconds;
-  Chosen.AdapterLoaded = Presence != adapter_presence::Absent;
+  Chosen.AdapterLoaded = Presence != adapter_need::Absent;
   Chosen.Engines.push_back(Chosen.Upstream);
   if (Chosen.AdapterLoaded)
     return Chosen;
--- a/Libraries/LibGateway/upstream_choice.cpp
+++ b/Libraries/LibGateway/upstream_choice.cpp
@@ -12,14 +12,14 @@
 
 static double slotWaitMilliseconds(const upstream_candidate &Candidate,
                                    const choice_costs &Costs) {
-  const bool Waits = Candidate.Adapter == adapter_presence::Absent &&
-                     !Candidate.HasAvailableSlot;
+  const bool Waits =
+      Candidate.Adapter == adapter_need::Absent && !Candidate.HasAvailableSlot;
   return Waits ? Costs.NoSlotMilliseconds : 0;
 }
 
 static double loadMilliseconds(const upstream_candidate &Candidate,
                                const choice_costs &Costs) {
-  if (Candidate.Adapter != adapter_presence::Absent)
+  if (Candidate.Adapter != adapter_need::Absent)
     return 0;
   return slotWaitMilliseconds(Candidate, Costs) +
          (Candidate.IsAffinityEngine ? Costs.AffinityLoadMilliseconds
@@ -28,7 +28,7 @@
 
 static double loadCost(const upstream_candidate &Candidate,
                        const choice_costs &Costs) {
-  if (Candidate.Adapter != adapter_presence::Absent)
+  if (Candidate.Adapter != adapter_need::Absent)
     return 0;
   return Candidate.IsAffinityEngine ? Costs.AffinityLoad : Costs.Load;
 }
--- a/Libraries/LibGateway/upstream_choice.h
+++ b/Libraries/LibGateway/upstream_choice.h
@@ -13,13 +13,13 @@
 namespace spindle {
 
 /// Whether an engine has loaded the adapter that a request needs.
-enum class adapter_presence { NotNeeded, Loaded, Absent };
+enum class adapter_need { NotNeeded, Loaded, Absent };
 
 /// The state of an upstream to which a request may be sent.
 struct upstream_candidate {
   upstream_id Id;
   bool InOwnZone = false;
-  adapter_presence Adapter = adapter_presence::NotNeeded;
+  adapter_need Adapter = adapter_need::NotNeeded;
   /// Whether the engine could load another adapter now.
   bool HasAvailableSlot = true;
   /// Whether this is the adapter's affinity engine, which all hosts prefer for
--- a/Libraries/LibHost/zone_table_manager.cpp
+++ b/Libraries/LibHost/zone_table_manager.cpp
@@ -49,14 +49,14 @@
   adopt(std::move(Empty), Created);
 }
 
-fleet_table zone_table_manager::readFleet() {
+zone_grants zone_table_manager::readFleet() {
   const std::optional<platform_object> Object =
       Platform.Get(platform_kind::ZoneTables, FleetTableName);
   if (Object) {
     FleetVersion = Object->Version;
     return readFleetTable(Object->Body);
   }
-  fleet_table Empty;
+  zone_grants Empty;
   FleetVersion = Platform.Create(platform_kind::ZoneTables, FleetTableName,
                                  writeFleetTable(Empty));
   return Empty;
@@ -71,8 +71,8 @@
     Facts.Grant = Grant;
     return;
   }
-  fleet_table Fleet = readFleet();
-  std::optional<fleet_table> Next =
+  zone_grants Fleet = readFleet();
+  std::optional<zone_grants> Next =
       decideFleet(Fleet, Settings.Zone, Table, Facts);
   if (Next) {
     Next->Nonce = Settings.Name + "-" + std::to_string(++Writes);
--- a/Libraries/LibHost/zone_table_manager.h
+++ b/Libraries/LibHost/zone_table_manager.h
@@ -56,7 +56,7 @@
   void adopt(zone_table NewTable, std::uint64_t NewVersion);
   void chooseReleases(const zone_decision_input &Facts, bool Draining);
   void updateZoneGrant(zone_decision_input &Facts);
-  fleet_table readFleet();
+  zone_grants readFleet();
   void logChanges(const zone_table &Written) const;
 
   const runtime_clock &Clock;
--- a/Libraries/LibMembership/zone_decision.cpp
+++ b/Libraries/LibMembership/zone_decision.cpp
@@ -165,11 +165,11 @@
   return Decision;
 }
 
-std::optional<fleet_table> decideFleet(const fleet_table &Fleet,
+std::optional<zone_grants> decideFleet(const zone_grants &Fleet,
                                        const std::string &Zone,
                                        const zone_table &Table,
                                        const zone_decision_input &Input) {
-  fleet_table Next = Fleet;
+  zone_grants Next = Fleet;
   zone_grant &Grant = Next.Zones[Zone];
   if (Input.ConfigurationVersion < Grant.ConfigurationVersion)
     return std::nullopt;
--- a/Libraries/LibMembership/zone_decision.h
+++ b/Libraries/LibMembership/zone_decision.h
@@ -69,7 +69,7 @@
 /// Decides on the zone's grant in the fleet table; nullopt if there is no
 /// change. A grant is lowered after the budget in the zone's table and raised
 /// before it.
-std::optional<fleet_table> decideFleet(const fleet_table &Fleet,
+std::optional<zone_grants> decideFleet(const zone_grants &Fleet,
                                        const std::string &Zone,
                                        const zone_table &Table,
                                        const zone_decision_input &Input);
--- a/Libraries/LibMembership/zone_table.cpp
+++ b/Libraries/LibMembership/zone_table.cpp
@@ -61,7 +61,7 @@
   }
 }
 
-std::string writeFleetTable(const fleet_table &Table) {
+std::string writeFleetTable(const zone_grants &Table) {
   json Zones = json::object();
   for (const auto &[Name, Grant] : Table.Zones)
     Zones[Name] = {{"ppm", Grant.PartsPerMillion},
@@ -72,10 +72,10 @@
       .dump();
 }
 
-fleet_table readFleetTable(std::string_view Text) {
+zone_grants readFleetTable(std::string_view Text) {
   try {
     const json Value = json::parse(Text);
-    fleet_table Table;
+    zone_grants Table;
     Table.Unallocated = Value.at("unallocated").get<std::uint32_t>();
     for (const auto &[Name, Grant] : Value.at("zones").items())
       Table.Zones[Name] = {
--- a/Libraries/LibMembership/zone_table.h
+++ b/Libraries/LibMembership/zone_table.h
@@ -59,12 +59,12 @@
 /// The division of the fleet's rates among zones. A single object, modified
 /// only by compare-and-set when the weights of zones change. A zone's grant is
 /// never less than the budget in its table.
-struct fleet_table {
+struct zone_grants {
   std::uint32_t Unallocated = TotalPartsPerMillion;
   std::map<std::string, zone_grant> Zones;
   std::string Nonce;
 
-  bool operator==(const fleet_table &) const = default;
+  bool operator==(const zone_grants &) const = default;
 };
 
 /// The name of the fleet table; zone tables are named for their zones.
@@ -73,9 +73,9 @@
 std::string writeZoneTable(const zone_table &Table);
 /// \throws spindle_error Internal. Thread-safe.
 zone_table readZoneTable(std::string_view Text);
-std::string writeFleetTable(const fleet_table &Table);
+std::string writeFleetTable(const zone_grants &Table);
 /// \throws spindle_error Internal. Thread-safe.
-fleet_table readFleetTable(std::string_view Text);
+zone_grants readFleetTable(std::string_view Text);
 
 } // namespace spindle
 
--- a/Meta/run-tests.sh
+++ b/Meta/run-tests.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 
 Meta/check-format.sh
+Meta/check-type-names.sh
 cmake --preset release >/dev/null
 cmake --build --preset release
 [ "${1:-}" = --quick ] || Meta/lint.sh
--- a/StandIns/engine_stand_in/engine_batch.cpp
+++ b/StandIns/engine_stand_in/engine_batch.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 struct engine_batch::state {
-  state(const engine_model_settings &Settings, std::uint64_t Incarnation)
+  state(const engine_simulator_settings &Settings, std::uint64_t Incarnation)
       : Model(Settings, Incarnation) {}
 
   void drive();
@@ -34,7 +34,7 @@
   void noteChange() { History.add(boot_clock::now(), Model.report()); }
 
   mutable std::mutex Mutex;
-  engine_model Model;
+  engine_simulator Model;
   report_history History;
   std::uint64_t LastRequest = 0;
   std::map<std::uint64_t, std::shared_ptr<token_feed>> Feeds;
@@ -83,7 +83,7 @@
 }
 
 engine_batch::engine_batch(fiber_runtime &Runtime,
-                           const engine_model_settings &Settings,
+                           const engine_simulator_settings &Settings,
                            std::uint64_t Incarnation)
     : State(std::make_shared<state>(Settings, Incarnation)) {
   Runtime.spawn([State = State, Deliver = State->Stopped.deliverer()] {
@@ -144,12 +144,12 @@
   State->Feeds.erase(Found);
 }
 
-adapter_order engine_batch::beginLoad(std::string_view Adapter,
-                                      std::uint64_t Fence,
-                                      std::uint64_t &Incarnation) {
+order_reply engine_batch::beginLoad(std::string_view Adapter,
+                                     std::uint64_t Fence,
+                                     std::uint64_t &Incarnation) {
   const lock Lock(State->Mutex);
   Incarnation = State->Model.incarnation();
-  const adapter_order Order = State->Model.beginLoad(Adapter, Fence);
+  const order_reply Order = State->Model.beginLoad(Adapter, Fence);
   State->noteChange();
   return Order;
 }
@@ -162,11 +162,11 @@
   return State->Model.serves(Adapter);
 }
 
-adapter_order engine_batch::unload(std::string_view Adapter,
-                                   std::uint64_t Fence) {
+order_reply engine_batch::unload(std::string_view Adapter,
+                                  std::uint64_t Fence) {
   const lock Lock(State->Mutex);
   std::vector<std::uint64_t> Cut;
-  const adapter_order Order = State->Model.unload(Adapter, Fence, Cut);
+  const order_reply Order = State->Model.unload(Adapter, Fence, Cut);
   State->cut(Cut);
   State->noteChange();
   return Order;
--- a/StandIns/engine_stand_in/engine_batch.h
+++ b/StandIns/engine_stand_in/engine_batch.h
@@ -2,7 +2,7 @@
 #define PARSLEYSPINDLE_STANDINS_ENGINE_STAND_IN_ENGINE_BATCH_H
 
 #include "LibRuntime/fiber_runtime.h"
-#include "engine_stand_in/engine_model.h"
+#include "engine_stand_in/engine_simulator.h"
 
 #include <memory>
 #include <vector>
@@ -17,12 +17,13 @@
   bool Cut = false;
 };
 
-/// Runs an engine_model in real time: a fiber ends its steps when they are
+/// Runs an engine_simulator in real time: a fiber ends its steps when they are
 /// due, and the requests' fibers wait for their tokens. Thread-safe.
 class engine_batch {
 public:
   /// \p Runtime must outlive the object.
-  engine_batch(fiber_runtime &Runtime, const engine_model_settings &Settings,
+  engine_batch(fiber_runtime &Runtime,
+               const engine_simulator_settings &Settings,
                std::uint64_t Incarnation);
   /// Ends the fiber. Precondition: not called on a runtime thread.
   ~engine_batch();
@@ -40,12 +41,12 @@
   void end(std::uint64_t Request, std::uint32_t Tokens);
 
   /// Begins a load; \p Incarnation is what finishLoad() takes.
-  adapter_order beginLoad(std::string_view Adapter, std::uint64_t Fence,
-                          std::uint64_t &Incarnation);
+  order_reply beginLoad(std::string_view Adapter, std::uint64_t Fence,
+                         std::uint64_t &Incarnation);
   /// Ends a load; returns whether the adapter serves.
   bool finishLoad(std::string_view Adapter, std::uint64_t Incarnation,
                   bool Loaded);
-  adapter_order unload(std::string_view Adapter, std::uint64_t Fence);
+  order_reply unload(std::string_view Adapter, std::uint64_t Fence);
   bool serves(std::string_view Adapter) const;
   bool loading(std::string_view Adapter) const;
   void restart();
--- a/StandIns/engine_stand_in/engine_server.cpp
+++ b/StandIns/engine_stand_in/engine_server.cpp
@@ -261,16 +261,16 @@
   return !Fails;
 }
 
-static void respondOrder(http_exchange &Exchange, adapter_order Order) {
+static void respondOrder(http_exchange &Exchange, order_reply Order) {
   switch (Order) {
-  case adapter_order::Done:
-  case adapter_order::AlreadyThere:
+  case order_reply::Done:
+  case order_reply::AlreadyThere:
     return respondText(Exchange, 200, "{}");
-  case adapter_order::OldFence:
+  case order_reply::OldFence:
     return respondText(Exchange, 409, errorText("old fencing number", 409));
-  case adapter_order::NoSlot:
+  case order_reply::NoSlot:
     return respondText(Exchange, 400, errorText("no free slot", 400));
-  case adapter_order::NotLoaded:
+  case order_reply::NotLoaded:
     return respondText(Exchange, 404, errorText("adapter not loaded", 404));
   }
 }
@@ -280,15 +280,15 @@
   Credentials.inspect(Exchange.request(), "");
   const std::string Adapter = Body.value("lora_name", std::string());
   std::uint64_t Incarnation = 0;
-  const adapter_order Order = Batch.beginLoad(
+  const order_reply Order = Batch.beginLoad(
       Adapter, Body.value("fence", std::uint64_t{0}), Incarnation);
-  if (Order == adapter_order::Done) {
+  if (Order == order_reply::Done) {
     const bool Fetched = fetchWeights();
     if (Batch.finishLoad(Adapter, Incarnation, Fetched))
       return respondOrder(Exchange, Order);
     return respondText(Exchange, 500, errorText("the load failed", 500));
   }
-  if (Order != adapter_order::AlreadyThere)
+  if (Order != order_reply::AlreadyThere)
     return respondOrder(Exchange, Order);
   while (Batch.loading(Adapter) && !Exchange.callerGone())
     sleepFor(LoadPollInterval);
--- a/StandIns/engine_stand_in/engine_server.h
+++ b/StandIns/engine_stand_in/engine_server.h
@@ -2,7 +2,7 @@
 #define PARSLEYSPINDLE_STANDINS_ENGINE_STAND_IN_ENGINE_SERVER_H
 
 #include "LibHTTP/http_server.h"
-#include "engine_stand_in/engine_model.h"
+#include "engine_stand_in/engine_simulator.h"
 
 #include <memory>
 #include <optional>
@@ -10,7 +10,7 @@
 namespace spindle {
 
 struct engine_server_settings {
-  engine_model_settings Model;
+  engine_simulator_settings Model;
   /// Answers stream as fast as they can, outside of any batch, several events
   /// a write.
   bool Unbatched = false;
--- a/StandIns/engine_stand_in/engine_model.cpp
+++ b/StandIns/engine_stand_in/engine_simulator.cpp
@@ -1,37 +1,37 @@
-#include "engine_stand_in/engine_model.h"
+#include "engine_stand_in/engine_simulator.h"
 
 #include <algorithm>
 #include <cassert>
 
 namespace spindle {
 
-engine_model::engine_model(engine_model_settings Settings,
-                           std::uint64_t Incarnation)
+engine_simulator::engine_simulator(engine_simulator_settings Settings,
+                                   std::uint64_t Incarnation)
     : Settings(std::move(Settings)), Incarnation(Incarnation),
       Cache(this->Settings.CacheEntries) {}
 
 /// Notes an order's fencing number and tells whether the order is refused.
-bool engine_model::refuses(std::uint64_t Fence) {
+bool engine_simulator::refuses(std::uint64_t Fence) {
   const bool Old = Fence < HighestFence;
   HighestFence = std::max(HighestFence, Fence);
   Record.OldFences += Old ? 1 : 0;
   return Old && Settings.HonoursFencing;
 }
 
-adapter_order engine_model::beginLoad(std::string_view Adapter,
-                                      std::uint64_t Fence) {
+order_reply engine_simulator::beginLoad(std::string_view Adapter,
+                                         std::uint64_t Fence) {
   if (refuses(Fence))
-    return adapter_order::OldFence;
+    return order_reply::OldFence;
   if (Adapters.contains(Adapter))
-    return adapter_order::AlreadyThere;
+    return order_reply::AlreadyThere;
   if (Adapters.size() >= Settings.Slots)
-    return adapter_order::NoSlot;
+    return order_reply::NoSlot;
   Adapters.emplace(Adapter, false);
-  return adapter_order::Done;
+  return order_reply::Done;
 }
 
-void engine_model::finishLoad(std::string_view Adapter,
-                              std::uint64_t LoadIncarnation, bool Loaded) {
+void engine_simulator::finishLoad(std::string_view Adapter,
+                                  std::uint64_t LoadIncarnation, bool Loaded) {
   const auto Found = Adapters.find(Adapter);
   if (LoadIncarnation != Incarnation || Found == Adapters.end())
     return;
@@ -42,14 +42,14 @@
     Adapters.erase(Found);
 }
 
-adapter_order engine_model::unload(std::string_view Adapter,
-                                   std::uint64_t Fence,
-                                   std::vector<std::uint64_t> &Cut) {
+order_reply engine_simulator::unload(std::string_view Adapter,
+                                      std::uint64_t Fence,
+                                      std::vector<std::uint64_t> &Cut) {
   if (refuses(Fence))
-    return adapter_order::OldFence;
+    return order_reply::OldFence;
   const auto Found = Adapters.find(Adapter);
   if (Found == Adapters.end())
-    return adapter_order::NotLoaded;
+    return order_reply::NotLoaded;
   const std::size_t CutBefore = Cut.size();
   for (const auto &[Id, Entry] : Active)
     if (Entry.Request.Adapter == Adapter)
@@ -60,22 +60,22 @@
     cancel(Cut[Index]);
   Adapters.erase(Found);
   ++Record.Unloads;
-  return adapter_order::Done;
+  return order_reply::Done;
 }
 
-bool engine_model::serves(std::string_view Adapter) const {
+bool engine_simulator::serves(std::string_view Adapter) const {
   if (Adapter == Settings.BaseModel)
     return true;
   const auto Found = Adapters.find(Adapter);
   return Found != Adapters.end() && Found->second;
 }
 
-bool engine_model::loading(std::string_view Adapter) const {
+bool engine_simulator::loading(std::string_view Adapter) const {
   const auto Found = Adapters.find(Adapter);
   return Found != Adapters.end() && !Found->second;
 }
 
-void engine_model::submit(time_point Now, const engine_request &Request) {
+void engine_simulator::submit(time_point Now, const engine_request &Request) {
   assert(serves(Request.Adapter) && "the adapter is not loaded");
   ++Record.RequestsByAdapter[Request.Adapter];
   Active.emplace(Request.Id, active_request{Request});
@@ -84,7 +84,7 @@
     startStep(Now);
 }
 
-void engine_model::beginUnbatched(const engine_request &Request) {
+void engine_simulator::beginUnbatched(const engine_request &Request) {
   assert(serves(Request.Adapter) && "the adapter is not loaded");
   ++Record.RequestsByAdapter[Request.Adapter];
   Active.emplace(Request.Id, active_request{Request, 0, true});
@@ -92,12 +92,13 @@
       std::max<std::uint64_t>(Record.PeakRunning, Active.size());
 }
 
-void engine_model::endUnbatched(std::uint64_t Request, std::uint64_t Tokens) {
+void engine_simulator::endUnbatched(std::uint64_t Request,
+                                    std::uint64_t Tokens) {
   Active.erase(Request);
   Record.Tokens += Tokens;
 }
 
-void engine_model::cancel(std::uint64_t Request) {
+void engine_simulator::cancel(std::uint64_t Request) {
   if (Active.erase(Request) == 0)
     return;
   std::erase(Running, Request);
@@ -107,7 +108,7 @@
 }
 
 /// Lets waiting requests enter the batch; returns their prefill time.
-nanoseconds engine_model::admit(time_point Now) {
+nanoseconds engine_simulator::admit(time_point Now) {
   nanoseconds Prefill{0};
   while (Running.size() < Settings.BatchSize && !Waiting.empty()) {
     const std::uint64_t Id = Waiting.begin()->second;
@@ -125,7 +126,7 @@
   return Prefill;
 }
 
-void engine_model::startStep(time_point Now) {
+void engine_simulator::startStep(time_point Now) {
   const nanoseconds Prefill = admit(Now);
   StepEnd.reset();
   if (Running.empty())
@@ -136,7 +137,7 @@
             Settings.StepTimePerRequest * Running.size();
 }
 
-std::vector<generated_token> engine_model::step(time_point Now) {
+std::vector<generated_token> engine_simulator::step(time_point Now) {
   assert(StepEnd && *StepEnd <= Now && "no step has ended");
   std::vector<generated_token> Tokens;
   for (const std::uint64_t Id : Running) {
@@ -153,7 +154,7 @@
   return Tokens;
 }
 
-std::vector<std::uint64_t> engine_model::restart() {
+std::vector<std::uint64_t> engine_simulator::restart() {
   std::vector<std::uint64_t> Cut;
   for (const auto &[Id, Entry] : Active)
     Cut.push_back(Id);
@@ -169,7 +170,7 @@
   return Cut;
 }
 
-engine_report engine_model::report() const {
+engine_report engine_simulator::report() const {
   engine_report Report;
   Report.Incarnation = Incarnation;
   for (const auto &[Adapter, Loaded] : Adapters)
--- a/StandIns/engine_stand_in/engine_model.h
+++ b/StandIns/engine_stand_in/engine_simulator.h
@@ -1,5 +1,5 @@
-#ifndef PARSLEYSPINDLE_STANDINS_ENGINE_STAND_IN_ENGINE_MODEL_H
-#define PARSLEYSPINDLE_STANDINS_ENGINE_STAND_IN_ENGINE_MODEL_H
+#ifndef PARSLEYSPINDLE_STANDINS_ENGINE_STAND_IN_ENGINE_SIMULATOR_H
+#define PARSLEYSPINDLE_STANDINS_ENGINE_STAND_IN_ENGINE_SIMULATOR_H
 
 #include "LibCore/runtime_clock.h"
 #include "LibEngine/engine_port.h"
@@ -17,7 +17,7 @@
 
 namespace spindle {
 
-struct engine_model_settings {
+struct engine_simulator_settings {
   /// The base model, which is always loaded.
   std::string BaseModel = "base";
   std::uint32_t Slots = 8;
@@ -51,7 +51,7 @@
   bool Last = false;
 };
 
-enum class adapter_order { Done, OldFence, NoSlot, NotLoaded, AlreadyThere };
+enum class order_reply { Done, OldFence, NoSlot, NotLoaded, AlreadyThere };
 
 /// What an engine has done, for checks and measurements.
 struct engine_record {
@@ -73,19 +73,20 @@
 /// An engine that batches continuously: in each step every running request
 /// gets one token; between steps waiting requests enter by priority. Pure:
 /// time comes in as an argument. Not thread-safe.
-class engine_model {
+class engine_simulator {
 public:
-  engine_model(engine_model_settings Settings, std::uint64_t Incarnation);
+  engine_simulator(engine_simulator_settings Settings,
+                   std::uint64_t Incarnation);
 
   /// Takes a slot for an adapter, which loads until finishLoad().
-  adapter_order beginLoad(std::string_view Adapter, std::uint64_t Fence);
+  order_reply beginLoad(std::string_view Adapter, std::uint64_t Fence);
   /// Ends a load that began in \p Incarnation.
   void finishLoad(std::string_view Adapter, std::uint64_t Incarnation,
                   bool Loaded);
   /// Unloads an adapter as ordered. Requests that use it end; their ids are
   /// added to \p Cut and the eviction is recorded.
-  adapter_order unload(std::string_view Adapter, std::uint64_t Fence,
-                       std::vector<std::uint64_t> &Cut);
+  order_reply unload(std::string_view Adapter, std::uint64_t Fence,
+                      std::vector<std::uint64_t> &Cut);
   /// Whether requests for \p Adapter can run.
   bool serves(std::string_view Adapter) const;
   bool loading(std::string_view Adapter) const;
@@ -122,7 +123,7 @@
   void startStep(time_point Now);
   nanoseconds admit(time_point Now);
 
-  engine_model_settings Settings;
+  engine_simulator_settings Settings;
   std::uint64_t Incarnation;
   std::uint64_t HighestFence = 0;
   /// Adapters in slots; false while loading.
@@ -139,4 +140,4 @@
 
 } // namespace spindle
 
-#endif // PARSLEYSPINDLE_STANDINS_ENGINE_STAND_IN_ENGINE_MODEL_H
+#endif // PARSLEYSPINDLE_STANDINS_ENGINE_STAND_IN_ENGINE_SIMULATOR_H
--- a/StandIns/engine_stand_in/main.cpp
+++ b/StandIns/engine_stand_in/main.cpp
@@ -28,7 +28,7 @@
 
 static void apply(const engine_options &Options,
                   engine_server_settings &Settings) {
-  engine_model_settings &Model = Settings.Model;
+  engine_simulator_settings &Model = Settings.Model;
   Model.Slots = static_cast<std::uint32_t>(Options.Slots);
   Model.BatchSize = static_cast<std::uint32_t>(Options.BatchSize);
   Model.StepTime = toDuration(Options.StepMilliseconds);
--- a/StandIns/platform_stand_in/platform_server.cpp
+++ b/StandIns/platform_stand_in/platform_server.cpp
@@ -76,7 +76,7 @@
 }
 
 /// Counts the call and answers 429 if the rate is exceeded.
-bool platform_server::state::admit(const api_call &Call, call_kind Kind) {
+bool platform_server::state::admit(const api_call &Call, store_call Kind) {
   {
     const lock Lock(Mutex);
     if (Meter.admit(boot_clock::now(), Kind, Call.Path.Kind, Faults.Rates))
@@ -104,7 +104,7 @@
 }
 
 void platform_server::state::serveRead(const api_call &Call) {
-  if (!admit(Call, call_kind::Read))
+  if (!admit(Call, store_call::Read))
     return;
   if (queryParameter(Call.Exchange.request().Target, "watch") == "true")
     return serveWatch(Call);
@@ -166,7 +166,7 @@
   const std::string &Method = Call.Exchange.request().Method;
   if (Method != "POST" && Method != "PUT" && Method != "DELETE")
     return respondError(Call.Exchange, 405, "no such method");
-  if (!admit(Call, call_kind::Write))
+  if (!admit(Call, store_call::Write))
     return;
   store_result Result;
   {
--- a/StandIns/platform_stand_in/platform_state.h
+++ b/StandIns/platform_stand_in/platform_state.h
@@ -48,7 +48,7 @@
 
   void serveApi(http_exchange &Exchange);
   bool passFaults(http_exchange &Exchange);
-  bool admit(const api_call &Call, call_kind Kind);
+  bool admit(const api_call &Call, store_call Kind);
   bool cut(const http_exchange &Exchange);
   void serveRead(const api_call &Call);
   void serveWrite(const api_call &Call);
--- a/StandIns/platform_stand_in/rate_meter.cpp
+++ b/StandIns/platform_stand_in/rate_meter.cpp
@@ -14,10 +14,10 @@
   WritesNow = 0;
 }
 
-bool rate_meter::admit(time_point Now, call_kind Call,
+bool rate_meter::admit(time_point Now, store_call Call,
                        std::string_view ObjectKind, const call_rates &Rates) {
   startSecond(Now);
-  const bool IsRead = Call == call_kind::Read;
+  const bool IsRead = Call == store_call::Read;
   std::uint64_t &Calls = IsRead ? ReadsNow : WritesNow;
   std::uint64_t &Peak = IsRead ? Counts.PeakReads : Counts.PeakWrites;
   ++Calls;
--- a/StandIns/platform_stand_in/rate_meter.h
+++ b/StandIns/platform_stand_in/rate_meter.h
@@ -10,7 +10,7 @@
 
 namespace spindle {
 
-enum class call_kind { Read, Write };
+enum class store_call { Read, Write };
 
 /// Calls a second that the platform takes; 0 stands for no limit.
 struct call_rates {
@@ -35,7 +35,7 @@
 class rate_meter {
 public:
   /// Counts a call and tells whether it is within the rate.
-  bool admit(time_point Now, call_kind Call, std::string_view ObjectKind,
+  bool admit(time_point Now, store_call Call, std::string_view ObjectKind,
              const call_rates &Rates);
   /// Counts a watch that begins to wait. Its call was admitted as a read.
   void watchStarted() {
--- a/Tests/LibGateway/test_upstream_choice.cpp
+++ b/Tests/LibGateway/test_upstream_choice.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-upstream_candidate engine(adapter_presence Adapter, std::int64_t Unread) {
+upstream_candidate engine(adapter_need Adapter, std::int64_t Unread) {
   upstream_candidate Candidate;
   Candidate.InOwnZone = true;
   Candidate.Adapter = Adapter;
@@ -29,32 +29,32 @@
 } // namespace
 
 TEST_CASE("a loaded adapter is worth a wait within the latency objective") {
-  REQUIRE(chosen({engine(adapter_presence::Absent, 0),
-                  engine(adapter_presence::Loaded, 10'000)}) == 1);
+  REQUIRE(chosen({engine(adapter_need::Absent, 0),
+                  engine(adapter_need::Loaded, 10'000)}) == 1);
 }
 
 TEST_CASE("an adapter is loaded on another engine once its own would be late") {
-  REQUIRE(chosen({engine(adapter_presence::Absent, 0),
-                  engine(adapter_presence::Loaded, 60'000)}) == 0);
+  REQUIRE(chosen({engine(adapter_need::Absent, 0),
+                  engine(adapter_need::Loaded, 60'000)}) == 0);
 }
 
 TEST_CASE("an absent adapter is loaded on its affinity engine in any zone") {
-  upstream_candidate Preferred = engine(adapter_presence::Absent, 0);
+  upstream_candidate Preferred = engine(adapter_need::Absent, 0);
   Preferred.IsAffinityEngine = true;
   Preferred.InOwnZone = false;
-  REQUIRE(chosen({engine(adapter_presence::Absent, 0), Preferred}) == 1);
+  REQUIRE(chosen({engine(adapter_need::Absent, 0), Preferred}) == 1);
 }
 
 TEST_CASE("an engine with the prompt cached is preferred to an idle one") {
-  upstream_candidate Warm = engine(adapter_presence::Loaded, 4'000);
+  upstream_candidate Warm = engine(adapter_need::Loaded, 4'000);
   Warm.CachedTokens = 6'000;
-  REQUIRE(chosen({engine(adapter_presence::Loaded, 0), Warm}) == 1);
+  REQUIRE(chosen({engine(adapter_need::Loaded, 0), Warm}) == 1);
 }
 
 TEST_CASE("an unhealthy upstream is avoided, and one of health 0 unused") {
-  upstream_candidate Unhealthy = engine(adapter_presence::Loaded, 0);
+  upstream_candidate Unhealthy = engine(adapter_need::Loaded, 0);
   Unhealthy.Health = 0.3;
-  REQUIRE(chosen({Unhealthy, engine(adapter_presence::Absent, 0)}) == 1);
+  REQUIRE(chosen({Unhealthy, engine(adapter_need::Absent, 0)}) == 1);
   Unhealthy.Health = 0;
   REQUIRE_FALSE(chooseUpstream(std::vector<upstream_candidate>{Unhealthy},
                                longPrompt(), choice_costs{}));
--- a/Tests/LibMembership/test_zone_budgets.cpp
+++ b/Tests/LibMembership/test_zone_budgets.cpp
@@ -19,7 +19,7 @@
 struct maintainer {
   std::size_t Zone = 0;
   std::uint64_t ConfigurationVersion = 1;
-  versioned<fleet_table> Fleet;
+  versioned<zone_grants> Fleet;
   versioned<zone_table> Table;
   zone_grant Grant;
 };
@@ -49,7 +49,7 @@
 TEST_CASE("the budgets of zones never exceed their grants or, together, the "
           "total, with stale readers of different configurations") {
   rc::prop("any interleaving of reads and conditional writes", [] {
-    versioned<fleet_table> Fleet;
+    versioned<zone_grants> Fleet;
     std::array<versioned<zone_table>, 3> Tables;
     std::vector<maintainer> Maintainers(9);
     for (std::size_t Index = 0; Index < Maintainers.size(); ++Index)
--- a/Tests/StandIns/test_engine_model.cpp
+++ b/Tests/StandIns/test_engine_simulator.cpp
@@ -1,4 +1,4 @@
-#include "engine_stand_in/engine_model.h"
+#include "engine_stand_in/engine_simulator.h"
 #include "engine_stand_in/report_history.h"
 
 #include <map>
@@ -8,8 +8,8 @@
 
 using namespace spindle;
 
-static engine_model_settings plainSettings() {
-  engine_model_settings Settings;
+static engine_simulator_settings plainSettings() {
+  engine_simulator_settings Settings;
   Settings.Slots = 2;
   Settings.BatchSize = 2;
   Settings.StepTime = milliseconds(10);
@@ -31,13 +31,13 @@
   return Request;
 }
 
-static void load(engine_model &Model, std::string_view Adapter) {
-  REQUIRE(Model.beginLoad(Adapter, 1) == adapter_order::Done);
+static void load(engine_simulator &Model, std::string_view Adapter) {
+  REQUIRE(Model.beginLoad(Adapter, 1) == order_reply::Done);
   Model.finishLoad(Adapter, Model.incarnation(), true);
 }
 
 /// Ends the running step; returns the requests that got their last token.
-static std::vector<std::uint64_t> finishStep(engine_model &Model) {
+static std::vector<std::uint64_t> finishStep(engine_simulator &Model) {
   std::vector<std::uint64_t> Finished;
   for (const generated_token &Token : Model.step(*Model.stepEnd()))
     if (Token.Last)
@@ -46,7 +46,7 @@
 }
 
 TEST_CASE("a step takes its base, its requests' and its prompts' time") {
-  engine_model Model(plainSettings(), 1);
+  engine_simulator Model(plainSettings(), 1);
   load(Model, "a");
   const time_point Start{};
   Model.submit(Start, request(1, "a"));
@@ -64,7 +64,7 @@
 }
 
 TEST_CASE("waiting requests enter the batch by priority, then by arrival") {
-  engine_model Model(plainSettings(), 1);
+  engine_simulator Model(plainSettings(), 1);
   load(Model, "a");
   const std::vector<std::pair<std::uint64_t, int>> Requests{
       {1, 3}, {2, 2}, {3, 2}, {4, 0}, {5, 2}};
@@ -78,15 +78,15 @@
 }
 
 TEST_CASE("unloading an adapter in use is obeyed and recorded") {
-  engine_model Model(plainSettings(), 1);
+  engine_simulator Model(plainSettings(), 1);
   load(Model, "a");
   load(Model, "b");
-  CHECK(Model.beginLoad("c", 1) == adapter_order::NoSlot);
+  CHECK(Model.beginLoad("c", 1) == order_reply::NoSlot);
   Model.submit({}, request(1, "a"));
   std::vector<std::uint64_t> Cut;
-  CHECK(Model.unload("b", 1, Cut) == adapter_order::Done);
+  CHECK(Model.unload("b", 1, Cut) == order_reply::Done);
   CHECK(Model.record().EvictedInUse.empty());
-  CHECK(Model.unload("a", 1, Cut) == adapter_order::Done);
+  CHECK(Model.unload("a", 1, Cut) == order_reply::Done);
   CHECK(Cut == std::vector<std::uint64_t>{1});
   CHECK(Model.record().EvictedInUse == std::vector<std::string>{"a"});
   CHECK_FALSE(Model.serves("a"));
@@ -94,24 +94,24 @@
 
 TEST_CASE("an old fencing number is refused or, where ignored, recorded") {
   for (const bool Honours : {true, false}) {
-    engine_model_settings Settings = plainSettings();
+    engine_simulator_settings Settings = plainSettings();
     Settings.HonoursFencing = Honours;
-    engine_model Model(Settings, 1);
-    REQUIRE(Model.beginLoad("a", 5) == adapter_order::Done);
+    engine_simulator Model(Settings, 1);
+    REQUIRE(Model.beginLoad("a", 5) == order_reply::Done);
     CHECK(Model.beginLoad("b", 4) ==
-          (Honours ? adapter_order::OldFence : adapter_order::Done));
+          (Honours ? order_reply::OldFence : order_reply::Done));
     CHECK(Model.record().OldFences == 1);
     CHECK(Model.report().Fence == 5);
   }
 }
 
 TEST_CASE("a restart empties the engine and drops loads begun before") {
-  engine_model Model(plainSettings(), 1);
+  engine_simulator Model(plainSettings(), 1);
   load(Model, "a");
-  REQUIRE(Model.beginLoad("b", 1) == adapter_order::Done);
+  REQUIRE(Model.beginLoad("b", 1) == order_reply::Done);
   Model.submit({}, request(1, "a"));
   CHECK(Model.restart() == std::vector<std::uint64_t>{1});
-  REQUIRE(Model.beginLoad("b", 1) == adapter_order::Done);
+  REQUIRE(Model.beginLoad("b", 1) == order_reply::Done);
   Model.finishLoad("b", 1, true);
   CHECK(Model.report().Incarnation == 2);
   CHECK(Model.report().Loaded.empty());
@@ -158,7 +158,7 @@
 
 /// A model under a random history, with the tokens that requests still expect.
 struct model_history {
-  engine_model Model{plainSettings(), 1};
+  engine_simulator Model{plainSettings(), 1};
   std::map<std::uint64_t, std::uint32_t> Left;
   std::uint64_t LastId = 0;
   time_point Now{};
