platform: Bound the depth of values that other processes write

Cause: parseObject() of platform/object_store.cpp wrote the parsed "spec" back to text. json::dump() recurses once a level, on a fiber's stack of 128 KB.

Fix: parseBoundedJson() refuses text of more than 64 levels before it parses it, so that a deep value costs no memory either; all readers of objects, records, reports of engines and answers use it (the OpenAI interface's reader of bodies had a bound of its own, which now shares the scan). The store's response is split into the texts of its objects (json_split), and each is parsed by itself: one that can't be read counts as empty, its list or watch goes on, and event 2613 names it and the reason, once a change. Messages between hosts are protobuf, which bounds depth itself; settings and intents are files of the operator, whose values are never written back whole on a fiber.

TestPlatform "a stored object nested 20,000 deep ends the process" ends by signal 11 with the reader before.

--- a/Libraries/LibConfiguration/configuration_codec.cpp
+++ b/Libraries/LibConfiguration/configuration_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "LibConfiguration/intent_text.h"
 #include "LibConfiguration/validate_intent.h"
+#include "LibCore/bounded_json.h"
 #include "LibCore/digest.h"
 #include "LibCore/result_code.h"
 #include "LibPlatform/platform_port.h"
@@ -77,7 +78,7 @@
 
 std::string readPartBody(std::string_view Body) {
   try {
-    return json::parse(Body).at("content").get<std::string>();
+    return parseBoundedJson(Body).at("content").get<std::string>();
   } catch (const json::exception &Error) {
     throw spindle_error(result_code::ConfigurationCorrupt,
                         std::string("configuration part: ") + Error.what());
@@ -93,7 +94,7 @@
 
 std::vector<std::string> readIndex(std::string_view Text) {
   try {
-    return json::parse(Text).at("parts").get<std::vector<std::string>>();
+    return parseBoundedJson(Text).at("parts").get<std::vector<std::string>>();
   } catch (const json::exception &Error) {
     throw spindle_error(result_code::ConfigurationCorrupt,
                         std::string("configuration index: ") + Error.what());
--- a/Libraries/LibConfiguration/configuration_head.cpp
+++ b/Libraries/LibConfiguration/configuration_head.cpp
@@ -1,5 +1,6 @@
 #include "LibConfiguration/configuration_head.h"
 
+#include "LibCore/bounded_json.h"
 #include "LibCore/result_code.h"
 
 #include <nlohmann/json.hpp>
@@ -56,7 +57,7 @@
 
 configuration_head readHead(std::string_view Text) {
   try {
-    const json Value = json::parse(Text);
+    const json Value = parseBoundedJson(Text);
     configuration_head Head;
     Head.Version = Value.at("version").get<std::uint64_t>();
     Head.Nonce = Value.at("nonce").get<std::string>();
@@ -75,7 +76,7 @@
 
 audit_page readAuditPage(std::string_view Text) {
   try {
-    const json Value = json::parse(Text);
+    const json Value = parseBoundedJson(Text);
     return {readEntries(Value.at("audit")),
             Value.at("older").get<std::string>()};
   } catch (const json::exception &Error) {
--- a/Libraries/LibConfiguration/configuration_plan.cpp
+++ b/Libraries/LibConfiguration/configuration_plan.cpp
@@ -2,6 +2,7 @@
 
 #include "LibConfiguration/configuration_codec.h"
 #include "LibConfiguration/intent_text.h"
+#include "LibCore/bounded_json.h"
 #include "LibCore/digest.h"
 #include "LibCore/result_code.h"
 
@@ -38,7 +39,7 @@
 
 configuration_plan readPlan(std::string_view Text, std::string_view FileName) {
   try {
-    const json Value = json::parse(Text);
+    const json Value = parseBoundedJson(Text);
     if (Value.at("digest").get<std::string>() != digestOf(Value))
       throw spindle_error(result_code::InvalidIntent,
                           std::string(FileName) +
--- a/Libraries/LibEngine/completion_request.cpp
+++ b/Libraries/LibEngine/completion_request.cpp
@@ -1,5 +1,6 @@
 #include "LibEngine/completion_request.h"
 
+#include "LibCore/json_split.h"
 #include "LibCore/result_code.h"
 
 #include <algorithm>
@@ -43,41 +44,10 @@
   return static_cast<priority_class>(Found - PriorityNames.begin());
 }
 
-/// Returns the place of the quote that ends the string whose body starts at
-/// \p Start, or the end of \p Body.
-static std::size_t endOfString(std::string_view Body, std::size_t Start) {
-  std::size_t Quote = Body.find('"', Start);
-  while (Quote != std::string_view::npos) {
-    std::size_t Backslashes = 0;
-    while (Quote - Backslashes > Start && Body[Quote - Backslashes - 1] == '\\')
-      ++Backslashes;
-    if (Backslashes % 2 == 0)
-      return Quote;
-    Quote = Body.find('"', Quote + 1);
-  }
-  return Body.size();
-}
-
-/// Refuses bodies whose nesting could exhaust a fiber's stack.
-static void checkDepth(std::string_view Body) {
-  std::size_t Depth = 0;
-  for (std::size_t Index = 0; Index < Body.size(); ++Index) {
-    const char Character = Body[Index];
-    if (Character == '"')
-      Index = endOfString(Body, Index + 1);
-    else if (Character == '{' || Character == '[')
-      ++Depth;
-    else if ((Character == '}' || Character == ']') && Depth > 0)
-      --Depth;
-    if (Depth > MaxBodyDepth)
-      throw spindle_error(result_code::BadRequest,
-                          "the body is nested too deeply at byte " +
-                              std::to_string(Index + 1));
-  }
-}
-
 static json parseBody(std::string_view Body) {
-  checkDepth(Body);
+  if (isJsonDeeperThan(Body, MaxBodyDepth))
+    throw spindle_error(result_code::BadRequest,
+                        "the body is nested too deeply");
   try {
     json Parsed = json::parse(Body);
     if (!Parsed.is_object())
--- a/Libraries/LibEngine/http_engine.cpp
+++ b/Libraries/LibEngine/http_engine.cpp
@@ -1,5 +1,6 @@
 #include "LibEngine/http_engine.h"
 
+#include "LibCore/bounded_json.h"
 #include "LibCore/result_code.h"
 
 #include <algorithm>
@@ -52,7 +53,7 @@
     throw spindle_error(result_code::UpstreamLost,
                         Target + " at " + toText(Engine) + " answered " +
                             std::to_string(Response.Head.Status));
-  return json::parse(Response.Body);
+  return parseBoundedJson(Response.Body);
 }
 
 static engine_report readReport(const json &Body) {
--- a/Libraries/LibGateway/zone_leadership.cpp
+++ b/Libraries/LibGateway/zone_leadership.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/zone_leadership.h"
 
+#include "LibCore/bounded_json.h"
 #include "LibCore/result_code.h"
 #include "LibLog/log.h"
 
@@ -35,8 +36,7 @@
       Members.find(std::string(LeaderPrefix) + std::string(Zone));
   if (!Object)
     return std::nullopt;
-  const nlohmann::json Body =
-      nlohmann::json::parse(Object->Body, nullptr, false);
+  const nlohmann::json Body = tryParseBoundedJson(Object->Body);
   if (!Body.is_object())
     return std::nullopt;
   leader_record Leader;
@@ -89,8 +89,7 @@
 }
 
 static registered_host parseHost(const platform_object &Object) {
-  const nlohmann::json Body =
-      nlohmann::json::parse(Object.Body, nullptr, false);
+  const nlohmann::json Body = tryParseBoundedJson(Object.Body);
   registered_host Host;
   Host.Name = Object.Name.substr(HostPrefix.size());
   Host.Revision = Object.Version;
--- a/Libraries/LibHost/suspect_registry.cpp
+++ b/Libraries/LibHost/suspect_registry.cpp
@@ -1,5 +1,6 @@
 #include "LibHost/suspect_registry.h"
 
+#include "LibCore/bounded_json.h"
 #include "LibCore/result_code.h"
 #include "LibLog/log.h"
 #include "LibResilience/suspect_document.h"
@@ -53,7 +54,7 @@
 
 static suspect_document parseDocument(std::string_view Body) {
   suspect_document Document;
-  const json Parsed = json::parse(Body, nullptr, false);
+  const json Parsed = tryParseBoundedJson(Body);
   if (!Parsed.is_object() || !Parsed.contains("suspects"))
     return Document;
   for (const json &Entry : Parsed["suspects"]) {
--- a/Libraries/LibMembership/lease_record.cpp
+++ b/Libraries/LibMembership/lease_record.cpp
@@ -1,5 +1,6 @@
 #include "LibMembership/lease_record.h"
 
+#include "LibCore/bounded_json.h"
 #include "LibCore/result_code.h"
 #include "LibPlatform/platform_port.h"
 
@@ -33,7 +34,7 @@
 
 lease_record readLease(std::string_view Text) {
   try {
-    const json Value = json::parse(Text);
+    const json Value = parseBoundedJson(Text);
     lease_record Record;
     Record.Zone = Value.at("zone").get<std::string>();
     Record.Link = parseEndpoint(Value.at("link").get<std::string>());
--- a/Libraries/LibMembership/machine_list.cpp
+++ b/Libraries/LibMembership/machine_list.cpp
@@ -1,5 +1,7 @@
 #include "LibMembership/machine_list.h"
 
+#include "LibCore/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 namespace spindle {
@@ -11,8 +13,7 @@
 }
 
 void updateMachine(machine_list &List, const platform_object &Object) {
-  const nlohmann::json Machine =
-      nlohmann::json::parse(Object.Body, nullptr, false);
+  const nlohmann::json Machine = tryParseBoundedJson(Object.Body);
   removeMachine(List, Object.Name);
   if (!Machine.is_object())
     return;
--- a/Libraries/LibMembership/zone_table.cpp
+++ b/Libraries/LibMembership/zone_table.cpp
@@ -1,5 +1,6 @@
 #include "LibMembership/zone_table.h"
 
+#include "LibCore/bounded_json.h"
 #include "LibCore/result_code.h"
 
 #include <nlohmann/json.hpp>
@@ -38,7 +39,7 @@
 
 zone_table readZoneTable(std::string_view Text) {
   try {
-    const json Value = json::parse(Text);
+    const json Value = parseBoundedJson(Text);
     zone_table Table;
     Table.ConfigurationVersion =
         Value.at("configurationVersion").get<std::uint64_t>();
@@ -74,7 +75,7 @@
 
 zone_grants readFleetTable(std::string_view Text) {
   try {
-    const json Value = json::parse(Text);
+    const json Value = parseBoundedJson(Text);
     zone_grants Table;
     Table.Unallocated = Value.at("unallocated").get<std::uint32_t>();
     for (const auto &[Name, Grant] : Value.at("zones").items())
--- a/Libraries/LibOrders/order_record.cpp
+++ b/Libraries/LibOrders/order_record.cpp
@@ -1,5 +1,6 @@
 #include "LibOrders/order_record.h"
 
+#include "LibCore/bounded_json.h"
 #include "LibCore/digest.h"
 #include "LibCore/result_code.h"
 
@@ -124,7 +125,7 @@
 
 order_record parseOrderRecord(std::string_view Text) {
   try {
-    const json Object = json::parse(Text);
+    const json Object = parseBoundedJson(Text);
     order_record Record;
     Record.Nonce = Object.at("nonce").get<std::string>();
     Record.BodyDigest = Object.at("bodyDigest").get<std::string>();
--- a/Libraries/LibPlatform/platform_message.cpp
+++ b/Libraries/LibPlatform/platform_message.cpp
@@ -1,5 +1,6 @@
 #include "LibPlatform/platform_message.h"
 
+#include "LibCore/bounded_json.h"
 #include "LibCore/result_code.h"
 
 #include <charconv>
@@ -81,7 +82,7 @@
 
 static json parse(std::string_view Text) {
   try {
-    return json::parse(Text);
+    return parseBoundedJson(Text);
   } catch (const json::exception &Error) {
     throw spindle_error(result_code::PlatformUnavailable,
                         std::string("the platform's answer is not JSON: ") +
--- /dev/null
+++ b/Tests/Platform/test_object_store.cpp
@@ -0,0 +1,81 @@
+#include "LibCore/result_code.h"
+#include "LibHTTP/http_server.h"
+#include "platform/object_store.h"
+
+#include <catch2/catch.hpp>
+
+using namespace spindle;
+
+namespace {
+
+constexpr milliseconds CallTimeout{2'000};
+
+/// A store that answers every call with the same text.
+struct fixed_store {
+  explicit fixed_store(std::string Answer) : Answer(std::move(Answer)) {}
+
+  platform_list list() {
+    platform_list List;
+    Runtime.runBlocking([&] { List = Port.List("servers"); });
+    return List;
+  }
+  platform_changes changes() {
+    platform_changes Changes;
+    Runtime.runBlocking(
+        [&] { Changes = Port.Changes("servers", 1, milliseconds(0)); });
+    return Changes;
+  }
+
+  const std::string Answer;
+  fiber_runtime Runtime{1};
+  http_client Client;
+  http_server Server{Runtime,
+                     {"127.0.0.1", 0},
+                     {},
+                     [this](http_exchange &Exchange) {
+                       Exchange.respond({200, {}}, Answer);
+                     },
+                     writeErrorResponse};
+  platform_port Port = makeObjectStore(Client, Server.address(), CallTimeout);
+};
+
+std::string stored(const std::string &Name, const std::string &Body) {
+  return R"({"metadata":{"name":")" + Name + R"(","revision":7},"spec":)" +
+         Body + "}";
+}
+
+std::string nested(std::size_t Levels) {
+  return std::string(Levels, '[') + std::string(Levels, ']');
+}
+
+std::string listOf(const std::string &Items) {
+  return R"({"items":[)" + Items + R"(],"has-more":false,"current-rev":9})";
+}
+
+std::string eventsOf(const std::string &Object) {
+  return R"({"events":[{"object":)" + Object +
+         R"(,"deleted":false}],"current-rev":9})";
+}
+
+} // namespace
+
+// Writing a parsed value back to text recursed once a level on a fiber's stack.
+TEST_CASE("a stored object nested 20,000 deep ends the process") {
+  const std::string Deep =
+      stored("deep", R"({"address":)" + nested(20'000) + "}");
+  fixed_store Store(listOf(stored("a", R"({"slots":1})") + "," + Deep + "," +
+                           stored("z", R"({"slots":2})")));
+  const platform_list List = Store.list();
+  REQUIRE(List.Version == 9);
+  REQUIRE(List.Objects.size() == 3);
+  REQUIRE(List.Objects[0].Body == R"({"slots":1})");
+  REQUIRE(List.Objects[1].Name == "deep");
+  REQUIRE(List.Objects[1].Body.empty());
+  REQUIRE(List.Objects[2].Body == R"({"slots":2})");
+
+  fixed_store Watched(eventsOf(Deep));
+  const platform_changes Changes = Watched.changes();
+  REQUIRE(Changes.Version == 9);
+  REQUIRE(Changes.Events.size() == 1);
+  REQUIRE(Changes.Events[0].Object.Body.empty());
+}
