LibHTTP, LibGateway: Never send a request twice on one connection

Fix: what tells an answer from a late copy is the id, as long as a connection carries an id once. A request remembers the numbers of the connections that have carried it, and the pool gives it none of them; other requests use them on, as their ids differ. That holds for each kind of repeat (421, "not run", resumed streams), also where an address is used by another engine meanwhile. A connection whose answer is not read to its end is closed, as before; repeats of calls of the store go over new connections already.

--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -107,6 +107,7 @@
   Limits.BetweenBytes = Left;
   Limits.Until = Request.Deadline;
   Limits.Cancellation = Request.Cancellation;
+  Limits.AvoidedConnections = Request.UsedConnections;
   Limits.IsOwnAnswer = [&Request](const http_response_head &Head) {
     const upstream_response_metadata ResponseMetadata =
         Request.Services.Codec.ReadResponse(Head);
@@ -267,6 +268,7 @@
         Upstream.Address, Head, Request.Body,
         callLimits(Request, IsLastAttempt), connection_use::PooledOnce);
     Request.MayHaveRun = MayHaveRunBefore;
+    Request.UsedConnections.push_back(Call->connectionNumber());
     attempt_report Report =
         forwardResponse(Request, Upstream, *Call, InFlight, IsLastAttempt);
     const bool IsFailure = Report.Status >= FirstServerErrorStatus;
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -202,6 +202,7 @@
   } catch (const spindle_error &Error) {
     logOutcome(Request, describe(Error.code()).Name);
     throw;
+                            {},
   }
 }
 
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -37,6 +37,10 @@
   std::vector<upstream_id> SentTo;
   /// Upstreams that are excluded although the request was not sent to them.
   std::vector<upstream_id> Avoid;
+  /// The connections to upstreams that have carried the request. They all
+  /// carried the same request id, so that the answer to a repeat on one of them
+  /// could be a late copy of the answer before.
+  std::vector<std::uint64_t> UsedConnections;
   std::uint32_t SendCount = 0;
   /// Whether an upstream may have run the request.
   bool MayHaveRun = false;
--- a/Libraries/LibHTTP/beast_call.cpp
+++ b/Libraries/LibHTTP/beast_call.cpp
@@ -39,7 +39,8 @@
 beast_call::beast_call(std::shared_ptr<connection_pool> Pool,
                        client_connection_pointer Connection,
                        const http_call_limits &Limits)
-    : Pool(std::move(Pool)), Connection(std::move(Connection)), Limits(Limits) {
+    : Pool(std::move(Pool)), Connection(std::move(Connection)),
+      Number(this->Connection->Number), Limits(Limits) {
   armCancellation();
 }
 
--- a/Libraries/LibHTTP/beast_call.h
+++ b/Libraries/LibHTTP/beast_call.h
@@ -29,6 +29,7 @@
   bool closedBeforeAnswer() const { return ClosedBeforeAnswer; }
 
   const http_response_head &head() const override { return Head; }
+  std::uint64_t connectionNumber() const override { return Number; }
   std::size_t readSome(std::span<char> Space) override;
   std::string readAll(std::size_t LimitBytes) override;
 
@@ -49,6 +50,7 @@
 
   std::shared_ptr<connection_pool> Pool;
   client_connection_pointer Connection;
+  const std::uint64_t Number;
   http_call_limits Limits;
   std::optional<response_parser> Parser;
   http_response_head Head;
--- a/Libraries/LibHTTP/client_connection.h
+++ b/Libraries/LibHTTP/client_connection.h
@@ -20,6 +20,8 @@
   /// it is complete, however long it gets.
   static constexpr std::size_t MaxBufferBytes = 128 * 1024;
 
+  /// Numbers the connections of a client from 1.
+  std::uint64_t Number = 0;
   tcp_stream Stream;
   boost::beast::flat_buffer Buffer{MaxBufferBytes};
   endpoint Peer;
--- a/Libraries/LibHTTP/connection_pool.cpp
+++ b/Libraries/LibHTTP/connection_pool.cpp
@@ -4,13 +4,23 @@
 
 namespace spindle {
 
-client_connection_pointer connection_pool::takeLast(const endpoint &Peer) {
+client_connection_pointer
+connection_pool::takeLast(const endpoint &Peer,
+                          std::span<const std::uint64_t> Avoided) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Idle.find({&currentIoContext(), Peer});
-  if (Found == Idle.end() || Found->second.empty())
+  if (Found == Idle.end())
     return nullptr;
-  client_connection_pointer Connection = std::move(Found->second.back());
-  Found->second.pop_back();
+  idle_list &List = Found->second;
+  const auto Last =
+      std::find_if(List.rbegin(), List.rend(), [&](const auto &Connection) {
+        return std::find(Avoided.begin(), Avoided.end(), Connection->Number) ==
+               Avoided.end();
+      });
+  if (Last == List.rend())
+    return nullptr;
+  client_connection_pointer Connection = std::move(*Last);
+  List.erase(std::next(Last).base());
   return Connection;
 }
 
@@ -32,9 +42,10 @@
   return false;
 }
 
-client_connection_pointer connection_pool::take(const endpoint &Peer,
-                                                milliseconds MaxIdle) {
-  while (client_connection_pointer Connection = takeLast(Peer))
+client_connection_pointer
+connection_pool::take(const endpoint &Peer, milliseconds MaxIdle,
+                      std::span<const std::uint64_t> Avoided) {
+  while (client_connection_pointer Connection = takeLast(Peer, Avoided))
     if (usable(*Connection, MaxIdle))
       return Connection;
   return nullptr;
@@ -45,7 +56,7 @@
       std::make_shared<client_connection>(currentIoContext(), Peer);
   const std::lock_guard<std::mutex> Lock(Mutex);
   Connection->SuspicionCount = SuspicionCounts[Peer];
-  ++Counts.Opened;
+  Connection->Number = ++Counts.Opened;
   return Connection;
 }
 
--- a/Libraries/LibHTTP/connection_pool.h
+++ b/Libraries/LibHTTP/connection_pool.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <mutex>
+#include <span>
 #include <vector>
 
 namespace spindle {
@@ -16,10 +17,11 @@
   /// \p MostIdle bounds the idle connections a thread and peer.
   explicit connection_pool(std::size_t MostIdle) : MostIdle(MostIdle) {}
 
-  /// Takes a connection of the calling thread that looks alive and was idle for
-  /// at most \p MaxIdle; null if there is none.
-  /// Precondition: onRuntimeThread().
-  client_connection_pointer take(const endpoint &Peer, milliseconds MaxIdle);
+  /// Takes a connection of the calling thread that looks alive, was idle for at
+  /// most \p MaxIdle and has none of the numbers in \p Avoided; null if there
+  /// is none. Precondition: onRuntimeThread().
+  client_connection_pointer take(const endpoint &Peer, milliseconds MaxIdle,
+                                 std::span<const std::uint64_t> Avoided);
   /// Opens a connection's bookkeeping; it is not connected yet.
   /// Precondition: onRuntimeThread().
   client_connection_pointer make(const endpoint &Peer);
@@ -34,7 +36,8 @@
   using loop_key = const void *;
   using idle_list = std::vector<client_connection_pointer>;
 
-  client_connection_pointer takeLast(const endpoint &Peer);
+  client_connection_pointer takeLast(const endpoint &Peer,
+                                     std::span<const std::uint64_t> Avoided);
   bool usable(client_connection &Connection, milliseconds MaxIdle);
 
   const std::size_t MostIdle;
--- a/Libraries/LibHTTP/http_client.cpp
+++ b/Libraries/LibHTTP/http_client.cpp
@@ -47,7 +47,7 @@
                                               connection_use Use) {
   client_connection_pointer Idle;
   if (Use != connection_use::FreshOnce)
-    Idle = State->Pool->take(Peer, Limits.MaxIdle);
+    Idle = State->Pool->take(Peer, Limits.MaxIdle, Limits.AvoidedConnections);
   if (!Idle)
     return startFresh(State->Pool, Peer, Request, Body, Limits);
   std::unique_ptr<beast_call> Call =
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -7,11 +7,13 @@
 #include "LibRuntime/fiber_runtime.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace spindle {
 
@@ -31,6 +33,10 @@
   /// Tells the answer to this request from a late answer to an earlier one,
   /// which is read and dropped. Empty: the first answer is taken.
   std::function<bool(const http_response_head &)> IsOwnAnswer;
+  /// Pooled connections that the call must not use, by their numbers: those
+  /// that an answer to an earlier send of the same request may still come on,
+  /// which IsOwnAnswer can't tell from the answer to this one.
+  std::vector<std::uint64_t> AvoidedConnections;
   /// Ends the call early if it is cancelled; may be null.
   std::shared_ptr<cancellation> Cancellation;
 };
@@ -55,6 +61,8 @@
 public:
   virtual ~http_call() = default;
   virtual const http_response_head &head() const = 0;
+  /// Numbers the connections of a client from 1.
+  virtual std::uint64_t connectionNumber() const = 0;
   /// Reads a part of the body; 0 means that it ended properly.
   /// \throws spindle_error AnswerCutShort or UpstreamTimeout.
   virtual std::size_t readSome(std::span<char> Buffer) = 0;
--- a/StandIns/LibForwarding/upstream_stand_in.cpp
+++ b/StandIns/LibForwarding/upstream_stand_in.cpp
@@ -177,6 +177,31 @@
   return true;
 }
 
+/// Answers a request with 421 if it comes first; before each answer, sends the
+/// last 421 of the connection once more.
+bool upstream_stand_in::misdirects(http_exchange &Exchange,
+                                   const std::string &AttemptId) {
+  std::string LateId;
+  bool IsFirst = false;
+  {
+    const lock Lock(Mutex);
+    std::string &Last = LastMisdirected[Exchange.connectionNumber()];
+    LateId = Last;
+    IsFirst = Misdirected.insert(AttemptId).second;
+    Last = IsFirst ? AttemptId : std::string();
+  }
+  const auto Misdirect = [&Exchange](const std::string &Id) {
+    Exchange.respond(
+        {421, {{std::string(NotRunField), "1"}, {std::string(IdField), Id}}},
+        "");
+  };
+  if (!LateId.empty())
+    Misdirect(LateId);
+  if (IsFirst)
+    Misdirect(AttemptId);
+  return IsFirst;
+}
+
 void upstream_stand_in::run(http_exchange &Exchange) {
   upstream_switches Now;
   {
@@ -188,6 +213,8 @@
   if (refuses(Exchange, Now))
     return;
   const std::string Id(findField(Exchange.request().Fields, IdField));
+  if (Now.RepeatsMisdirection && misdirects(Exchange, Id))
+    return;
   {
     const lock Lock(Mutex);
     ++Runs[Id];
--- a/StandIns/LibForwarding/upstream_stand_in.h
+++ b/StandIns/LibForwarding/upstream_stand_in.h
@@ -28,6 +28,9 @@
   /// Ends a stream that breaks off as if it were complete.
   bool EndsBroken = false;
   milliseconds EventPause{0};
+  /// Answers each request with 421 when it comes first, and sends that answer
+  /// once more before the next one on the same connection.
+  bool RepeatsMisdirection = false;
   /// The Server-Limit of every answer, as text; empty for none.
   std::string Limit;
   /// States in every answer that it leaves.
@@ -75,6 +78,7 @@
   /// Waits for the next event; returns whether the caller is still there.
   bool pause(http_exchange &Exchange, milliseconds Time);
   bool refuses(http_exchange &Exchange, const upstream_switches &Now);
+  bool misdirects(http_exchange &Exchange, const std::string &AttemptId);
   nlohmann::json models() const;
 
   const std::string Name;
@@ -84,6 +88,10 @@
   mutable std::mutex Mutex;
   upstream_switches Switches;
   std::map<std::string, int> Runs;
+  /// The request ids that were answered with 421 when they came first.
+  std::set<std::string> Misdirected;
+  /// The id of the last 421 of a connection, by its number.
+  std::map<std::uint64_t, std::string> LastMisdirected;
   std::vector<time_point> Arrivals;
   std::map<std::string, std::uint64_t> Adapters;
   std::uint64_t OrderCount = 0;
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -245,6 +245,21 @@
   REQUIRE(Fleet.host(0).wait() == 0);
 }
 
+TEST_CASE("forwarding: a late copy of a 421 lets a request run twice") {
+  forwarding_fleet Fleet;
+  REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
+  upstream_switches Misdirecting;
+  Misdirecting.RepeatsMisdirection = true;
+  setAll(Fleet.Engines, Misdirecting);
+  for (int Number = 0; Number < 5; ++Number) {
+    const std::string Id = "t" + std::to_string(Number);
+    const forwarded_answer Answer = Fleet.ask(0, Id, "a1");
+    CHECK(Answer.Status == 200);
+    CHECK(Answer.Body == WholeStream);
+    CHECK(Fleet.Engines[0]->runsOf(Id) + Fleet.Engines[1]->runsOf(Id) == 1);
+  }
+}
+
 TEST_CASE("forwarding: an upstream that states a limit gets far more") {
   static constexpr double RequestsPerSecond = 1.1;
   static constexpr double MaxArrivals = 1.5 * 4 * RequestsPerSecond + 5;
--- a/Tests/LibHTTP/test_http.cpp
+++ b/Tests/LibHTTP/test_http.cpp
@@ -5,6 +5,7 @@
 #include "LibRuntime/await_io.h"
 
 #include <atomic>
+#include <map>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -390,3 +391,33 @@
         Loopback.call({"GET", "/", {}}, "", connection_use::PooledOnce, Limits);
       }) == result_code::UpstreamTimeout);
 }
+
+TEST_CASE(
+    "a late copy of an answer is taken for that to the repeated request") {
+  // The server sends each answer of a connection again before the next one.
+  std::map<std::uint64_t, std::string> Before;
+  loopback Loopback([&](http_exchange &Exchange) {
+    std::string &Last = Before[Exchange.connectionNumber()];
+    const http_response_head Head{200, {{"X-Id", "1"}}};
+    if (!Last.empty())
+      Exchange.respond(Head, Last);
+    Last = std::to_string(Before.size());
+    Exchange.respond(Head, Last);
+  });
+  http_call_limits Limits;
+  Limits.IsOwnAnswer = [](const http_response_head &Head) {
+    return findField(Head.Fields, "X-Id") == "1";
+  };
+  Loopback.Runtime.runBlocking([&] {
+    const auto Send = [&] {
+      const std::unique_ptr<http_call> Call =
+          Loopback.Client.start(Loopback.Server.address(), {"GET", "/", {}}, "",
+                                Limits, connection_use::PooledOnce);
+      Limits.AvoidedConnections.push_back(Call->connectionNumber());
+      return Call->readAll(100);
+    };
+    CHECK(Send() == "1");
+    CHECK(Send() == "2");
+    CHECK(Send() == "3");
+  });
+}
