--- /dev/null
+++ b/Tests/Platform/test_order_client.cpp
@@ -0,0 +1,28 @@
+#include "LibHTTP/http_server.h"
+#include "platform/order_client.h"
+
+#include <catch2/catch.hpp>
+
+using namespace spindle;
+
+// The engine's connections carry requests of callers and orders in turn.
+TEST_CASE("a late copy of a request's answer is taken for that of an order") {
+  fiber_runtime Runtime{1};
+  http_client Client;
+  http_server Engine(
+      Runtime, {"127.0.0.1", 0}, {},
+      [](http_exchange &Exchange) {
+        Exchange.respond({200, {{"X-Parsleyspindle-Request-Id", "r1"}}}, "");
+        Exchange.respond({409, {}}, "");
+      },
+      writeErrorResponse);
+  upstream_entry Entry;
+  Entry.Name = "i-1";
+  Entry.Address = Engine.address();
+  const engine_order_port Port = makeOrderPort(Client);
+  order_outcome Outcome = order_outcome::Unknown;
+  Runtime.runBlocking([&] {
+    Outcome = Port.Order(Entry, adapter_order(), milliseconds(2'000));
+  });
+  REQUIRE(Outcome == order_outcome::OrderCountMismatch);
+}
