spindled: Wait for an address that is in use, and name it

Callers saw: a host that was started again did not come back. A port in use is an ordinary event at a restart: the earlier process still drains, or a connection of another process has that port. Whether the users' machines saw this one is not known.

Cause: startHost() let the error of the first address out, and main ended.

Each try takes the host's parts down whole, which a host that ends by _exit never did.

--- a/Libraries/LibHTTP/http_server.cpp
+++ b/Libraries/LibHTTP/http_server.cpp
@@ -1,5 +1,6 @@
 #include "LibHTTP/http_server.h"
 
+#include "LibCore/listen_error.h"
 #include "LibCore/result_code.h"
 #include "LibHTTP/beast_exchange.h"
 #include "LibHTTP/error_response.h"
@@ -111,11 +112,15 @@
 
 void http_server::state::listen(const endpoint &Address) {
   const asio::ip::tcp::endpoint Wanted = toAsio(Address);
-  Acceptor.open(Wanted.protocol());
-  Acceptor.set_option(asio::socket_base::reuse_address(true));
-  Acceptor.bind(Wanted);
-  Acceptor.listen(ListenBacklog);
-  Bound = fromAsio(Acceptor.local_endpoint());
+  try {
+    Acceptor.open(Wanted.protocol());
+    Acceptor.set_option(asio::socket_base::reuse_address(true));
+    Acceptor.bind(Wanted);
+    Acceptor.listen(ListenBacklog);
+    Bound = fromAsio(Acceptor.local_endpoint());
+  } catch (const boost::system::system_error &Error) {
+    throw listen_error(Address, Error.code().message());
+  }
 }
 
 void http_server::state::accept(const std::shared_ptr<state> &Self) {
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -82,7 +82,7 @@
 class http_server {
 public:
   /// Listens at \p Address; port 0 lets the kernel choose.
-  /// \throws std::system_error if the address can't be bound.
+  /// \throws listen_error if the address can't be bound.
   http_server(fiber_runtime &Runtime, const endpoint &Address,
               http_server_limits Limits, http_handler Handler,
               http_error_writer ErrorWriter);
--- a/Libraries/LibPeer/host_link_server.cpp
+++ b/Libraries/LibPeer/host_link_server.cpp
@@ -1,5 +1,6 @@
 #include "LibPeer/host_link_server.h"
 
+#include "LibCore/listen_error.h"
 #include "LibCore/result_code.h"
 #include "LibPeer/Generated/host_link.grpc.pb.h"
 
@@ -129,8 +130,8 @@
   Builder.RegisterService(&State->Service);
   State->Server = Builder.BuildAndStart();
   if (!State->Server || Port == 0)
-    throw spindle_error(result_code::Internal,
-                        "can't listen at " + toText(Address));
+    throw listen_error(Address, "another process uses it, or the machine does "
+                                "not have it");
   State->Bound = {Address.Address, static_cast<std::uint16_t>(Port)};
 }
 
--- a/Libraries/LibPeer/host_link_server.h
+++ b/Libraries/LibPeer/host_link_server.h
@@ -44,7 +44,7 @@
 class host_link_server {
 public:
   /// Listens at \p Address; port 0 lets the kernel choose.
-  /// \throws spindle_error Internal if the address can't be bound.
+  /// \throws listen_error if the address can't be bound.
   host_link_server(fiber_runtime &Runtime, const endpoint &Address,
                    host_link_handlers Handlers);
   /// Ends the running calls and stops.
--- a/Services/spindled/main.cpp
+++ b/Services/spindled/main.cpp
@@ -1,4 +1,4 @@
-#include "LibCore/result_code.h"
+#include "LibCore/listen_error.h"
 #include "LibLog/log.h"
 #include "LibSettings/host_settings.h"
 #include "running_host.h"
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <memory>
+#include <optional>
 
 #include <popt.h>
 #include <unistd.h>
@@ -20,6 +21,8 @@
 constexpr int ExitUsage = 2;
 constexpr int ExitFailure = 1;
 constexpr milliseconds SignalPause{100};
+constexpr milliseconds ListenMargin{2'000};
+constexpr milliseconds ListenPause{500};
 
 /// What the command line asks for.
 struct command_line {
@@ -92,24 +95,75 @@
   std::cout << std::endl;
 }
 
+bool asksToStop(int Signal) { return Signal == SIGTERM || Signal == SIGINT; }
+
+/// Waits until \p Until; returns earlier, with true, if a signal asks to stop.
+bool isStopped(const sigset_t &Signals, const runtime_clock &Clock,
+               time_point Until) {
+  while (Clock.now() < Until)
+    if (asksToStop(nextSignal(Signals)))
+      return true;
+  return false;
+}
+
+void logAddressInUse(const listen_error &Error, nanoseconds Waited) {
+  logEvent(log_event::AddressInUse,
+           {{"address", toText(Error.address())},
+            {"waited_ms",
+             std::to_string(
+                 std::chrono::duration_cast<milliseconds>(Waited).count())},
+            {"reason", Error.what()}});
+}
+
+/// Starts the host; repeats this while an address can't be listened at. Returns
+/// nullopt if a signal asks to stop meanwhile.
+/// \throws listen_error if an address can't be had for too long.
+std::optional<running_host> startWhenFree(const runtime_clock &Clock,
+                                          fiber_runtime &Runtime,
+                                          const host_settings &Settings,
+                                          const sigset_t &Signals) {
+  // An earlier process of this host may still drain.
+  const milliseconds MaxWait = Settings.Timeouts.Drain + ListenMargin;
+  const time_point Start = Clock.now();
+  std::optional<endpoint> LoggedAddress;
+  while (true) {
+    try {
+      return startHost(Clock, Runtime, Settings);
+    } catch (const listen_error &Error) {
+      const nanoseconds Waited = Clock.now() - Start;
+      if (LoggedAddress != Error.address())
+        logAddressInUse(Error, Waited);
+      LoggedAddress = Error.address();
+      if (Waited >= MaxWait)
+        throw;
+    }
+    if (isStopped(Signals, Clock, Clock.now() + ListenPause))
+      return std::nullopt;
+  }
+}
+
 [[noreturn]] void serveUntilStopped(const host_settings &Settings,
                                     const std::string &SettingsFile,
                                     const sigset_t &Signals) {
   const runtime_clock Clock;
   fiber_runtime Runtime(Settings.Threads);
-  const running_host Host = startHost(Clock, Runtime, Settings);
+  const std::optional<running_host> Started =
+      startWhenFree(Clock, Runtime, Settings, Signals);
+  if (!Started)
+    _exit(EXIT_SUCCESS);
+  const running_host &Host = *Started;
   logAddresses(Host);
   printAddresses(Host);
   settings_watch Watch(Clock, SettingsFile, Settings);
   int Signal = 0;
-  while (Signal != SIGTERM && Signal != SIGINT && !Host.StopWanted()) {
+  while (!asksToStop(Signal) && !Host.StopWanted()) {
     Signal = nextSignal(Signals);
     Watch.look(Signal == SIGHUP);
   }
   Host.StartDrain();
   while (!Host.Drained()) {
     Signal = nextSignal(Signals);
-    if (Signal != SIGTERM && Signal != SIGINT)
+    if (!asksToStop(Signal))
       continue;
     logEvent(log_event::StoppedAtOnce, {});
     _exit(ExitFailure);
@@ -148,6 +202,7 @@
              {{"host", Settings.Name}, {"zone", Settings.Zone}});
     serveUntilStopped(Settings, Line.SettingsFile, Signals);
   } catch (const std::exception &Error) {
+    logEvent(log_event::StartFailed, {{"reason", Error.what()}});
     std::cerr << "spindled: " << Error.what() << "\n";
     return ExitUsage;
   }
--- a/Services/spindled/running_host.h
+++ b/Services/spindled/running_host.h
@@ -24,8 +24,7 @@
 };
 
 /// Starts the host that \p Settings ask for. \p Clock and \p Runtime must
-/// outlive it. \throws std::system_error or spindle_error if an address can't
-/// be bound.
+/// outlive it. \throws listen_error if an address can't be listened at.
 running_host startHost(const runtime_clock &Clock, fiber_runtime &Runtime,
                        const host_settings &Settings);
 
