LibHTTP: Answer what comes on open connections during a drain

Beside this, a request that was read late in a drain was begun and cut when the process ended; that was found by reading, not seen: the users' record names such a stream.

Cause: a stream whose head was sent before the SIGTERM announces no close, but the connection was closed after it because the host drained by then; and idle connections were closed when the drain's delay was over. The other way round, a connection that was accepted or being read at that moment was not closed, and a request that came on it was begun, however little of the drain was left: "quiet" counts only requests whose head has been read.

Fix: a connection ends only after a response that announced it, or with the process. When the delay is over, the server stops accepting and answers each request that is read from then on with 503 (HostStops, not run, Retry-After 0) and "Connection: close"; none is begun, so that nothing but what ran before can be cut. Requests before that are served, as before.

TestLibHTTP "a request after a stream that began before the drain gets no answer" and "a request that comes after a host refuses new ones is begun" fail before.

--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -400,7 +400,7 @@
   CallerServer->startDrain();
   sleepFor(Settings.DrainDelay);
   // A later request on a keep-alive connection might not finish in time.
-  CallerServer->closeIdle();
+  CallerServer->refuseNew();
   waitUntilQuiet(*CallerServer, Clock, QuietPeriod, Until);
   if (CallerServer->runningExchanges() > 0)
     logEvent(log_event::DrainLimitReached, {});
--- a/Libraries/LibHTTP/beast_exchange.cpp
+++ b/Libraries/LibHTTP/beast_exchange.cpp
@@ -109,13 +109,14 @@
 
 template <typename message>
 void beast_exchange::setFields(message &Message,
-                               const http_response_head &Response) const {
+                               const http_response_head &Response) {
   Message.result(static_cast<unsigned>(Response.Status));
   Message.version(11);
   for (const http_field &Field : Response.Fields)
     if (!isConnectionField(Field.Name))
       Message.insert(Field.Name, Field.Value);
-  Message.keep_alive(!closesAfter());
+  AnnouncedClose = closesAfter();
+  Message.keep_alive(!AnnouncedClose);
 }
 
 template <typename start> void beast_exchange::write(start Start) {
@@ -206,7 +207,7 @@
 }
 
 bool beast_exchange::reusable() const {
-  return Phase == phase::Finished && !closesAfter();
+  return Phase == phase::Finished && !AnnouncedClose && Parser.is_done();
 }
 
 } // namespace spindle
--- a/Libraries/LibHTTP/beast_exchange.h
+++ b/Libraries/LibHTTP/beast_exchange.h
@@ -49,7 +49,7 @@
   void stopWatching();
   bool closesAfter() const;
   template <typename message>
-  void setFields(message &Message, const http_response_head &Response) const;
+  void setFields(message &Message, const http_response_head &Response);
   template <typename start> void write(start Start);
 
   tcp_stream &Stream;
@@ -61,6 +61,8 @@
   http_request_head Head;
   phase Phase = phase::Waiting;
   bool ContinueSent = false;
+  /// Whether the response told the caller that the connection closes.
+  bool AnnouncedClose = false;
   std::shared_ptr<std::atomic<bool>> Watching;
 };
 
--- a/Libraries/LibHTTP/http_server.cpp
+++ b/Libraries/LibHTTP/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/listen_error.h"
 #include "LibCore/result_code.h"
+#include "LibCore/retry_after_error.h"
 #include "LibHTTP/beast_exchange.h"
 #include "LibHTTP/error_response.h"
 
@@ -27,8 +28,7 @@
 using accepted_socket =
     asio::basic_stream_socket<asio::ip::tcp, asio::io_context::executor_type>;
 
-/// One caller's connection. It lives on one thread; only Idle is read by
-/// others.
+/// One caller's connection. It lives on one thread.
 struct server_connection {
   explicit server_connection(accepted_socket Socket, std::size_t Thread)
       : Stream(std::move(Socket)), Thread(Thread) {}
@@ -37,7 +37,6 @@
   std::size_t Thread;
   std::uint64_t Number = 0;
   beast::flat_buffer Buffer;
-  bool Idle = true;
 };
 
 using connection_pointer = std::shared_ptr<server_connection>;
@@ -74,6 +73,8 @@
 
   void listen(const endpoint &Address);
   void accept(const std::shared_ptr<state> &Self);
+  void start(const std::shared_ptr<state> &Self, accepted_socket Socket,
+             std::size_t Thread);
   void serve(server_connection &Connection);
   void discardRest(server_connection &Connection);
   bool waitForRequest(server_connection &Connection);
@@ -86,7 +87,7 @@
   /// Returns false if there are too many connections already.
   bool add(const connection_pointer &Connection);
   void remove(const connection_pointer &Connection);
-  void closeConnections(bool OnlyIdle);
+  void closeConnections();
 
   fiber_runtime &Runtime;
   http_server_limits limits() const;
@@ -98,6 +99,9 @@
   std::size_t NextThread = 0;
   std::uint64_t LastConnection = 0;
   std::atomic<bool> Draining{false};
+  /// Whether new requests are refused.
+  std::atomic<bool> Refusing{false};
+  /// Whether all connections are to end.
   std::atomic<bool> Closed{false};
   std::atomic<std::size_t> Running{0};
   mutable std::mutex Mutex;
@@ -128,26 +132,31 @@
   Acceptor.async_accept(
       Runtime.ioContext(Thread),
       [Self, Thread](boost::system::error_code Error, accepted_socket Socket) {
-        if (Error == asio::error::operation_aborted || Self->Closed.load())
-          return;
-        if (!Error) {
-          const connection_pointer Connection =
-              std::make_shared<server_connection>(std::move(Socket), Thread);
-          Connection->Number = ++Self->LastConnection;
-          if (Self->add(Connection))
-            Self->Runtime.spawnOn(Thread, [Self, Connection] {
-              Self->serve(*Connection);
-              Self->remove(Connection);
-            });
-        }
-        Self->accept(Self);
+        if (!Error)
+          Self->start(Self, std::move(Socket), Thread);
+        if (Error != asio::error::operation_aborted && !Self->Refusing.load())
+          Self->accept(Self);
       });
 }
 
+/// Serves a connection in a fiber of its own.
+void http_server::state::start(const std::shared_ptr<state> &Self,
+                               accepted_socket Socket, std::size_t Thread) {
+  const connection_pointer Connection =
+      std::make_shared<server_connection>(std::move(Socket), Thread);
+  Connection->Number = ++LastConnection;
+  if (!add(Connection))
+    return;
+  Runtime.spawnOn(Thread, [Self, Connection] {
+    Self->serve(*Connection);
+    Self->remove(Connection);
+  });
+}
+
 void http_server::state::serve(server_connection &Connection) {
   prepareSocket(Connection.Stream);
-  while (serveOne(Connection))
-    Connection.Idle = true;
+  while (serveOne(Connection)) {
+  }
   boost::system::error_code Ignored;
   Connection.Stream.socket().shutdown(asio::socket_base::shutdown_send,
                                       Ignored);
@@ -187,7 +196,6 @@
       return false;
     Connection.Buffer.commit(Read.Bytes);
   }
-  Connection.Idle = false;
   return true;
 }
 
@@ -212,6 +220,12 @@
     refuse(Connection, Parser, *Problem);
     return false;
   }
+  if (Refusing.load()) {
+    refuse(Connection, Parser,
+           retry_after_error(result_code::HostStops, "this host stops",
+                             milliseconds(0)));
+    return false;
+  }
   ++Running;
   beast_exchange Exchange(Connection.Stream, Connection.Buffer, Parser, Limits,
                           Draining, Connection.Number);
@@ -275,7 +289,7 @@
 
 bool http_server::state::add(const connection_pointer &Connection) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  if (Connections.size() >= Limits.Connections)
+  if (Closed || Connections.size() >= Limits.Connections)
     return false;
   Connections.insert(Connection);
   return true;
@@ -286,14 +300,12 @@
   Connections.erase(Connection);
 }
 
-void http_server::state::closeConnections(bool OnlyIdle) {
+void http_server::state::closeConnections() {
   const std::lock_guard<std::mutex> Lock(Mutex);
+  Closed.store(true);
   for (const connection_pointer &Connection : Connections)
-    asio::post(Runtime.ioContext(Connection->Thread), [Connection, OnlyIdle] {
-      if (OnlyIdle && !Connection->Idle)
-        return;
-      Connection->Stream.cancel();
-    });
+    asio::post(Runtime.ioContext(Connection->Thread),
+               [Connection] { Connection->Stream.cancel(); });
 }
 
 http_server::http_server(fiber_runtime &Runtime, const endpoint &Address,
@@ -306,8 +318,8 @@
 }
 
 http_server::~http_server() {
-  closeIdle();
-  State->closeConnections(false);
+  refuseNew();
+  State->closeConnections();
   // The fibers use the handler's captures, so they must have ended.
   while (true) {
     {
@@ -323,15 +335,14 @@
 
 void http_server::startDrain() { State->Draining.store(true); }
 
-void http_server::closeIdle() {
+void http_server::refuseNew() {
   State->Draining.store(true);
-  if (State->Closed.exchange(true))
+  if (State->Refusing.exchange(true))
     return;
   asio::post(State->Runtime.ioContext(0), [State = State] {
     boost::system::error_code Ignored;
     State->Acceptor.close(Ignored);
   });
-  State->closeConnections(true);
 }
 
 void http_server::setLimits(const http_server_limits &Limits) {
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -96,9 +96,10 @@
   /// Tells callers with each answer that the connection closes. New
   /// connections are still accepted, since the balancer lags. Thread-safe.
   void startDrain();
-  /// Stops accepting and closes idle connections; running exchanges go on.
-  /// Thread-safe.
-  void closeIdle();
+  /// Stops accepting, and refuses each request that is read from now on with
+  /// HostStops; running exchanges go on. Connections stay open for that, until
+  /// a response has told their callers that they close. Thread-safe.
+  void refuseNew();
   /// Replaces the limits for requests that are read from now on. Thread-safe.
   void setLimits(const http_server_limits &Limits);
   /// The number of exchanges that are running. Thread-safe.
--- a/Libraries/LibHost/host.cpp
+++ b/Libraries/LibHost/host.cpp
@@ -357,7 +357,7 @@
   CallerServer->startDrain();
   sleepFor(Settings.Timeouts.DrainDelay);
   waitUntilQuiet(*CallerServer, Clock, QuietBeforeClose, Deadline);
-  CallerServer->closeIdle();
+  CallerServer->refuseNew();
   waitUntilQuiet(*CallerServer, Clock, QuietBeforeClose, Deadline);
   if (CallerServer->runningExchanges() > 0)
     logEvent(log_event::DrainLimitReached, {});
--- a/Tests/LibHTTP/test_http.cpp
+++ b/Tests/LibHTTP/test_http.cpp
@@ -237,7 +237,7 @@
   Loopback.Runtime.spawn([&] {
     while (!Entered.load())
       sleepFor(milliseconds(1));
-    Loopback.Server.closeIdle();
+    Loopback.Server.refuseNew();
     Release = true;
   });
   REQUIRE(Loopback.call({"GET", "/", {}}, "").Body == "whole");
@@ -421,3 +421,45 @@
     CHECK(Send() == "3");
   });
 }
+
+TEST_CASE("a request after a stream that began before the drain gets no "
+          "answer") {
+  http_server *Server = nullptr;
+  loopback Loopback([&](http_exchange &Exchange) {
+    if (Exchange.request().Target != "/stream")
+      return Exchange.respond({200, {}}, "after");
+    Exchange.startStream({200, {}});
+    Server->startDrain();
+    Exchange.writeSome("event");
+    Exchange.finishStream();
+  });
+  Server = &Loopback.Server;
+  const std::string Answer =
+      exchangeRaw(Loopback, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(answersIn(Answer) == 2);
+  const std::size_t Second = Answer.rfind("HTTP/1.1 200");
+  REQUIRE(Answer.find("Connection: close", Second) != std::string::npos);
+  REQUIRE(Answer.ends_with("after"));
+}
+
+TEST_CASE("a request that comes after a host refuses new ones is begun") {
+  http_server *Server = nullptr;
+  std::atomic<int> Begun{0};
+  loopback Loopback([&](http_exchange &Exchange) {
+    ++Begun;
+    Exchange.startStream({200, {}});
+    Server->refuseNew();
+    Exchange.finishStream();
+  });
+  Server = &Loopback.Server;
+  const std::string Answer =
+      exchangeRaw(Loopback, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(Begun.load() == 1);
+  REQUIRE(answersIn(Answer) == 2);
+  const std::size_t Second = Answer.rfind("HTTP/1.1 503");
+  REQUIRE(Second != std::string::npos);
+  REQUIRE(Answer.find("Connection: close", Second) != std::string::npos);
+  REQUIRE(Answer.find("\"not run\"", Second) != std::string::npos);
+}
