spindled: Go on with a planned stop when SIGTERM comes again

Callers saw: a second SIGTERM ended the process at once and cut each stream under way (TestEndToEnd, 0.25 s after the first). Whoever stops processes may send the signal to a group and to each member, or repeat it.

Cause: every second signal to stop meant "at once".

Whoever wants the end at once has SIGKILL.

Signals are blocked as the first thing in main: until then SIGHUP, which the operator may send at any time, ended a process that was just started. What is left of that window is before main, and no test of ours reaches it.

TestEndToEnd "forwarding: a SIGTERM that comes twice cuts a stream" fails before.

--- a/Services/spindled/main.cpp
+++ b/Services/spindled/main.cpp
@@ -163,7 +163,10 @@
   Host.StartDrain();
   while (!Host.Drained()) {
     Signal = nextSignal(Signals);
-    if (!asksToStop(Signal))
+    // Whoever stops processes may send SIGTERM to a group and to each member.
+    if (Signal == SIGTERM)
+      logEvent(log_event::StopRepeated, {});
+    if (Signal != SIGINT)
       continue;
     logEvent(log_event::StoppedAtOnce, {});
     _exit(ExitFailure);
@@ -176,6 +179,8 @@
 } // namespace
 
 int main(int Count, char **Words) {
+  // First of all: until then, a SIGHUP ends the process.
+  const sigset_t Signals = blockSignals();
   const command_line Line =
       readCommandLine(Count, const_cast<const char **>(Words));
   if (Line.ShowVersion) {
@@ -196,7 +201,6 @@
       std::cout << Line.SettingsFile << ": settings are valid\n";
       return EXIT_SUCCESS;
     }
-    const sigset_t Signals = blockSignals();
     startLogging(Settings.Log);
     logEvent(log_event::ProcessStarted,
              {{"host", Settings.Name}, {"zone", Settings.Zone}});
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -245,6 +245,23 @@
   REQUIRE(Fleet.host(0).wait() == 0);
 }
 
+TEST_CASE("forwarding: a SIGTERM that comes twice cuts a stream") {
+  forwarding_fleet Fleet;
+  upstream_switches Slow;
+  Slow.EventPause = milliseconds(300);
+  setAll(Fleet.Engines, Slow);
+  forwarded_answer Answer;
+  std::thread Caller([&] { Answer = Fleet.ask(0, "s1", "a1"); });
+  sleepFor(milliseconds(600));
+  Fleet.host(0).signal(SIGTERM);
+  sleepFor(milliseconds(250));
+  Fleet.host(0).signal(SIGTERM);
+  Caller.join();
+  REQUIRE(Answer.Whole);
+  REQUIRE(Answer.Body == WholeStream);
+  REQUIRE(Fleet.host(0).wait() == 0);
+}
+
 TEST_CASE("forwarding: a late copy of a 421 lets a request run twice") {
   forwarding_fleet Fleet;
   REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
