LibRuntime: End only the fiber when an exception leaves it

Cause: fibers are detached, and nothing at their start caught what their work let out: std::terminate. Orders, the leave of a host and a connection ran so; periodic work and calls of other hosts catch their own.

A connection is removed from its server however its fiber ends, so that a stop does not wait for it.

TestLibRuntime "an exception that leaves a fiber ends the process" ends by signal 6 before.

--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -162,7 +162,7 @@
   adapter_controller_ports Result;
   Result.Orders = Ports.Orders;
   Result.Spawn = [this](std::function<void()> Work) {
-    Runtime.spawn(std::move(Work));
+    Runtime.spawn(std::move(Work), "order");
   };
   Result.FencingToken = [this](std::string_view Zone) {
     return Coordinator.fencingToken(Zone);
@@ -325,6 +325,8 @@
       Fleet.noteAvailableSlots(Room);
     Coordinator.exchange(Settings.Seeds);
     std::vector<host_location> Hosts = Coordinator.hostLocations();
+    Metrics.gauge("spindle_failed_fibers", {},
+                  static_cast<double>(failedFibers()));
     Metrics.gauge("spindle_limited_upstreams", {},
                   static_cast<double>(Fleet.limitedUpstreams()));
     RetryBudgets.setHosts(std::max<std::size_t>(1, Hosts.size()));
@@ -396,7 +398,7 @@
 void gateway_host::state::runDrain() {
   logEvent(log_event::DrainStarted, {});
   const time_point Until = Clock.now() + Settings.DrainTimeout - ExitReserve;
-  Runtime.spawn([this, Until] { leave(Until); });
+  Runtime.spawn([this, Until] { leave(Until); }, "leave");
   CallerServer->startDrain();
   sleepFor(Settings.DrainDelay);
   // A later request on a keep-alive connection might not finish in time.
@@ -430,7 +432,7 @@
 void gateway_host::startDrain() {
   if (State->IsDraining.exchange(true))
     return;
-  State->Runtime.spawn([this] { State->runDrain(); });
+  State->Runtime.spawn([this] { State->runDrain(); }, "drain");
 }
 
 bool gateway_host::drained() const { return State->Drained.load(); }
--- a/Libraries/LibHTTP/http_server.cpp
+++ b/Libraries/LibHTTP/http_server.cpp
@@ -71,6 +71,8 @@
         ErrorWriter(std::move(ErrorWriter)), Acceptor(Runtime.ioContext(0)),
         Limits(Limits) {}
 
+  struct removal_guard;
+
   void listen(const endpoint &Address);
   void accept(const std::shared_ptr<state> &Self);
   void start(const std::shared_ptr<state> &Self, accepted_socket Socket,
@@ -139,6 +141,18 @@
       });
 }
 
+/// Removes a connection when its fiber ends, however it does.
+struct http_server::state::removal_guard {
+  removal_guard(state &Server, connection_pointer Connection)
+      : Server(Server), Connection(std::move(Connection)) {}
+  ~removal_guard() { Server.remove(Connection); }
+  removal_guard(const removal_guard &) = delete;
+  removal_guard &operator=(const removal_guard &) = delete;
+
+  state &Server;
+  const connection_pointer Connection;
+};
+
 /// Serves a connection in a fiber of its own.
 void http_server::state::start(const std::shared_ptr<state> &Self,
                                accepted_socket Socket, std::size_t Thread) {
@@ -147,10 +161,13 @@
   Connection->Number = ++LastConnection;
   if (!add(Connection))
     return;
-  Runtime.spawnOn(Thread, [Self, Connection] {
-    Self->serve(*Connection);
-    Self->remove(Connection);
-  });
+  Runtime.spawnOn(
+      Thread,
+      [Self, Connection] {
+        const removal_guard Guard{*Self, Connection};
+        Self->serve(*Connection);
+      },
+      "connection");
 }
 
 void http_server::state::serve(server_connection &Connection) {
--- a/Libraries/LibRuntime/fiber_runtime.cpp
+++ b/Libraries/LibRuntime/fiber_runtime.cpp
@@ -1,9 +1,11 @@
 #include "LibRuntime/fiber_runtime.h"
 
+#include "LibLog/log.h"
 #include "LibRuntime/event_loop_scheduler.h"
 
 #include <atomic>
 #include <cassert>
+#include <exception>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -55,8 +57,25 @@
   Thread.Stopped.wait(Lock, [&Thread] { return Thread.Stop; });
 }
 
-static void startFiber(std::function<void()> Work) {
-  boost::fibers::fiber(boost::fibers::launch::post, std::move(Work)).detach();
+static std::atomic<std::size_t> FailedFibers{0};
+
+std::size_t failedFibers() { return FailedFibers.load(); }
+
+static void runGuarded(const std::function<void()> &Work, const char *Name) {
+  try {
+    Work();
+  } catch (const std::exception &Error) {
+    ++FailedFibers;
+    logEvent(log_event::FiberFailed,
+             {{"fiber", Name}, {"reason", Error.what()}});
+  }
+}
+
+static void startFiber(std::function<void()> Work, const char *Name) {
+  boost::fibers::fiber(boost::fibers::launch::post, [Work = std::move(Work),
+                                                     Name] {
+    runGuarded(Work, Name);
+  }).detach();
 }
 
 fiber_runtime::fiber_runtime(std::size_t ThreadCount)
@@ -83,13 +102,14 @@
 
 std::size_t fiber_runtime::threadCount() const { return State->Threads.size(); }
 
-void fiber_runtime::spawn(std::function<void()> Work) {
-  spawnOn(State->Next.fetch_add(1) % threadCount(), std::move(Work));
+void fiber_runtime::spawn(std::function<void()> Work, const char *Name) {
+  spawnOn(State->Next.fetch_add(1) % threadCount(), std::move(Work), Name);
 }
 
-void fiber_runtime::spawnOn(std::size_t Index, std::function<void()> Work) {
-  boost::asio::post(ioContext(Index), [Work = std::move(Work)]() mutable {
-    startFiber(std::move(Work));
+void fiber_runtime::spawnOn(std::size_t Index, std::function<void()> Work,
+                            const char *Name) {
+  boost::asio::post(ioContext(Index), [Work = std::move(Work), Name]() mutable {
+    startFiber(std::move(Work), Name);
   });
 }
 
--- a/Libraries/LibRuntime/fiber_runtime.h
+++ b/Libraries/LibRuntime/fiber_runtime.h
@@ -28,12 +28,14 @@
   fiber_runtime &operator=(const fiber_runtime &) = delete;
 
   std::size_t threadCount() const;
-  /// Starts a fiber on the next thread in turn. Thread-safe. An exception
-  /// that escapes \p Work ends the program.
-  void spawn(std::function<void()> Work);
-  /// Starts a fiber on thread \p Index.
+  /// Starts a fiber on the next thread in turn. Thread-safe. An exception that
+  /// escapes \p Work ends only the fiber; it is logged under \p Name and
+  /// counted.
+  void spawn(std::function<void()> Work, const char *Name = "work");
+  /// As spawn(), on thread \p Index.
   /// Precondition: \p Index is less than threadCount(). Thread-safe.
-  void spawnOn(std::size_t Index, std::function<void()> Work);
+  void spawnOn(std::size_t Index, std::function<void()> Work,
+               const char *Name = "work");
   /// Runs \p Work in a fiber and waits for its end; rethrows what it throws.
   /// Precondition: the caller is not one of the runtime's threads.
   void runBlocking(std::function<void()> Work);
@@ -45,6 +47,8 @@
   std::unique_ptr<state> State;
 };
 
+/// How many fibers of this process an exception has ended. Thread-safe.
+std::size_t failedFibers();
 /// Tells whether the caller runs on a thread of a fiber_runtime.
 bool onRuntimeThread();
 /// The event loop of the calling runtime thread.
--- a/Tests/LibRuntime/test_fiber_runtime.cpp
+++ b/Tests/LibRuntime/test_fiber_runtime.cpp
@@ -2,6 +2,7 @@
 #include "LibRuntime/fiber_runtime.h"
 
 #include <atomic>
+#include <stdexcept>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -69,3 +70,13 @@
   REQUIRE(Result.waitFor(seconds(10)));
   REQUIRE(Result.wait() == 42);
 }
+
+TEST_CASE("an exception that leaves a fiber ends the process") {
+  fiber_runtime Runtime(1);
+  const std::size_t Before = failedFibers();
+  Runtime.spawn([] { throw std::runtime_error("unexpected"); });
+  bool Ran = false;
+  Runtime.runBlocking([&] { Ran = true; });
+  REQUIRE(Ran);
+  REQUIRE(failedFibers() == Before + 1);
+}
