LibGateway: Refuse a model or adapter name that is not UTF-8

Cause: the name goes into an order to an engine as JSON, whose writer throws for it, and into messages between hosts, whose fields are UTF-8, too. HTTP fields may hold any byte from 0x80, and nothing checked the name.

Fix: a request for a model whose name is not UTF-8 is answered 400 before its body is read. Of what a caller sends, only these names and numbers leave the host in another form: the rest is forwarded as it is, hashed, or logged by a writer that replaces such bytes.

--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/random_fraction.h"
 #include "LibCore/retry_after_error.h"
+#include "LibCore/utf8.h"
 #include "LibGateway/attempt_loop.h"
 #include "LibGateway/forwarded_request.h"
 #include "LibLog/log.h"
@@ -75,6 +76,13 @@
   }
 }
 
+/// Refuses a name that no message to an engine or to a host can hold.
+void checkModelName(const request_description &Description) {
+  if (!isValidUtf8(Description.Model) || !isValidUtf8(Description.Adapter))
+    throw spindle_error(result_code::BadRequest,
+                        "the name of the model or adapter is not UTF-8");
+}
+
 const gateway_service &serviceOf(const gateway_configuration &Configuration,
                                  const gateway_route &Route) {
   const gateway_service *const Service =
@@ -172,6 +180,8 @@
   const auto [Route, Customer] =
       admit(Services, *Configuration, Head, Description);
   const gateway_service &Service = serviceOf(*Configuration, Route);
+  if (Service.Engine)
+    checkModelName(Description);
   std::string Body = Exchange.readBody(Configuration->Limits.BodyBytes);
   const request_fingerprint Fingerprint = fingerprintOf(
       customer_id::ofName(Customer ? Customer->Name : ""), Head.Target, Body);
@@ -192,6 +202,7 @@
                             std::make_shared<cancellation>(),
                             {},
                             {},
+                            {},
                             0,
                             false,
                             {},
@@ -202,7 +213,6 @@
   } catch (const spindle_error &Error) {
     logOutcome(Request, describe(Error.code()).Name);
     throw;
-                            {},
   }
 }
 
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -277,6 +277,17 @@
   }
 }
 
+TEST_CASE("forwarding: an adapter name that is not UTF-8 ends the leader") {
+  forwarding_fleet Fleet;
+  for (std::size_t Host = 0; Host < 3; ++Host) {
+    const std::string Id = "u" + std::to_string(Host);
+    REQUIRE(Fleet.ask(Host, Id, "gl\xfchwein").Status == 400);
+  }
+  REQUIRE(Fleet.ask(0, "s1", "a1").Body == WholeStream);
+  for (std::size_t Host = 0; Host < 3; ++Host)
+    REQUIRE(Fleet.ready(Host));
+}
+
 TEST_CASE("forwarding: an upstream that states a limit gets far more") {
   static constexpr double RequestsPerSecond = 1.1;
   static constexpr double MaxArrivals = 1.5 * 4 * RequestsPerSecond + 5;
