--- a/Tests/Platform/test_object_store.cpp
+++ b/Tests/Platform/test_object_store.cpp
@@ -79,3 +79,48 @@
   REQUIRE(Changes.Events.size() == 1);
   REQUIRE(Changes.Events[0].Object.Body.empty());
 }
+
+// The whole response was parsed at once, and one text that the parser refuses
+// made the store count as unavailable.
+TEST_CASE("an object that can't be read hides the list or watch it comes in") {
+  struct bad_object {
+    std::string Text;
+    /// Whether its name and revision can be read all the same.
+    bool IsNamed;
+  };
+  const std::vector<bad_object> Table{
+      {stored("bad", "{\"zone\":\"\xff\xfe\"}"), true},
+      {stored("bad", R"({"zone":"\udcff\udcfe"})"), true},
+      {stored("bad", R"({"slots":1e400})"), true},
+      {stored("bad", "{\"zone\":nul}"), true},
+      {stored("bad", R"({"zone":"a","zone":[]})"), true},
+      {stored("bad", "[]"), true},
+      {stored("bad", nested(1'000)), true},
+      {stored("bad", "\"" + std::string(1'000'000, 'x') + "\""), true},
+      {R"({"metadata":{"name":"bad","revision":7}})", true},
+      {R"({"metadata":{"name":"bad","revision":7,"finalizers":1e400}})", true},
+      {R"({"metadata":{"name":7,"revision":7},"spec":{}})", false},
+      {R"({"metadata":{"name":"bad","revision":"x"},"spec":{}})", false},
+      {R"({"metadata":{"name":"bad"},"spec":{}})", false},
+      {"{\"metadata\":{\"name\":\"\xff\",\"revision\":7},\"spec\":{}}", false},
+      {R"({"metadata":[],"spec":{}})", false},
+      {R"({"spec":{}})", false},
+      {"[]", false},
+      {"1e400", false},
+      {"null", false}};
+  for (const bad_object &Bad : Table) {
+    CAPTURE(Bad.Text.substr(0, 80));
+    const std::size_t Count = Bad.IsNamed ? 1 : 0;
+    fixed_store Store(listOf(stored("a", R"({"slots":1})") + "," + Bad.Text +
+                             "," + stored("z", R"({"slots":2})")));
+    const platform_list List = Store.list();
+    REQUIRE(List.Version == 9);
+    REQUIRE(List.Objects.size() == 2 + Count);
+    CHECK(List.Objects.front().Body == R"({"slots":1})");
+    CHECK(List.Objects.back().Body == R"({"slots":2})");
+    fixed_store Watched(eventsOf(Bad.Text));
+    const platform_changes Changes = Watched.changes();
+    CHECK(Changes.Version == 9);
+    CHECK(Changes.Events.size() == Count);
+  }
+}
