--- a/Libraries/LibCore/json_split.cpp
+++ b/Libraries/LibCore/json_split.cpp
@@ -1,7 +1,6 @@
 #include "LibCore/json_split.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace spindle {
 
@@ -158,10 +157,10 @@
 
 std::string_view findMember(const std::vector<json_member> &Members,
                             std::string_view Name) {
-  for (const json_member &Member : Members | std::views::reverse)
-    if (Member.Name == Name)
-      return Member.Value;
-  return {};
+  const auto Last = std::find_if(
+      Members.rbegin(), Members.rend(),
+      [Name](const json_member &Member) { return Member.Name == Name; });
+  return Last == Members.rend() ? std::string_view() : Last->Value;
 }
 
 bool isJsonDeeperThan(std::string_view Text, std::size_t Levels) {
--- a/StandIns/engine_stand_in/engine_batch.cpp
+++ b/StandIns/engine_stand_in/engine_batch.cpp
@@ -145,8 +145,8 @@
 }
 
 order_reply engine_batch::beginLoad(std::string_view Adapter,
-                                     std::uint64_t Fence,
-                                     std::uint64_t &Incarnation) {
+                                    std::uint64_t Fence,
+                                    std::uint64_t &Incarnation) {
   const lock Lock(State->Mutex);
   Incarnation = State->Model.incarnation();
   const order_reply Order = State->Model.beginLoad(Adapter, Fence);
@@ -163,7 +163,7 @@
 }
 
 order_reply engine_batch::unload(std::string_view Adapter,
-                                  std::uint64_t Fence) {
+                                 std::uint64_t Fence) {
   const lock Lock(State->Mutex);
   std::vector<std::uint64_t> Cut;
   const order_reply Order = State->Model.unload(Adapter, Fence, Cut);
--- a/StandIns/engine_stand_in/engine_batch.h
+++ b/StandIns/engine_stand_in/engine_batch.h
@@ -42,7 +42,7 @@
 
   /// Begins a load; \p Incarnation is what finishLoad() takes.
   order_reply beginLoad(std::string_view Adapter, std::uint64_t Fence,
-                         std::uint64_t &Incarnation);
+                        std::uint64_t &Incarnation);
   /// Ends a load; returns whether the adapter serves.
   bool finishLoad(std::string_view Adapter, std::uint64_t Incarnation,
                   bool Loaded);
--- a/StandIns/engine_stand_in/engine_simulator.cpp
+++ b/StandIns/engine_stand_in/engine_simulator.cpp
@@ -19,7 +19,7 @@
 }
 
 order_reply engine_simulator::beginLoad(std::string_view Adapter,
-                                         std::uint64_t Fence) {
+                                        std::uint64_t Fence) {
   if (refuses(Fence))
     return order_reply::OldFence;
   if (Adapters.contains(Adapter))
@@ -43,8 +43,8 @@
 }
 
 order_reply engine_simulator::unload(std::string_view Adapter,
-                                      std::uint64_t Fence,
-                                      std::vector<std::uint64_t> &Cut) {
+                                     std::uint64_t Fence,
+                                     std::vector<std::uint64_t> &Cut) {
   if (refuses(Fence))
     return order_reply::OldFence;
   const auto Found = Adapters.find(Adapter);
--- a/StandIns/engine_stand_in/engine_simulator.h
+++ b/StandIns/engine_stand_in/engine_simulator.h
@@ -86,7 +86,7 @@
   /// Unloads an adapter as ordered. Requests that use it end; their ids are
   /// added to \p Cut and the eviction is recorded.
   order_reply unload(std::string_view Adapter, std::uint64_t Fence,
-                      std::vector<std::uint64_t> &Cut);
+                     std::vector<std::uint64_t> &Cut);
   /// Whether requests for \p Adapter can run.
   bool serves(std::string_view Adapter) const;
   bool loading(std::string_view Adapter) const;
