LibCore: Keep one check of UTF-8

The writer decides anyway what it can hold, so its answer is the one both need: isValidUtf8() is LibOrders' code, moved to LibCore, and LibOrders calls it.

--- a/Libraries/LibCore/utf8.h
+++ b/Libraries/LibCore/utf8.h
@@ -5,8 +5,8 @@
 
 namespace spindle {
 
-/// Whether \p Text is valid UTF-8: without overlong forms, surrogates and code
-/// points beyond U+10FFFF. Thread-safe.
+/// Whether \p Text is valid UTF-8, so that a JSON string can hold it.
+/// Thread-safe.
 bool isValidUtf8(std::string_view Text);
 
 } // namespace spindle
--- a/Libraries/LibOrders/order_record.cpp
+++ b/Libraries/LibOrders/order_record.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/bounded_json.h"
 #include "LibCore/digest.h"
 #include "LibCore/result_code.h"
+#include "LibCore/utf8.h"
 
 #include <array>
 #include <charconv>
@@ -64,20 +65,11 @@
   return Bytes;
 }
 
-static bool isUtf8(const std::string &Text) {
-  try {
-    json(Text).dump();
-    return true;
-  } catch (const json::exception &) {
-    return false;
-  }
-}
-
 /// Stores \p Bytes in \p Object under \p Name or, if they are not UTF-8, as
 /// hexadecimal digits under the name with the suffix "Hex".
 static void putBytes(json &Object, const std::string &Name,
                      const std::string &Bytes) {
-  if (isUtf8(Bytes))
+  if (isValidUtf8(Bytes))
     Object[Name] = Bytes;
   else
     Object[Name + "Hex"] = toHex(Bytes);
