LibCore: Scan brackets and split JSON text in one place each

splitJsonObject() and splitJsonArray() were two copies of one loop, and the search for a structure's end and the bound on levels two copies of one scan. split() and findBracket() serve both now. LibEngine's reader of bodies had kept a bound of its own before json::parse; it is parseBoundedJson() now, and its constant, which had the same value, is gone.

--- a/Libraries/LibCore/bounded_json.cpp
+++ b/Libraries/LibCore/bounded_json.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/json_split.h"
 
+#include <optional>
 #include <string>
 
 namespace spindle {
@@ -11,23 +12,22 @@
 // Beside the numbers that the library gives to its own exceptions.
 static constexpr int TooDeepId = 599;
 
-static const std::string &tooDeepMessage() {
-  static const std::string Message =
-      "the value has more than " + std::to_string(MaxJsonLevels) + " levels";
-  return Message;
-}
-
-json_too_deep::json_too_deep()
-    : json::exception(TooDeepId, tooDeepMessage().c_str()) {}
+json_too_deep::json_too_deep(std::size_t Place)
+    : json::exception(TooDeepId,
+                      ("more than " + std::to_string(MaxJsonLevels) +
+                       " levels at byte " + std::to_string(Place + 1))
+                          .c_str()),
+      Place(Place) {}
 
 json parseBoundedJson(std::string_view Text) {
-  if (isJsonDeeperThan(Text, MaxJsonLevels))
-    throw json_too_deep();
+  if (const std::optional<std::size_t> Place =
+          findBeyondLevels(Text, MaxJsonLevels))
+    throw json_too_deep(*Place);
   return json::parse(Text);
 }
 
 json tryParseBoundedJson(std::string_view Text) {
-  if (isJsonDeeperThan(Text, MaxJsonLevels))
+  if (findBeyondLevels(Text, MaxJsonLevels))
     return json(json::value_t::discarded);
   return json::parse(Text, nullptr, false);
 }
--- a/Libraries/LibCore/bounded_json.h
+++ b/Libraries/LibCore/bounded_json.h
@@ -15,7 +15,13 @@
 /// Thrown for a value of more than MaxJsonLevels levels.
 class json_too_deep : public nlohmann::json::exception {
 public:
-  json_too_deep();
+  /// \p Place is that of the bracket that opens the level too many.
+  explicit json_too_deep(std::size_t Place);
+
+  std::size_t place() const { return Place; }
+
+private:
+  std::size_t Place;
 };
 
 /// Parses JSON text that another process or a person wrote.
--- a/Libraries/LibCore/json_split.cpp
+++ b/Libraries/LibCore/json_split.cpp
@@ -27,27 +27,37 @@
   return std::string_view::npos;
 }
 
-/// The place after the list or object that starts at \p Start; npos if it has
-/// no end.
-std::size_t endOfStructure(std::string_view Text, std::size_t Start) {
-  std::size_t Levels = 0;
+/// The place of the first bracket outside of strings, from \p Start on, for
+/// which \p IsWanted returns true; npos if there is none.
+template <typename predicate>
+std::size_t findBracket(std::string_view Text, std::size_t Start,
+                        predicate IsWanted) {
   std::size_t Index = Start;
   while (Index < Text.size()) {
-    if (Text[Index] == '"') {
+    const char Character = Text[Index];
+    if (Character == '"') {
       Index = endOfString(Text, Index);
       continue;
     }
-    if (isOpening(Text[Index]))
-      ++Levels;
-    else if (isClosing(Text[Index]))
-      --Levels;
-    ++Index;
-    if (Levels == 0)
+    const bool IsBracket = isOpening(Character) || isClosing(Character);
+    if (IsBracket && IsWanted(Character))
       return Index;
+    ++Index;
   }
   return std::string_view::npos;
 }
 
+/// The place after the list or object that starts at \p Start; npos if it has
+/// no end.
+std::size_t endOfStructure(std::string_view Text, std::size_t Start) {
+  std::size_t Levels = 0;
+  const std::size_t Last = findBracket(Text, Start, [&Levels](char Bracket) {
+    Levels = isOpening(Bracket) ? Levels + 1 : Levels - 1;
+    return Levels == 0;
+  });
+  return Last == std::string_view::npos ? Last : Last + 1;
+}
+
 /// The place after the number or word that starts at \p Start.
 std::size_t endOfWord(std::string_view Text, std::size_t Start) {
   std::size_t Index = Start;
@@ -107,52 +117,54 @@
   std::size_t Index = 0;
 };
 
-/// Takes a member's name and the colon after it; nullopt if it has none.
-std::optional<std::string_view> takeName(text_cursor &Cursor) {
+/// Takes an element; nullopt if there is none.
+std::optional<std::string_view> takeElement(text_cursor &Cursor) {
+  const std::string_view Value = Cursor.takeValue();
+  return Value.empty() ? std::nullopt : std::optional(Value);
+}
+
+/// Takes a member; nullopt if its name, the colon or its value is missing.
+std::optional<json_member> takeMember(text_cursor &Cursor) {
   const std::string_view Quoted = Cursor.takeValue();
   if (Quoted.size() < 2 || Quoted.front() != '"' || !Cursor.take(':'))
     return std::nullopt;
-  return Quoted.substr(1, Quoted.size() - 2);
+  const std::string_view Value = Cursor.takeValue();
+  if (Value.empty())
+    return std::nullopt;
+  return json_member{Quoted.substr(1, Quoted.size() - 2), Value};
 }
 
-} // namespace
-
-std::optional<std::vector<json_member>> splitJsonObject(std::string_view Text) {
-  std::vector<json_member> Members;
+/// Splits a list or an object into what \p TakePart takes between its commas.
+template <typename part>
+std::optional<std::vector<part>>
+split(std::string_view Text, char Opening, char Closing,
+      std::optional<part> (*TakePart)(text_cursor &)) {
+  std::vector<part> Parts;
   text_cursor Cursor(Text);
-  if (!Cursor.take('{'))
+  if (!Cursor.take(Opening))
     return std::nullopt;
-  if (Cursor.take('}'))
-    return Cursor.atEnd() ? std::optional(Members) : std::nullopt;
-  do {
-    const std::optional<std::string_view> Name = takeName(Cursor);
-    const std::string_view Value = Cursor.takeValue();
-    if (!Name || Value.empty())
+  if (!Cursor.take(Closing)) {
+    do {
+      const std::optional<part> Part = TakePart(Cursor);
+      if (!Part)
+        return std::nullopt;
+      Parts.push_back(*Part);
+    } while (Cursor.take(','));
+    if (!Cursor.take(Closing))
       return std::nullopt;
-    Members.push_back({*Name, Value});
-  } while (Cursor.take(','));
-  if (!Cursor.take('}') || !Cursor.atEnd())
-    return std::nullopt;
-  return Members;
+  }
+  return Cursor.atEnd() ? std::optional(std::move(Parts)) : std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::vector<json_member>> splitJsonObject(std::string_view Text) {
+  return split<json_member>(Text, '{', '}', takeMember);
 }
 
 std::optional<std::vector<std::string_view>>
 splitJsonArray(std::string_view Text) {
-  std::vector<std::string_view> Elements;
-  text_cursor Cursor(Text);
-  if (!Cursor.take('['))
-    return std::nullopt;
-  if (Cursor.take(']'))
-    return Cursor.atEnd() ? std::optional(Elements) : std::nullopt;
-  do {
-    const std::string_view Value = Cursor.takeValue();
-    if (Value.empty())
-      return std::nullopt;
-    Elements.push_back(Value);
-  } while (Cursor.take(','));
-  if (!Cursor.take(']') || !Cursor.atEnd())
-    return std::nullopt;
-  return Elements;
+  return split<std::string_view>(Text, '[', ']', takeElement);
 }
 
 std::string_view findMember(const std::vector<json_member> &Members,
@@ -163,21 +175,17 @@
   return Last == Members.rend() ? std::string_view() : Last->Value;
 }
 
-bool isJsonDeeperThan(std::string_view Text, std::size_t Levels) {
+std::optional<std::size_t> findBeyondLevels(std::string_view Text,
+                                            std::size_t Levels) {
   std::size_t Open = 0;
-  std::size_t Index = 0;
-  while (Index < Text.size()) {
-    if (Text[Index] == '"') {
-      Index = endOfString(Text, Index);
-      continue;
-    }
-    if (isOpening(Text[Index]) && ++Open > Levels)
-      return true;
-    if (isClosing(Text[Index]) && Open > 0)
+  const std::size_t Place = findBracket(Text, 0, [&Open, Levels](char Bracket) {
+    if (isOpening(Bracket))
+      return ++Open > Levels;
+    if (Open > 0)
       --Open;
-    ++Index;
-  }
-  return false;
+    return false;
+  });
+  return Place == std::string_view::npos ? std::nullopt : std::optional(Place);
 }
 
 } // namespace spindle
--- a/Libraries/LibCore/json_split.h
+++ b/Libraries/LibCore/json_split.h
@@ -28,9 +28,10 @@
 std::string_view findMember(const std::vector<json_member> &Members,
                             std::string_view Name);
 
-/// Whether JSON text has more than \p Levels levels of lists and objects. Does
-/// not recurse. Thread-safe.
-bool isJsonDeeperThan(std::string_view Text, std::size_t Levels);
+/// The place of the bracket that opens the first list or object beyond
+/// \p Levels levels; nullopt if there is none. Does not recurse. Thread-safe.
+std::optional<std::size_t> findBeyondLevels(std::string_view Text,
+                                            std::size_t Levels);
 
 } // namespace spindle
 
--- a/Libraries/LibEngine/completion_request.cpp
+++ b/Libraries/LibEngine/completion_request.cpp
@@ -1,6 +1,6 @@
 #include "LibEngine/completion_request.h"
 
-#include "LibCore/json_split.h"
+#include "LibCore/bounded_json.h"
 #include "LibCore/result_code.h"
 
 #include <algorithm>
@@ -45,15 +45,16 @@
 }
 
 static json parseBody(std::string_view Body) {
-  if (isJsonDeeperThan(Body, MaxBodyDepth))
-    throw spindle_error(result_code::BadRequest,
-                        "the body is nested too deeply");
   try {
-    json Parsed = json::parse(Body);
+    json Parsed = parseBoundedJson(Body);
     if (!Parsed.is_object())
       throw spindle_error(result_code::BadRequest,
                           "the body is not a JSON object");
     return Parsed;
+  } catch (const json_too_deep &Error) {
+    throw spindle_error(result_code::BadRequest,
+                        "the body is nested too deeply at byte " +
+                            std::to_string(Error.place() + 1));
   } catch (const json::exception &Error) {
     throw spindle_error(result_code::BadRequest,
                         std::string("the body is not valid JSON: ") +
--- a/Libraries/LibEngine/completion_request.h
+++ b/Libraries/LibEngine/completion_request.h
@@ -43,8 +43,6 @@
 
 /// How many leading bytes of a prompt its prefix hash covers.
 inline constexpr std::size_t PrefixHashBytes = 256;
-/// Deeper nested bodies are refused.
-inline constexpr std::size_t MaxBodyDepth = 64;
 
 /// Reads the body of \p Endpoint.
 /// \throws spindle_error BadRequest whose message names field and place.
--- a/Tests/LibCore/test_json_split.cpp
+++ b/Tests/LibCore/test_json_split.cpp
@@ -39,9 +39,9 @@
 }
 
 TEST_CASE("a deep value passes the bound on levels") {
-  REQUIRE_FALSE(isJsonDeeperThan("[[1],[2]]", 2));
-  REQUIRE(isJsonDeeperThan("[[1],[[2]]]", 2));
-  REQUIRE_FALSE(isJsonDeeperThan(R"(["[[[\"[[["])", 1));
+  REQUIRE_FALSE(findBeyondLevels("[[1],[2]]", 2));
+  REQUIRE(findBeyondLevels("[[1],[[2]]]", 2) == std::size_t{6});
+  REQUIRE_FALSE(findBeyondLevels(R"(["[[[\"[[["])", 1));
   const std::string Allowed =
       std::string(MaxJsonLevels, '[') + "7" + std::string(MaxJsonLevels, ']');
   REQUIRE(parseBoundedJson(Allowed).is_array());
--- a/Tests/LibEngine/test_completion_request.cpp
+++ b/Tests/LibEngine/test_completion_request.cpp
@@ -1,3 +1,4 @@
+#include "LibCore/bounded_json.h"
 #include "LibCore/result_code.h"
 #include "LibEngine/completion_request.h"
 
@@ -94,10 +95,10 @@
   CHECK_THAT(refusal(Chat, R"({"model":"a","messages":[{"role":"user"},7]})"),
              Contains("messages[1]"));
   CHECK_THAT(refusal(Text, "{\"a\":" + std::string(100'000, '[')),
-             Contains("nested too deeply"));
+             Contains("nested too deeply at byte 69"));
   const std::string Quoted = R"("\"[[[[\\")";
   CHECK_THAT(refusal(Text, "{\"a\":" + Quoted + ",\"b\":" +
-                               std::string(MaxBodyDepth, '[') + "7"),
+                               std::string(MaxJsonLevels, '[') + "7"),
              Contains("nested too deeply"));
   CHECK_THAT(refusal(Text, R"({"prompt":"\")" + std::string(70, '[') + "\"}"),
              Contains("\"model\""));
