Tests: Share what the end-to-end tests repeat

A folder for a test's files stood three times, the search for a free port twice, the loop that looks for a line in a log three times, and the stream that is under way while its host is stopped twice: temporary_folder, occupied_port, child_process::readLineWith() and askForSlowStream(). A check that fails while the stream is under way joins its caller now, where it ended the test program before.

--- a/Tests/EndToEnd/child_process.cpp
+++ b/Tests/EndToEnd/child_process.cpp
@@ -52,6 +52,13 @@
   return Line;
 }
 
+std::string child_process::readLineWith(std::string_view Text) {
+  std::string Line = readLine();
+  while (!Line.empty() && Line.find(Text) == std::string::npos)
+    Line = readLine();
+  return Line;
+}
+
 std::vector<endpoint> child_process::readAddresses() {
   // Log lines may come before.
   std::string Line = readLine();
--- a/Tests/EndToEnd/child_process.h
+++ b/Tests/EndToEnd/child_process.h
@@ -5,6 +5,7 @@
 
 #include <span>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <vector>
 
@@ -24,6 +25,8 @@
 
   /// The next line of standard output; empty at its end.
   std::string readLine();
+  /// The next line that contains \p Text; empty if the output ends before.
+  std::string readLineWith(std::string_view Text);
   /// Waits for the line "listening ADDRESS..." and returns its addresses.
   std::vector<endpoint> readAddresses();
   /// Reads all that the program prints until it ends.
--- a/Tests/EndToEnd/fleet.cpp
+++ b/Tests/EndToEnd/fleet.cpp
@@ -6,8 +6,6 @@
 #include <fstream>
 #include <stdexcept>
 
-#include <stdlib.h>
-
 namespace spindle {
 
 using json = nlohmann::json;
@@ -28,11 +26,6 @@
 }
 
 fleet::fleet(const fleet_size &Size) {
-  std::string Name =
-      (std::filesystem::temp_directory_path() / "spindle-XXXXXX").string();
-  if (!mkdtemp(Name.data()))
-    throw std::runtime_error("no folder for the test's files");
-  Folder = Name;
   StandIns.push_back(
       start("platform_stand_in", {"--loads-per-second", "50"}, Platform));
   Engines.resize(Size.Engines);
@@ -59,7 +52,6 @@
 fleet::~fleet() {
   Hosts.clear();
   StandIns.clear();
-  std::filesystem::remove_all(Folder);
 }
 
 std::string fleet::hostName(std::size_t Index) const {
@@ -78,7 +70,7 @@
 }
 
 std::string fleet::filePath(const std::string &Name) const {
-  return (Folder / Name).string();
+  return (Folder.path() / Name).string();
 }
 
 std::string fleet::writeIntent(const std::string &Name,
--- a/Tests/EndToEnd/fleet.h
+++ b/Tests/EndToEnd/fleet.h
@@ -2,10 +2,10 @@
 #define PARSLEYSPINDLE_TESTS_ENDTOEND_FLEET_H
 
 #include "EndToEnd/child_process.h"
+#include "EndToEnd/temporary_folder.h"
 #include "LibHTTP/http_client.h"
 #include "LibRuntime/fiber_runtime.h"
 
-#include <filesystem>
 #include <functional>
 #include <memory>
 #include <string>
@@ -95,7 +95,7 @@
   // One thread, so that a call can be started in one run() and read in another.
   fiber_runtime Runtime{1};
   http_client Client;
-  std::filesystem::path Folder;
+  const temporary_folder Folder;
   std::vector<std::unique_ptr<child_process>> StandIns;
   std::vector<running_host> Hosts;
 };
--- a/Tests/EndToEnd/forwarding_fleet.cpp
+++ b/Tests/EndToEnd/forwarding_fleet.cpp
@@ -1,15 +1,11 @@
 #include "EndToEnd/forwarding_fleet.h"
 
+#include "EndToEnd/occupied_port.h"
 #include "LibCore/result_code.h"
 
 #include <fstream>
 #include <stdexcept>
 
-#include <arpa/inet.h>
-#include <stdlib.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 namespace spindle {
 
 using json = nlohmann::json;
@@ -19,29 +15,11 @@
 static constexpr seconds ReadyLimit{20};
 
 /// A port that is free now. The kernel gives it to nobody else for a while.
-static endpoint freePort() {
-  const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Size = sizeof Address;
-  const bool Failed =
-      ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) != 0 ||
-      ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) != 0;
-  ::close(Socket);
-  if (Failed)
-    throw std::runtime_error("no free port");
-  return {"127.0.0.1", ntohs(Address.sin_port)};
-}
+static endpoint freePort() { return parseEndpoint(occupied_port().address()); }
 
 static std::string zoneOf(std::size_t Host) { return Host < 2 ? "a" : "b"; }
 
 forwarding_fleet::forwarding_fleet() {
-  std::string Name =
-      (std::filesystem::temp_directory_path() / "spindle-XXXXXX").string();
-  if (!mkdtemp(Name.data()))
-    throw std::runtime_error("no folder for the test's files");
-  Folder = Name;
   for (const char *const Zone : {"a", "b"}) {
     const std::string Suffix = Zone;
     Engines.push_back(std::make_unique<upstream_stand_in>(
@@ -76,10 +54,7 @@
          Store.has("spindlemembers", "lead.b");
 }
 
-forwarding_fleet::~forwarding_fleet() {
-  Hosts.clear();
-  std::filesystem::remove_all(Folder);
-}
+forwarding_fleet::~forwarding_fleet() = default;
 
 void forwarding_fleet::registerAll() {
   for (const auto *const List : {&Engines, &Services})
@@ -134,7 +109,7 @@
 
 void forwarding_fleet::writeSettings(std::size_t Host) {
   Hosts[Host].SettingsFile =
-      (Folder / ("host-" + std::to_string(Host) + ".json")).string();
+      (Folder.path() / ("host-" + std::to_string(Host) + ".json")).string();
   Hosts[Host].Callers = freePort();
   Hosts[Host].Ready = freePort();
   json Settings;
--- a/Tests/EndToEnd/forwarding_fleet.h
+++ b/Tests/EndToEnd/forwarding_fleet.h
@@ -2,12 +2,12 @@
 #define PARSLEYSPINDLE_TESTS_ENDTOEND_FORWARDING_FLEET_H
 
 #include "EndToEnd/child_process.h"
+#include "EndToEnd/temporary_folder.h"
 #include "LibForwarding/object_store_stand_in.h"
 #include "LibForwarding/upstream_stand_in.h"
 #include "LibHTTP/http_client.h"
 #include "LibRuntime/fiber_runtime.h"
 
-#include <filesystem>
 #include <memory>
 #include <string>
 #include <vector>
@@ -74,7 +74,7 @@
   forwarded_answer send(std::size_t Host, const http_request_head &Head,
                         const std::string &Body);
 
-  std::filesystem::path Folder;
+  const temporary_folder Folder;
   http_client Client;
   std::vector<running_host> Hosts;
   std::vector<endpoint> Links;
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -29,6 +30,21 @@
     Upstream->set(Switches);
 }
 
+/// Asks host 0 for a stream of 1.5 s and runs \p During while it is sent.
+forwarded_answer askForSlowStream(forwarding_fleet &Fleet,
+                                  const std::function<void()> &During) {
+  upstream_switches Slow;
+  Slow.EventPause = milliseconds(300);
+  setAll(Fleet.Engines, Slow);
+  forwarded_answer Answer;
+  {
+    const std::jthread Caller([&] { Answer = Fleet.ask(0, "s1", "a1"); });
+    sleepFor(milliseconds(600));
+    During();
+  }
+  return Answer;
+}
+
 } // namespace
 
 TEST_CASE("forwarding: streams, orders and checks pass unchanged") {
@@ -230,16 +246,11 @@
 
 TEST_CASE("forwarding: a stopped host ends its streams and cuts none") {
   forwarding_fleet Fleet;
-  upstream_switches Slow;
-  Slow.EventPause = milliseconds(300);
-  setAll(Fleet.Engines, Slow);
-  forwarded_answer Answer;
-  std::thread Caller([&] { Answer = Fleet.ask(0, "s1", "a1"); });
-  sleepFor(milliseconds(600));
-  Fleet.host(0).signal(SIGTERM);
-  sleepFor(milliseconds(200));
-  REQUIRE_FALSE(Fleet.ready(0));
-  Caller.join();
+  const forwarded_answer Answer = askForSlowStream(Fleet, [&Fleet] {
+    Fleet.host(0).signal(SIGTERM);
+    sleepFor(milliseconds(200));
+    REQUIRE_FALSE(Fleet.ready(0));
+  });
   REQUIRE(Answer.Whole);
   REQUIRE(Answer.Body == WholeStream);
   REQUIRE(Fleet.host(0).wait() == 0);
@@ -247,16 +258,11 @@
 
 TEST_CASE("forwarding: a SIGTERM that comes twice cuts a stream") {
   forwarding_fleet Fleet;
-  upstream_switches Slow;
-  Slow.EventPause = milliseconds(300);
-  setAll(Fleet.Engines, Slow);
-  forwarded_answer Answer;
-  std::thread Caller([&] { Answer = Fleet.ask(0, "s1", "a1"); });
-  sleepFor(milliseconds(600));
-  Fleet.host(0).signal(SIGTERM);
-  sleepFor(milliseconds(250));
-  Fleet.host(0).signal(SIGTERM);
-  Caller.join();
+  const forwarded_answer Answer = askForSlowStream(Fleet, [&Fleet] {
+    Fleet.host(0).signal(SIGTERM);
+    sleepFor(milliseconds(250));
+    Fleet.host(0).signal(SIGTERM);
+  });
   REQUIRE(Answer.Whole);
   REQUIRE(Answer.Body == WholeStream);
   REQUIRE(Fleet.host(0).wait() == 0);
@@ -355,10 +361,7 @@
   const std::string File = Fleet.settingsFile(0);
   std::ofstream(File) << "{ \"name\": 7 }";
   Fleet.host(0).signal(SIGHUP);
-  std::string Line;
-  do
-    Line = Fleet.host(0).readLine();
-  while (!Line.empty() && Line.find("SettingsRefused") == std::string::npos);
+  const std::string Line = Fleet.host(0).readLineWith("SettingsRefused");
   REQUIRE(Line.find("name") != std::string::npos);
   REQUIRE(Fleet.ready(0));
   REQUIRE(Fleet.call(0, "c1", "/check/1", "").Status == 200);
--- a/Tests/EndToEnd/test_host_start.cpp
+++ b/Tests/EndToEnd/test_host_start.cpp
@@ -1,15 +1,14 @@
 #include "EndToEnd/child_process.h"
 #include "EndToEnd/occupied_port.h"
+#include "EndToEnd/temporary_folder.h"
 
 #include <csignal>
-#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <optional>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
-#include <stdlib.h>
 
 using namespace spindle;
 using json = nlohmann::json;
@@ -18,22 +17,6 @@
 
 constexpr int ExitCannotStart = 2;
 
-/// A folder for settings that is removed with the object.
-struct temporary_folder {
-  temporary_folder() {
-    std::string Name =
-        (std::filesystem::temp_directory_path() / "spindle-XXXXXX").string();
-    if (!mkdtemp(Name.data()))
-      throw std::runtime_error("no folder for the test's files");
-    Path = Name;
-  }
-  ~temporary_folder() { std::filesystem::remove_all(Path); }
-  temporary_folder(const temporary_folder &) = delete;
-  temporary_folder &operator=(const temporary_folder &) = delete;
-
-  std::filesystem::path Path;
-};
-
 /// Starts a host without a platform; \p Field of its addresses is \p Address.
 std::unique_ptr<child_process> startHost(const temporary_folder &Folder,
                                          const std::string &Field,
@@ -49,7 +32,7 @@
   Settings["platform"] = {{"servers", {"127.0.0.1:9"}}, {"callTimeoutMs", 100}};
   Settings["log"] = {{"json", true}};
   Settings["timeouts"] = {{"drainMs", 1'000}, {"drainDelayMs", 100}};
-  const std::string File = Folder.Path / (Field + ".json");
+  const std::string File = Folder.path() / (Field + ".json");
   std::ofstream(File) << Settings.dump(2);
   return std::make_unique<child_process>(
       "spindled", std::vector<std::string>{"--settings", File});
@@ -79,11 +62,8 @@
   const std::string Address = Port->address();
   const std::unique_ptr<child_process> Host =
       startHost(Folder, "callers", Address);
-  std::string Line;
-  do
-    Line = Host->readLine();
-  while (!Line.empty() && Line.find("AddressInUse") == std::string::npos);
-  REQUIRE(Line.find(Address) != std::string::npos);
+  REQUIRE(Host->readLineWith("AddressInUse").find(Address) !=
+          std::string::npos);
   Port.reset();
   REQUIRE(toText(Host->readAddresses().at(0)) == Address);
   Host->signal(SIGTERM);
@@ -95,10 +75,7 @@
   const occupied_port Port;
   const std::unique_ptr<child_process> Host =
       startHost(Folder, "hostLink", Port.address());
-  std::string Line;
-  do
-    Line = Host->readLine();
-  while (!Line.empty() && Line.find("AddressInUse") == std::string::npos);
+  REQUIRE_FALSE(Host->readLineWith("AddressInUse").empty());
   Host->signal(SIGTERM);
   REQUIRE(Host->wait() == 0);
 }
--- a/Tests/Platform/test_object_store.cpp
+++ b/Tests/Platform/test_object_store.cpp
@@ -1,4 +1,3 @@
-#include "LibCore/result_code.h"
 #include "LibHTTP/http_server.h"
 #include "platform/object_store.h"
 
