LibMembership, LibHTTP, spindled: Name and say things for a newcomer

zone_grants is read and written by readZoneGrants() and writeZoneGrants(), which had kept the name of the type before; needOf() returns an adapter_need; waitForStop() waits. Four comments spoke of processes as of persons, or of "this one". Names of stored objects stay. No code changes.

--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -212,8 +212,8 @@
 }
 
 static adapter_need
-presenceOf(const std::map<adapter_name, std::uint64_t> &Adapters,
-           const upstream_query &Query) {
+needOf(const std::map<adapter_name, std::uint64_t> &Adapters,
+       const upstream_query &Query) {
   const request_description &Request = *Query.Model;
   if (Request.Adapter.empty())
     return adapter_need::NotNeeded;
@@ -254,7 +254,7 @@
   Candidate.Health = healthOf(Known);
   if (!Query.Model)
     return Candidate;
-  Candidate.Adapter = presenceOf(Known.Adapters, Query);
+  Candidate.Adapter = needOf(Known.Adapters, Query);
   Candidate.HasAvailableSlot =
       Known.AvailableSlots > 0 || Known.AvailableSlotsValidUntil <= Clock.now();
   Candidate.CachedTokens = Known.Prompts.cachedTokens(*Query.Model);
@@ -303,12 +303,12 @@
   if (Ranked.empty())
     return std::nullopt;
   const upstream_choice &Best = Ranked.front();
-  const adapter_need Presence = Candidates[Best.Index].Adapter;
+  const adapter_need Need = Candidates[Best.Index].Adapter;
   chosen_upstream Chosen;
   Chosen.Upstream = States[Best.Index]->Entry;
   Chosen.ExpectedMilliseconds = Best.ExpectedMilliseconds;
   Chosen.ServiceMilliseconds = Best.ServiceMilliseconds;
-  Chosen.AdapterLoaded = Presence != adapter_need::Absent;
+  Chosen.AdapterLoaded = Need != adapter_need::Absent;
   Chosen.Engines.push_back(Chosen.Upstream);
   if (Chosen.AdapterLoaded)
     return Chosen;
--- a/Libraries/LibHTTP/beast_exchange.h
+++ b/Libraries/LibHTTP/beast_exchange.h
@@ -61,7 +61,7 @@
   http_request_head Head;
   phase Phase = phase::Waiting;
   bool ContinueSent = false;
-  /// Whether the response told the caller that the connection closes.
+  /// Whether the response was sent with "Connection: close".
   bool AnnouncedClose = false;
   std::shared_ptr<std::atomic<bool>> Watching;
 };
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -33,9 +33,9 @@
   /// Tells the answer to this request from a late answer to an earlier one,
   /// which is read and dropped. Empty: the first answer is taken.
   std::function<bool(const http_response_head &)> IsOwnAnswer;
-  /// Pooled connections that the call must not use, by their numbers: those
-  /// that an answer to an earlier send of the same request may still come on,
-  /// which IsOwnAnswer can't tell from the answer to this one.
+  /// The numbers of pooled connections that the call must not use. An answer to
+  /// an earlier send of the same request may still arrive on them, and
+  /// IsOwnAnswer would accept it.
   std::vector<std::uint64_t> AvoidedConnections;
   /// Ends the call early if it is cancelled; may be null.
   std::shared_ptr<cancellation> Cancellation;
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -97,8 +97,8 @@
   /// connections are still accepted, since the balancer lags. Thread-safe.
   void startDrain();
   /// Stops accepting, and refuses each request that is read from now on with
-  /// HostStops; running exchanges go on. Connections stay open for that, until
-  /// a response has told their callers that they close. Thread-safe.
+  /// HostStops; running exchanges go on. A connection stays open until a
+  /// response with "Connection: close" was sent on it. Thread-safe.
   void refuseNew();
   /// Replaces the limits for requests that are read from now on. Thread-safe.
   void setLimits(const http_server_limits &Limits);
--- a/Libraries/LibHost/zone_table_manager.cpp
+++ b/Libraries/LibHost/zone_table_manager.cpp
@@ -54,11 +54,11 @@
       Platform.Get(platform_kind::ZoneTables, FleetTableName);
   if (Object) {
     FleetVersion = Object->Version;
-    return readFleetTable(Object->Body);
+    return readZoneGrants(Object->Body);
   }
   zone_grants Empty;
   FleetVersion = Platform.Create(platform_kind::ZoneTables, FleetTableName,
-                                 writeFleetTable(Empty));
+                                 writeZoneGrants(Empty));
   return Empty;
 }
 
@@ -77,7 +77,7 @@
   if (Next) {
     Next->Nonce = Settings.Name + "-" + std::to_string(++Writes);
     FleetVersion = Platform.Update(platform_kind::ZoneTables, FleetTableName,
-                                   *FleetVersion, writeFleetTable(*Next));
+                                   *FleetVersion, writeZoneGrants(*Next));
     Fleet = *Next;
   }
   Grant = Fleet.Zones[Settings.Zone];
--- a/Libraries/LibMembership/zone_table.cpp
+++ b/Libraries/LibMembership/zone_table.cpp
@@ -62,7 +62,7 @@
   }
 }
 
-std::string writeFleetTable(const zone_grants &Table) {
+std::string writeZoneGrants(const zone_grants &Table) {
   json Zones = json::object();
   for (const auto &[Name, Grant] : Table.Zones)
     Zones[Name] = {{"ppm", Grant.PartsPerMillion},
@@ -73,7 +73,7 @@
       .dump();
 }
 
-zone_grants readFleetTable(std::string_view Text) {
+zone_grants readZoneGrants(std::string_view Text) {
   try {
     const json Value = parseBoundedJson(Text);
     zone_grants Table;
--- a/Libraries/LibMembership/zone_table.h
+++ b/Libraries/LibMembership/zone_table.h
@@ -67,15 +67,15 @@
   bool operator==(const zone_grants &) const = default;
 };
 
-/// The name of the fleet table; zone tables are named for their zones.
+/// The name of the stored zone grants; zone tables are named for their zones.
 inline constexpr std::string_view FleetTableName = "_fleet";
 
 std::string writeZoneTable(const zone_table &Table);
 /// \throws spindle_error Internal. Thread-safe.
 zone_table readZoneTable(std::string_view Text);
-std::string writeFleetTable(const zone_grants &Table);
+std::string writeZoneGrants(const zone_grants &Table);
 /// \throws spindle_error Internal. Thread-safe.
-zone_grants readFleetTable(std::string_view Text);
+zone_grants readZoneGrants(std::string_view Text);
 
 } // namespace spindle
 
--- a/Services/spindled/main.cpp
+++ b/Services/spindled/main.cpp
@@ -97,9 +97,10 @@
 
 bool asksToStop(int Signal) { return Signal == SIGTERM || Signal == SIGINT; }
 
-/// Waits until \p Until; returns earlier, with true, if a signal asks to stop.
-bool isStopped(const sigset_t &Signals, const runtime_clock &Clock,
-               time_point Until) {
+/// Waits until \p Until, or until a signal asks to stop; returns whether one
+/// did.
+bool waitForStop(const sigset_t &Signals, const runtime_clock &Clock,
+                 time_point Until) {
   while (Clock.now() < Until)
     if (asksToStop(nextSignal(Signals)))
       return true;
@@ -137,7 +138,7 @@
       if (Waited >= MaxWait)
         throw;
     }
-    if (isStopped(Signals, Clock, Clock.now() + ListenPause))
+    if (waitForStop(Signals, Clock, Clock.now() + ListenPause))
       return std::nullopt;
   }
 }
@@ -163,7 +164,7 @@
   Host.StartDrain();
   while (!Host.Drained()) {
     Signal = nextSignal(Signals);
-    // Whoever stops processes may send SIGTERM to a group and to each member.
+    // A supervisor may send SIGTERM to a process group and to its members.
     if (Signal == SIGTERM)
       logEvent(log_event::StopRepeated, {});
     if (Signal != SIGINT)
