--- a/Tests/Platform/test_object_store.cpp
+++ b/Tests/Platform/test_object_store.cpp
@@ -1,6 +1,10 @@
+#include "LibCore/result_code.h"
 #include "LibHTTP/http_server.h"
 #include "platform/object_store.h"
 
+#include <optional>
+#include <string>
+
 #include <catch2/catch.hpp>
 
 using namespace spindle;
@@ -123,3 +127,43 @@
     CHECK(Changes.Events.size() == Count);
   }
 }
+
+TEST_CASE(
+    "a response that the store can't have meant is taken for a good one") {
+  const auto CodeOf = [](fixed_store &Store, const auto &Call) {
+    std::optional<result_code> Code;
+    Store.Runtime.runBlocking([&] {
+      try {
+        Call(Store.Port);
+      } catch (const spindle_error &Error) {
+        Code = Error.code();
+        CHECK(std::string(Error.what()).find("/objects/servers") !=
+              std::string::npos);
+      }
+    });
+    return Code;
+  };
+  const auto List = [](const platform_port &Port) { Port.List("servers"); };
+  const auto Watch = [](const platform_port &Port) {
+    Port.Changes("servers", 1, milliseconds(0));
+  };
+  const auto Remove = [](const platform_port &Port) {
+    Port.Remove("servers", "a", 7);
+  };
+  fixed_store NoObject("deleted");
+  CHECK(CodeOf(NoObject, Remove) == result_code::PlatformUnavailable);
+  CHECK(CodeOf(NoObject, List) == result_code::PlatformUnavailable);
+  CHECK(CodeOf(NoObject, Watch) == result_code::PlatformUnavailable);
+  fixed_store NoFlag(R"({"items":[],"has-more":"true","current-rev":9})");
+  CHECK(CodeOf(NoFlag, List) == result_code::PlatformUnavailable);
+  fixed_store NoDeletion(R"({"events":[{"object":)" + stored("a", "{}") +
+                         R"(,"deleted":1}],"current-rev":9})");
+  CHECK(CodeOf(NoDeletion, Watch) == result_code::PlatformUnavailable);
+  fixed_store NoRevision(R"({"items":[],"events":[],"has-more":false})");
+  CHECK(CodeOf(NoRevision, List) == result_code::PlatformUnavailable);
+  CHECK(CodeOf(NoRevision, Watch) == result_code::PlatformUnavailable);
+  fixed_store Sound(R"({"items":[],"events":[],"current-rev":9})");
+  CHECK_FALSE(CodeOf(Sound, List));
+  CHECK_FALSE(CodeOf(Sound, Watch));
+  CHECK_FALSE(CodeOf(Sound, Remove));
+}
