--- a/Libraries/LibGateway/gateway_codec.h
+++ b/Libraries/LibGateway/gateway_codec.h
@@ -6,6 +6,7 @@
 #include "LibGateway/upstream_entry.h"
 #include "LibGateway/upstream_statement.h"
 #include "LibHTTP/http_message.h"
+#include "LibRouting/engine_facts.h"
 
 #include <functional>
 
@@ -37,6 +38,11 @@
   /// Whether the upstream's signature is present.
   bool Signed = false;
   upstream_statement Statement;
+  /// What an engine states of its load; none if it states nothing that can be
+  /// read.
+  std::optional<engine_reading> Reading;
+  /// Whether the response states a load that can't be read.
+  bool HasMalformedReading = false;
 };
 
 /// Encodes and decodes the requests, responses and records of external systems.
--- a/Libraries/LibGateway/gateway_configuration.h
+++ b/Libraries/LibGateway/gateway_configuration.h
@@ -46,6 +46,9 @@
   /// The silence after which callers abandon a stream, also before its first
   /// event; 0 if not known.
   milliseconds MaxSilence{0};
+  /// The longest pause between two events of a stream that meets the
+  /// objective; 0 if the operator sets none.
+  milliseconds GapObjective{0};
   /// Smaller values are more urgent.
   int Priority = 0;
   /// The largest number of upstreams that one request is sent to.
@@ -75,6 +78,8 @@
   std::uint32_t AdapterSlots = 0;
   std::uint32_t BatchSlots = 0;
   std::int64_t CacheTokens = 0;
+  /// The output tokens that one event of a stream holds; 0 if not known.
+  std::uint32_t TokensPerEvent = 0;
   /// Memory for models and adapters together.
   double Megabytes = 0;
   std::vector<base_model> Models;
--- a/Libraries/LibGateway/request_description.h
+++ b/Libraries/LibGateway/request_description.h
@@ -32,6 +32,8 @@
   bool HasTokenCounts = false;
   std::int64_t PromptTokens = 0;
   std::int64_t MaxOutputTokens = 0;
+  /// The caller's own estimate of the output tokens.
+  std::optional<std::int64_t> OutputHint;
   std::vector<prompt_part> Prompt;
   /// Set if the caller resumes a stream.
   std::string LastEventId;
