LibGateway, LibRouting: Let a zone's leader place requests by their work

Cause: a host sees a small part of the traffic, and what others report is older than most prompts take to be read, so that all hosts send long prompts to the same engines and beside streams that may not pause. Change: where a zone has enough engines (setting routing.placementMinEngines), hosts pass a request's work to the leader with the request for its adapter. The leader keeps what it has placed on each engine (engine_work) and takes the engine of the highest value (engine_placement): worth in time, harm to the streams there, loads, memory and batch slots. Hosts fall back to their own choice while the leader does not reply.

--- a/Libraries/LibGateway/adapter_controller.cpp
+++ b/Libraries/LibGateway/adapter_controller.cpp
@@ -503,6 +503,25 @@
   }
 }
 
+std::vector<adapter_outlook>
+adapter_controller::outlooks(std::span<const upstream_pointer> Entries,
+                             const versioned_adapter &Wanted) {
+  std::vector<engine_pointer> Known;
+  for (const upstream_pointer &Entry : Entries)
+    Known.push_back(engineFor(Entry));
+  std::vector<adapter_outlook> Outlooks;
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  for (const engine_pointer &Engine : Known) {
+    adapter_outlook &Outlook = Outlooks.emplace_back();
+    Outlook.Slots = outlookFor(Engine->Slots, Wanted, Clock.now());
+    Outlook.LikelyHasCopy = Engine->PreviouslyLoaded.contains(Wanted.Name);
+    if (isUnresponsive(*Engine) &&
+        Outlook.Slots.Readiness != adapter_readiness::Ready)
+      Outlook.Slots.Readiness = adapter_readiness::NoSlot;
+  }
+  return Outlooks;
+}
+
 std::vector<available_slots> adapter_controller::listAvailableSlots() const {
   std::vector<available_slots> AvailableSlots;
   const std::lock_guard<std::mutex> Lock(Mutex);
--- a/Libraries/LibGateway/adapter_controller.h
+++ b/Libraries/LibGateway/adapter_controller.h
@@ -51,6 +51,13 @@
   versioned_adapter Adapter;
 };
 
+/// What it takes to serve requests for an adapter on one engine.
+struct adapter_outlook {
+  slot_outlook Slots;
+  /// Whether the engine probably has a copy of the adapter in its memory.
+  bool LikelyHasCopy = false;
+};
+
 /// Loads and unloads adapters on the engines of a zone while this host is the
 /// zone's leader. All methods are thread-safe.
 class adapter_controller {
@@ -71,6 +78,11 @@
   std::optional<adapter_location> hold(const versioned_adapter &Wanted,
                                        const slot_request &SlotRequest,
                                        time_point Until);
+  /// Returns what it takes to serve requests for \p Wanted on each of the
+  /// engines, in their order. An engine that answers no orders has no slot.
+  std::vector<adapter_outlook>
+  outlooks(std::span<const upstream_pointer> Entries,
+           const versioned_adapter &Wanted);
   /// Returns the number of adapters that each engine under this host's control
   /// could load now.
   std::vector<available_slots> listAvailableSlots() const;
--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -16,9 +16,11 @@
 adapter_holds::adapter_holds(const runtime_clock &Clock, fleet_table &Fleet,
                              zone_coordinator &Coordinator,
                              adapter_controller &Controller,
-                             host_link_port Peers, host_link::Sender Self)
+                             work_placer &Placer, host_link_port Peers,
+                             host_link::Sender Self)
     : Clock(Clock), Fleet(Fleet), Coordinator(Coordinator),
-      Controller(Controller), Peers(std::move(Peers)), Self(std::move(Self)) {}
+      Controller(Controller), Placer(Placer), Peers(std::move(Peers)),
+      Self(std::move(Self)) {}
 
 void adapter_holds::noteNoSlots(const hold_query &Query) const {
   for (const upstream_pointer &Engine : Query.Engines)
@@ -26,6 +28,8 @@
 }
 
 held_engine adapter_holds::useRegisteredAdapter(const hold_query &Query) const {
+  if (Query.Wanted.Name.Adapter.empty())
+    return {Query.Engines.front(), 0};
   for (const upstream_pointer &Engine : Query.Engines)
     for (const versioned_adapter &Adapter : Engine->Adapters)
       if (Adapter.Name == Query.Wanted.Name &&
@@ -38,25 +42,37 @@
           " cannot be asked for the adapter, and no engine has it registered");
 }
 
+/// Returns the engine, or null if it is none of those that the query allows.
+static upstream_pointer findAllowed(const hold_query &Query,
+                                    const fleet_table &Fleet,
+                                    upstream_id Engine) {
+  if (Query.Work)
+    return Fleet.find(Engine);
+  const auto Match = std::find_if(
+      Query.Engines.begin(), Query.Engines.end(),
+      [Engine](const upstream_pointer &Each) { return Each->Id == Engine; });
+  return Match == Query.Engines.end() ? nullptr : *Match;
+}
+
 /// Records that \p Engine has the adapter. Returns none if the query does not
-/// name the engine.
+/// allow the engine.
 std::optional<held_engine> adapter_holds::recordHold(const hold_query &Query,
                                                      upstream_id Engine,
                                                      std::uint64_t Version,
                                                      time_point RequestedAt) {
-  const auto Match = std::find_if(
-      Query.Engines.begin(), Query.Engines.end(),
-      [Engine](const upstream_pointer &Each) { return Each->Id == Engine; });
-  if (Match == Query.Engines.end())
+  const upstream_pointer Entry = findAllowed(Query, Fleet, Engine);
+  if (!Entry)
     return std::nullopt;
+  if (Query.Wanted.Name.Adapter.empty())
+    return held_engine{Entry, 0};
   Fleet.noteAdapter(Engine, {Query.Wanted.Name, Version}, true);
   const std::lock_guard<std::mutex> Lock(Mutex);
-  std::erase_if(ActiveHolds, [RequestedAt](const auto &Entry) {
-    return Entry.second.Until < RequestedAt;
+  std::erase_if(ActiveHolds, [RequestedAt](const auto &Active) {
+    return Active.second.Until < RequestedAt;
   });
   ActiveHolds[{Engine, Query.Wanted.Name}] = {Version, RequestedAt + HoldTerm -
                                                            SendMargin};
-  return held_engine{*Match, Version};
+  return held_engine{Entry, Version};
 }
 
 void adapter_holds::invalidate(const upstream_entry &Engine,
@@ -108,10 +124,78 @@
                     RequestedAt);
 }
 
+std::optional<held_engine> adapter_holds::placeLocally(const hold_query &Query,
+                                                       time_point Until) {
+  const time_point RequestedAt = Clock.now();
+  const upstream_entry &Preferred = *Query.Engines.front();
+  if (consumeRefusal(Preferred, Query.Wanted.Name))
+    Controller.noteMissing(Preferred.Id, Query.Wanted.Name);
+  placement_request Request;
+  Request.Service = Query.Work->Service;
+  Request.Description = *Query.Work->Description;
+  Request.AdapterVersion = Query.Wanted.Version;
+  Request.Query = Query.Work->Query;
+  Request.Query.Remaining = Query.OnTimeUntil - RequestedAt;
+  Request.Avoid = Query.Work->Avoid;
+  Request.Slot.OnTimeUntil = Query.OnTimeUntil;
+  Request.Slot.UsefulUntil = Query.UsefulUntil;
+  Request.Slot.Urgency = Query.Urgency;
+  const std::optional<placed_engine> Placed = Placer.place(Request, Until);
+  if (!Placed)
+    return std::nullopt;
+  std::optional<held_engine> Held =
+      recordHold(Query, Placed->Engine, Placed->Version, RequestedAt);
+  if (Held)
+    Held->Reading = Placed->Reading;
+  return Held;
+}
+
 static std::int64_t millisecondsUntil(time_point Time, time_point Now) {
   return std::chrono::duration_cast<milliseconds>(Time - Now).count();
 }
 
+static std::int64_t toMilliseconds(nanoseconds Time) {
+  return std::chrono::duration_cast<milliseconds>(Time).count();
+}
+
+static void writeWork(const hold_work &Work, host_link::RequestWork &Message) {
+  Message.set_service(std::string(Work.Service));
+  Message.set_prompt_tokens(Work.Query.PromptTokens);
+  Message.set_output_tokens(Work.Query.OutputTokens);
+  Message.set_high_output_tokens(Work.Query.HighOutputTokens);
+  Message.set_gap_ms(toMilliseconds(Work.Query.GapObjective));
+  Message.set_objective_ms(toMilliseconds(Work.Query.Objective));
+  for (const prompt_part &Part : Work.Description->Prompt) {
+    host_link::PromptPart &Written = *Message.add_parts();
+    Written.set_id(Part.Id);
+    Written.set_tokens(Part.Tokens);
+  }
+  for (const upstream_id Engine : Work.Avoid)
+    Message.add_avoid(Engine.Value);
+}
+
+static placement_request
+readWork(const host_link::HoldAdapterRequest &Message) {
+  const host_link::RequestWork &Work = Message.work();
+  placement_request Request;
+  Request.Service = Work.service();
+  Request.Description.Model = Message.model();
+  Request.Description.Adapter = Message.adapter();
+  Request.Description.PromptTokens = Work.prompt_tokens();
+  for (const host_link::PromptPart &Part : Work.parts())
+    Request.Description.Prompt.push_back({Part.id(), Part.tokens()});
+  Request.AdapterVersion = Message.version();
+  Request.Query.PromptTokens = Work.prompt_tokens();
+  Request.Query.OutputTokens = Work.output_tokens();
+  Request.Query.HighOutputTokens = Work.high_output_tokens();
+  Request.Query.GapObjective = milliseconds(Work.gap_ms());
+  Request.Query.Objective = milliseconds(Work.objective_ms());
+  Request.Query.Remaining = milliseconds(Message.on_time_ms());
+  for (const std::uint64_t Engine : Work.avoid())
+    Request.Avoid.push_back(upstream_id{Engine});
+  return Request;
+}
+
 std::optional<held_engine>
 adapter_holds::requestFromLeader(const hold_query &Query,
                                  const endpoint &Leader, time_point Until) {
@@ -121,8 +205,11 @@
   const upstream_entry &Preferred = *Query.Engines.front();
   host_link::HoldAdapterRequest Request;
   *Request.mutable_sender() = Self;
+  if (Query.Work)
+    writeWork(*Query.Work, *Request.mutable_work());
   for (const upstream_pointer &Engine : Query.Engines)
-    Request.add_upstreams(Engine->Name);
+    if (!Query.Work || Engine == Query.Engines.front())
+      Request.add_upstreams(Engine->Name);
   Request.set_model(Query.Wanted.Name.Model);
   Request.set_adapter(Query.Wanted.Name.Adapter);
   Request.set_version(Query.Wanted.Version);
@@ -140,10 +227,16 @@
     Fleet.noteZoneSilent(Preferred.Zone);
     return useRegisteredAdapter(Query);
   }
-  if (Reply.held())
-    return recordHold(Query, upstream_id::ofName(Reply.upstream()),
-                      Reply.version(), RequestedAt);
-  noteNoSlots(Query);
+  if (Reply.held()) {
+    std::optional<held_engine> Held =
+        recordHold(Query, upstream_id::ofName(Reply.upstream()),
+                   Reply.version(), RequestedAt);
+    if (Held)
+      Held->Reading = milliseconds(Reply.reading_ms());
+    return Held;
+  }
+  if (!Query.Work)
+    noteNoSlots(Query);
   if (Reply.waiting())
     return std::nullopt;
   throw spindle_error(result_code::AdapterNotLoaded, Reply.message());
@@ -151,17 +244,45 @@
 
 std::optional<held_engine> adapter_holds::hold(const hold_query &Query,
                                                time_point Until) {
-  if (std::optional<held_engine> Known = findActiveHold(Query))
-    return Known;
+  if (!Query.Work)
+    if (std::optional<held_engine> Known = findActiveHold(Query))
+      return Known;
   const std::string &Zone = Query.Engines.front()->Zone;
   if (Coordinator.fencingToken(Zone))
-    return holdLocally(Query, Until);
+    return Query.Work ? placeLocally(Query, Until) : holdLocally(Query, Until);
   const std::optional<endpoint> Leader = Coordinator.leaderOf(Zone);
   if (!Leader || *Leader == Coordinator.link())
     return useRegisteredAdapter(Query);
   return requestFromLeader(Query, *Leader, Until);
 }
 
+host_link::HoldAdapterReply
+adapter_holds::handlePlacement(const host_link::HoldAdapterRequest &Request) {
+  host_link::HoldAdapterReply Reply;
+  const time_point Now = Clock.now();
+  placement_request Placement = readWork(Request);
+  Placement.Slot.OnTimeUntil = Now + milliseconds(Request.on_time_ms());
+  Placement.Slot.UsefulUntil = Now + milliseconds(Request.useful_ms());
+  Placement.Slot.Urgency = Request.urgency();
+  try {
+    const std::optional<placed_engine> Placed =
+        Placer.place(Placement, Now + milliseconds(Request.wait_ms()));
+    const upstream_pointer Engine =
+        Placed ? Fleet.find(Placed->Engine) : nullptr;
+    Reply.set_held(Engine != nullptr);
+    Reply.set_waiting(!Engine);
+    if (!Engine)
+      return Reply;
+    Reply.set_term_ms(HoldTerm.count());
+    Reply.set_version(Placed->Version);
+    Reply.set_upstream(Engine->Name);
+    Reply.set_reading_ms(Placed->Reading.count());
+  } catch (const spindle_error &Error) {
+    Reply.set_message(Error.what());
+  }
+  return Reply;
+}
+
 host_link::HoldAdapterReply
 adapter_holds::handleHold(const host_link::HoldAdapterRequest &Request) {
   host_link::HoldAdapterReply Reply;
@@ -170,6 +291,8 @@
   if (Request.missing() && Request.upstreams_size() > 0)
     Controller.noteMissing(upstream_id::ofName(Request.upstreams(0)),
                            Wanted.Name);
+  if (Request.has_work())
+    return handlePlacement(Request);
   const time_point Now = Clock.now();
   slot_request SlotRequest;
   std::map<upstream_id, std::string> Names;
--- a/Libraries/LibGateway/adapter_holds.h
+++ b/Libraries/LibGateway/adapter_holds.h
@@ -4,6 +4,7 @@
 #include "LibCore/runtime_clock.h"
 #include "LibGateway/adapter_controller.h"
 #include "LibGateway/fleet_table.h"
+#include "LibGateway/work_placer.h"
 #include "LibGateway/zone_coordinator.h"
 #include "LibPeer/host_link_client.h"
 
@@ -15,6 +16,16 @@
 
 namespace spindle {
 
+/// What a request asks of the engine that the zone's leader chooses for it.
+struct hold_work {
+  std::string_view Service;
+  /// Never null.
+  const request_description *Description = nullptr;
+  placement_query Query;
+  /// Engines of the zone that this host may not use.
+  std::vector<upstream_id> Avoid;
+};
+
 /// The adapter that a request needs on one of a zone's engines, and until when.
 struct hold_query {
   /// The engines on which the adapter may be loaded, in order of preference.
@@ -26,12 +37,17 @@
   time_point UsefulUntil;
   /// A smaller value is more urgent.
   int Urgency = 0;
+  /// If set, the leader chooses among all engines of the zone. Engines then
+  /// serves only while the leader does not reply.
+  std::optional<hold_work> Work;
 };
 
 /// An engine that has the adapter loaded, and the adapter's version there.
 struct held_engine {
   upstream_pointer Engine;
   std::uint64_t Version = 0;
+  /// How long the engine is expected to read the prompt; 0 if not known.
+  milliseconds Reading{0};
 };
 
 /// Acquires and caches holds. A hold guarantees for HoldTerm that an engine
@@ -43,7 +59,8 @@
   /// All references must outlive the object.
   adapter_holds(const runtime_clock &Clock, fleet_table &Fleet,
                 zone_coordinator &Coordinator, adapter_controller &Controller,
-                host_link_port Peers, host_link::Sender Self);
+                work_placer &Placer, host_link_port Peers,
+                host_link::Sender Self);
 
   /// Returns an engine that has the adapter at the wanted version or a newer
   /// one; none if the adapter is not loaded by \p Until, after which the caller
@@ -72,6 +89,10 @@
   std::optional<held_engine> requestFromLeader(const hold_query &Query,
                                                const endpoint &Leader,
                                                time_point Until);
+  std::optional<held_engine> placeLocally(const hold_query &Query,
+                                          time_point Until);
+  host_link::HoldAdapterReply
+  handlePlacement(const host_link::HoldAdapterRequest &Request);
   held_engine useRegisteredAdapter(const hold_query &Query) const;
   void noteNoSlots(const hold_query &Query) const;
   std::optional<held_engine> recordHold(const hold_query &Query,
@@ -83,6 +104,7 @@
   fleet_table &Fleet;
   zone_coordinator &Coordinator;
   adapter_controller &Controller;
+  work_placer &Placer;
   const host_link_port Peers;
   const host_link::Sender Self;
   mutable std::mutex Mutex;
--- a/Libraries/LibGateway/adapter_slots.cpp
+++ b/Libraries/LibGateway/adapter_slots.cpp
@@ -83,6 +83,39 @@
   return {};
 }
 
+static slot_outlook outlookOfPresent(const adapter_slot &Slot,
+                                     const versioned_adapter &Wanted,
+                                     time_point Now) {
+  slot_outlook Outlook;
+  Outlook.Uses = usesNow(Slot, Now);
+  if (Slot.State == adapter_slot_state::Unloading)
+    return Outlook;
+  const bool IsReady = Slot.State == adapter_slot_state::Loaded &&
+                       Slot.Adapter.Version >= Wanted.Version;
+  Outlook.Readiness =
+      IsReady ? adapter_readiness::Ready : adapter_readiness::Loading;
+  return Outlook;
+}
+
+slot_outlook outlookFor(const adapter_slots &Engine,
+                        const versioned_adapter &Wanted, time_point Now) {
+  if (const adapter_slot *const Slot = findAdapterSlot(Engine, Wanted.Name))
+    return outlookOfPresent(*Slot, Wanted, Now);
+  slot_outlook Outlook;
+  if (countInState(Engine, adapter_slot_state::Loading) >= MaxConcurrentLoads)
+    return Outlook;
+  if (Engine.Slots.size() < Engine.Capacity) {
+    Outlook.Readiness = adapter_readiness::Loadable;
+    return Outlook;
+  }
+  const adapter_slot *const Victim = chooseVictim(Engine, Now);
+  if (!Victim || countInState(Engine, adapter_slot_state::Unloading) > 0)
+    return Outlook;
+  Outlook.Readiness = adapter_readiness::NeedsEviction;
+  Outlook.VictimUses = usesNow(*Victim, Now);
+  return Outlook;
+}
+
 void noteLoading(adapter_slots &Engine, const versioned_adapter &Adapter,
                  time_point Now) {
   adapter_slot *Slot = find(Engine, Adapter.Name);
--- a/Libraries/LibGateway/adapter_slots.h
+++ b/Libraries/LibGateway/adapter_slots.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/runtime_clock.h"
 #include "LibGateway/upstream_entry.h"
+#include "LibRouting/engine_placement.h"
 
 #include <cstddef>
 #include <optional>
@@ -71,6 +72,18 @@
 /// thread-safe.
 hold_plan planHold(adapter_slots &Engine, const versioned_adapter &Wanted,
                    time_point Now);
+/// What an engine must do before it serves requests for an adapter.
+struct slot_outlook {
+  adapter_readiness Readiness = adapter_readiness::NoSlot;
+  /// Decayed number of holds of the adapter on this engine, and of the one that
+  /// would be evicted for it.
+  double Uses = 0;
+  double VictimUses = 0;
+};
+
+/// What planHold() would decide, without recording a use. Not thread-safe.
+slot_outlook outlookFor(const adapter_slots &Engine,
+                        const versioned_adapter &Wanted, time_point Now);
 /// Records that a load was ordered. Not thread-safe.
 void noteLoading(adapter_slots &Engine, const versioned_adapter &Adapter,
                  time_point Now);
--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -113,16 +113,48 @@
   return Query;
 }
 
+/// Describes the request's work, so that the leader of the chosen engine's zone
+/// can choose among all of the zone's engines.
+hold_work makeHoldWork(const forwarded_request &Request,
+                       const chosen_upstream &Chosen) {
+  const request_description &Description = Request.Description;
+  hold_work Work;
+  Work.Service = Request.Service.Name;
+  Work.Description = &Description;
+  Work.Query.PromptTokens = Description.PromptTokens;
+  Work.Query.OutputTokens =
+      Description.OutputHint.value_or(Description.MaxOutputTokens);
+  Work.Query.HighOutputTokens = Description.MaxOutputTokens;
+  Work.Query.GapObjective = Request.Route.GapObjective;
+  Work.Query.Objective = Request.Route.Objective;
+  upstream_query Query;
+  Query.Service = Request.Service.Name;
+  Query.Model = &Description;
+  std::vector<upstream_id> Avoid = Request.SentTo;
+  Avoid.insert(Avoid.end(), Request.Avoid.begin(), Request.Avoid.end());
+  Query.Avoid = Avoid;
+  Work.Avoid = Request.Services.Fleet.unusable(Query, Chosen.Upstream->Zone);
+  return Work;
+}
+
 /// Waits until one of the chosen engines holds the requested adapter.
 /// \throws spindle_error if none does while the response is still of use to
 /// the caller.
 held_engine holdAdapter(const forwarded_request &Request,
-                        const chosen_upstream &Chosen) {
+                        const chosen_upstream &Chosen, bool MayPlace) {
+  const bool IsPlaced =
+      MayPlace && Request.isModelCall() &&
+      Request.Services.Placement.appliesTo(Chosen.EnginesInZone);
   const bool NamesAdapter =
       Request.isModelCall() && !Request.Description.Adapter.empty();
-  if (!NamesAdapter)
+  if (!NamesAdapter && !IsPlaced)
     return {Chosen.Upstream, 0};
-  const hold_query Query = makeHoldQuery(Request, Chosen);
+  hold_query Query = makeHoldQuery(Request, Chosen);
+  if (IsPlaced) {
+    Query.Work = makeHoldWork(Request, Chosen);
+    Query.OnTimeUntil = Request.Start + Request.Route.Objective;
+    Query.UsefulUntil = firstEventDeadline(Request);
+  }
   while (true) {
     if (const std::optional<result_code> Reason =
             Request.Cancellation->reason())
@@ -234,7 +266,7 @@
 /// may be asked.
 std::optional<held_engine> attempt_loop::hold(const chosen_upstream &Chosen) {
   try {
-    return holdAdapter(Request, Chosen);
+    return holdAdapter(Request, Chosen, !Target.Only);
   } catch (const spindle_error &Error) {
     logEvent(log_event::AdapterHoldFailed,
              {{"request", Request.Description.AttemptId},
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -310,6 +310,10 @@
   Chosen.ServiceMilliseconds = Best.ServiceMilliseconds;
   Chosen.AdapterLoaded = Need != adapter_need::Absent;
   Chosen.Engines.push_back(Chosen.Upstream);
+  Chosen.EnginesInZone = static_cast<std::size_t>(std::count_if(
+      States.begin(), States.end(), [&Chosen](const known_upstream *State) {
+        return State->Entry->Zone == Chosen.Upstream->Zone;
+      }));
   if (Chosen.AdapterLoaded)
     return Chosen;
   for (const upstream_choice &Other : std::span(Ranked).subspan(1))
@@ -319,6 +323,33 @@
   return Chosen;
 }
 
+std::vector<placeable_engine>
+fleet_table::placeable(const upstream_query &Query,
+                       std::string_view Zone) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::vector<placeable_engine> Engines;
+  for (const auto &[Id, Known] : Upstreams)
+    if (Known.Entry->Zone == Zone && isEligible(Known, Query) &&
+        !sendRate(Admission, *Known.Entry, Clock.now()))
+      Engines.push_back({Known.Entry, healthOf(Known)});
+  return Engines;
+}
+
+std::vector<upstream_id> fleet_table::unusable(const upstream_query &Query,
+                                               std::string_view Zone) const {
+  static constexpr double MinHealth = 0.5;
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::vector<upstream_id> Engines;
+  for (const auto &[Id, Known] : Upstreams) {
+    if (Known.Entry->Zone != Zone || Known.Entry->Service != Query.Service)
+      continue;
+    if (!isEligible(Known, Query) || healthOf(Known) < MinHealth ||
+        !maySend(Admission, *Known.Entry, Clock.now()))
+      Engines.push_back(Id);
+  }
+  return Engines;
+}
+
 void fleet_table::noteRequestSent(upstream_id Id,
                                   const request_description &Request) {
   const std::lock_guard<std::mutex> Lock(Mutex);
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -47,6 +47,15 @@
   /// This engine, followed by the engines of its zone whose value is nearly as
   /// high and which may load the adapter instead.
   std::vector<upstream_pointer> Engines;
+  /// The usable engines in the zone of this one.
+  std::size_t EnginesInZone = 0;
+};
+
+/// An engine on which a request may be placed.
+struct placeable_engine {
+  upstream_pointer Entry;
+  /// The probability, from 0 to 1, that it serves a request.
+  double Health = 1;
 };
 
 /// An adapter with requests in flight on an engine.
@@ -95,6 +104,13 @@
   std::vector<upstream_pointer> all() const;
   /// Chooses an upstream; returns nullopt if none is usable.
   std::optional<chosen_upstream> choose(const upstream_query &Query) const;
+  /// The engines of a zone on which the request may be placed.
+  std::vector<placeable_engine> placeable(const upstream_query &Query,
+                                          std::string_view Zone) const;
+  /// The engines of a zone to which this host may not send the request now, or
+  /// which would probably fail it.
+  std::vector<upstream_id> unusable(const upstream_query &Query,
+                                    std::string_view Zone) const;
   /// Whether the service has an upstream that accepts requests.
   bool hasUpstream(std::string_view Service) const;
 
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -61,6 +61,7 @@
 
   adapter_controller_ports makeControllerPorts();
   host_link_handlers makeLinkHandlers();
+  std::optional<engine_capacity> capacityOf(std::string_view Service) const;
   std::string leastDeployedModel(std::string_view Service) const;
   void applyConfiguration();
   void applyReleases();
@@ -94,6 +95,7 @@
   load_rate_limiter ModelLoads;
   zone_coordinator Coordinator;
   adapter_controller Controller;
+  work_placer Placer;
   adapter_holds Holds;
   gateway_services Services;
   registration_applier Registrations;
@@ -136,10 +138,22 @@
            },
            [this] { return Controller.listAvailableSlots(); }}),
       Controller(Clock, Fleet, makeControllerPorts()),
-      Holds(Clock, Fleet, Coordinator, Controller, Link, Self),
-      Services{Clock,         Ports.Codec,    Metrics,  Client,
-               Configuration, Configurations, Fleet,    Quota,
-               Coordinator,   Holds,          Releases, RetryBudgets},
+      Placer(Clock, Fleet, Controller, Settings.Zone,
+             [this](std::string_view Service) { return capacityOf(Service); }),
+      Holds(Clock, Fleet, Coordinator, Controller, Placer, Link, Self),
+      Services{Clock,
+               Ports.Codec,
+               Metrics,
+               Client,
+               Configuration,
+               Configurations,
+               Fleet,
+               Quota,
+               Coordinator,
+               Holds,
+               Releases,
+               RetryBudgets,
+               {Settings.PlacementMinEngines}},
       Registrations(Clock, Upstreams, Ports.Codec, Fleet), Tasks(Runtime) {
   Configurations.onChange([this] { applyConfiguration(); });
   Upstreams.onChange([this] { Registrations.apply(); });
@@ -174,13 +188,8 @@
     return Releases.newestVersion(Name);
   };
   Result.Capacity = [this](std::string_view Service) -> std::size_t {
-    const configuration_pointer Current = Configuration.current();
-    if (!Current)
-      return 0;
-    const auto Found = Current->Services.find(Service);
-    const bool IsEngine =
-        Found != Current->Services.end() && Found->second.Engine;
-    return IsEngine ? adapterSlotCount(*Found->second.Engine) : 0;
+    const std::optional<engine_capacity> Engine = capacityOf(Service);
+    return Engine ? adapterSlotCount(*Engine) : 0;
   };
   Result.ModelForEmptyEngine = [this](std::string_view Service) {
     return leastDeployedModel(Service);
@@ -207,6 +216,18 @@
   return Handlers;
 }
 
+/// The capacity of the engines of a service; none if it has none.
+std::optional<engine_capacity>
+gateway_host::state::capacityOf(std::string_view Service) const {
+  const configuration_pointer Current = Configuration.current();
+  if (!Current)
+    return std::nullopt;
+  const auto Found = Current->Services.find(Service);
+  if (Found == Current->Services.end())
+    return std::nullopt;
+  return Found->second.Engine;
+}
+
 /// The model of a service that is loaded on the fewest engines.
 std::string
 gateway_host::state::leastDeployedModel(std::string_view Service) const {
--- a/Libraries/LibGateway/gateway_host.h
+++ b/Libraries/LibGateway/gateway_host.h
@@ -39,6 +39,9 @@
   milliseconds ChangeDelay{2'000};
   /// The same for the evacuation of a zone; 0 if zones are never evacuated.
   milliseconds EvacuationDelay{0};
+  /// The leader of a zone places requests by their work where the zone has at
+  /// least so many engines of the service; 0 turns it off.
+  std::uint32_t PlacementMinEngines = 0;
 };
 
 /// The interfaces of a host to all external systems except other hosts.
--- a/Libraries/LibGateway/gateway_services.h
+++ b/Libraries/LibGateway/gateway_services.h
@@ -35,6 +35,17 @@
   configuration_pointer Current;
 };
 
+/// Whether the leader of a zone places requests by their work.
+struct placement_settings {
+  /// It does where the zone has at least so many engines of the service; 0
+  /// turns it off. With few engines, each host knows enough of each.
+  std::uint32_t MinEnginesPerZone = 0;
+
+  bool appliesTo(std::size_t EnginesInZone) const {
+    return MinEnginesPerZone > 0 && EnginesInZone >= MinEnginesPerZone;
+  }
+};
+
 /// The components of a host that request handling uses. Each is thread-safe and
 /// outlives all requests.
 struct gateway_services {
@@ -51,6 +62,7 @@
   adapter_holds &Holds;
   release_table &Releases;
   service_retry_budgets &RetryBudgets;
+  placement_settings Placement;
 };
 
 } // namespace spindle
--- /dev/null
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -0,0 +1,204 @@
+#include "LibGateway/work_placer.h"
+
+#include "LibCore/retry_after_error.h"
+#include "LibRuntime/fiber_runtime.h"
+
+#include <algorithm>
+
+namespace spindle {
+
+// How far below the best value that of an alternative engine may be.
+static constexpr double MaxValueGap = 0.05;
+static constexpr milliseconds RoomPollInterval{10};
+// The part of an engine's memory that holds the parts of earlier prompts.
+static constexpr double CachedPartsShare = 0.7;
+// A reading time says something of the engine's speed if the prompt waited for
+// at most this part of it.
+static constexpr int MaxWaitDivisor = 4;
+
+work_placer::work_placer(const runtime_clock &Clock, fleet_table &Fleet,
+                         adapter_controller &Controller, std::string Zone,
+                         capacity_port Capacity)
+    : Clock(Clock), Fleet(Fleet), Controller(Controller), Zone(std::move(Zone)),
+      Capacity(std::move(Capacity)) {}
+
+/// A request's place in the work of an engine; ends with the object unless the
+/// request is sent.
+class work_placer::reservation {
+public:
+  reservation(work_placer &Placer, upstream_id Engine, const request_work &Work,
+              time_point Arrival)
+      : Placer(Placer), Engine(Engine) {
+    const std::lock_guard<std::mutex> Lock(Placer.Mutex);
+    Ticket = addWork(Placer.Engines[Engine].Work, Work, Arrival);
+  }
+  ~reservation() {
+    if (IsKept)
+      return;
+    const std::lock_guard<std::mutex> Lock(Placer.Mutex);
+    cancelWork(Placer.Engines[Engine].Work, Ticket, Placer.Clock.now());
+  }
+  reservation(const reservation &) = delete;
+  reservation &operator=(const reservation &) = delete;
+
+  void keep() { IsKept = true; }
+
+private:
+  work_placer &Placer;
+  const upstream_id Engine;
+  std::uint64_t Ticket = 0;
+  bool IsKept = false;
+};
+
+/// Precondition: Mutex is held.
+work_placer::engine_state &
+work_placer::stateOf(const upstream_entry &Entry,
+                     const engine_capacity &Capacity) {
+  engine_state &State = Engines[Entry.Id];
+  if (State.StartedAt != Entry.StartedAt)
+    State = engine_state{};
+  State.StartedAt = Entry.StartedAt;
+  State.Prompts.setCapacity(static_cast<std::int64_t>(
+      static_cast<double>(Capacity.CacheTokens) * CachedPartsShare));
+  dropEnded(State.Work, Clock.now());
+  return State;
+}
+
+static std::uint32_t copiesIn(std::span<const adapter_outlook> Outlooks) {
+  return static_cast<std::uint32_t>(std::count_if(
+      Outlooks.begin(), Outlooks.end(), [](const adapter_outlook &Outlook) {
+        return Outlook.Slots.Readiness == adapter_readiness::Ready ||
+               Outlook.Slots.Readiness == adapter_readiness::Loading;
+      }));
+}
+
+static double usesIn(std::span<const adapter_outlook> Outlooks) {
+  double Uses = 0;
+  for (const adapter_outlook &Outlook : Outlooks)
+    Uses += Outlook.Slots.Uses;
+  return Uses;
+}
+
+std::optional<work_placer::placement_plan>
+work_placer::plan(const placement_request &Request) {
+  upstream_query Query;
+  Query.Service = Request.Service;
+  Query.Model = &Request.Description;
+  Query.Avoid = Request.Avoid;
+  const std::vector<placeable_engine> Placeable = Fleet.placeable(Query, Zone);
+  const std::optional<engine_capacity> Size = Capacity(Request.Service);
+  if (Placeable.empty() || !Size)
+    throw spindle_error(result_code::NoUpstream,
+                        "no engine of the zone may be sent the request");
+  std::vector<upstream_pointer> Entries;
+  for (const placeable_engine &Engine : Placeable)
+    Entries.push_back(Engine.Entry);
+  const bool NamesAdapter = !Request.Description.Adapter.empty();
+  std::vector<adapter_outlook> Outlooks;
+  if (NamesAdapter)
+    Outlooks = Controller.outlooks(
+        Entries, {{Request.Description.Model, Request.Description.Adapter},
+                  Request.AdapterVersion});
+  placement_query Need = Request.Query;
+  Need.AdapterUses = usesIn(Outlooks);
+  Need.AdapterCopies = copiesIn(Outlooks);
+  const time_point Now = Clock.now();
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::vector<engine_candidate> Candidates;
+  for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
+    const engine_state &State = stateOf(*Entries[Index], *Size);
+    engine_candidate &Candidate = Candidates.emplace_back();
+    Candidate.Work = &State.Work;
+    Candidate.Health = Placeable[Index].Health;
+    Candidate.BatchSlots = Entries[Index]->Slots;
+    Candidate.MemoryTokens = Size->CacheTokens;
+    if (NamesAdapter) {
+      Candidate.Adapter = Outlooks[Index].Slots.Readiness;
+      Candidate.LikelyHasCopy = Outlooks[Index].LikelyHasCopy;
+      Candidate.VictimUses = Outlooks[Index].Slots.VictimUses;
+    }
+    if (Candidate.Adapter == adapter_readiness::Ready)
+      Candidate.CachedTokens = State.Prompts.cachedTokens(Request.Description);
+  }
+  const std::vector<engine_choice> Ranked =
+      rankEngines(Candidates, Need, placement_costs{}, Now);
+  if (Ranked.empty())
+    return std::nullopt;
+  placement_plan Plan;
+  Plan.Best = Ranked.front();
+  Plan.Backlog = readingBacklog(*Candidates[Plan.Best.Index].Work, Now);
+  for (const engine_choice &Choice : Ranked)
+    if (Choice.Value >= Plan.Best.Value - MaxValueGap)
+      Plan.Engines.push_back(Entries[Choice.Index]->Id);
+  return Plan;
+}
+
+/// \throws retry_after_error if the first event would come too late to be of
+/// use on every engine.
+void work_placer::refuseIfUseless(const placement_request &Request,
+                                  const placement_plan &Plan) const {
+  const time_point FirstEvent = Clock.now() + Plan.Best.FirstEvent;
+  if (FirstEvent <= Request.Slot.UsefulUntil)
+    return;
+  throw retry_after_error(
+      result_code::AdapterNotLoaded,
+      "no engine would begin its answer while that is of use",
+      std::chrono::duration_cast<milliseconds>(FirstEvent -
+                                               Request.Slot.UsefulUntil));
+}
+
+std::optional<placed_engine>
+work_placer::carryOut(const placement_request &Request,
+                      const placement_plan &Plan, time_point Until) {
+  const upstream_id Best = Plan.Engines.front();
+  reservation Reserved(*this, Best, Plan.Best.Work,
+                       Clock.now() + Plan.Best.Loading);
+  placed_engine Placed;
+  Placed.Engine = Best;
+  if (!Request.Description.Adapter.empty()) {
+    slot_request Slot = Request.Slot;
+    Slot.Engines = Plan.Engines;
+    const std::optional<adapter_location> Location = Controller.hold(
+        {{Request.Description.Model, Request.Description.Adapter},
+         Request.AdapterVersion},
+        Slot, Until);
+    if (!Location)
+      return std::nullopt;
+    Placed.Engine = Location->Engine;
+    Placed.Version = Location->Adapter.Version;
+  }
+  if (Placed.Engine == Best)
+    Reserved.keep();
+  else
+    reservation(*this, Placed.Engine, Plan.Best.Work, Clock.now()).keep();
+  if (Placed.Engine == Best && Plan.Best.Loading == nanoseconds(0) &&
+      Plan.Backlog * MaxWaitDivisor <= Plan.Best.Work.Reading)
+    Placed.Reading = std::chrono::duration_cast<milliseconds>(
+        Plan.Backlog + Plan.Best.Work.Reading);
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Engines[Placed.Engine].Prompts.note(Request.Description);
+  return Placed;
+}
+
+std::optional<placed_engine>
+work_placer::place(const placement_request &Request, time_point Until) {
+  while (true) {
+    if (const std::optional<placement_plan> Plan = plan(Request)) {
+      refuseIfUseless(Request, *Plan);
+      return carryOut(Request, *Plan, Until);
+    }
+    if (Clock.now() >= Until)
+      return std::nullopt;
+    sleepFor(RoomPollInterval);
+  }
+}
+
+std::size_t work_placer::placedRequests() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::size_t Count = 0;
+  for (const auto &[Id, State] : Engines)
+    Count += State.Work.Requests.size();
+  return Count;
+}
+
+} // namespace spindle
--- /dev/null
+++ b/Libraries/LibGateway/work_placer.h
@@ -0,0 +1,107 @@
+#ifndef PARSLEYSPINDLE_LIBGATEWAY_WORK_PLACER_H
+#define PARSLEYSPINDLE_LIBGATEWAY_WORK_PLACER_H
+
+#include "LibCore/runtime_clock.h"
+#include "LibGateway/adapter_controller.h"
+#include "LibGateway/fleet_table.h"
+#include "LibGateway/gateway_configuration.h"
+#include "LibGateway/prompt_cache_estimate.h"
+#include "LibRouting/engine_placement.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace spindle {
+
+/// A request that needs an engine of a zone.
+struct placement_request {
+  std::string Service;
+  /// The model, the adapter and the parts of the prompt.
+  request_description Description;
+  /// The minimum version of the adapter.
+  std::uint64_t AdapterVersion = 0;
+  /// The expected output; the adapter's uses and copies are filled in by the
+  /// placer.
+  placement_query Query;
+  std::vector<upstream_id> Avoid;
+  /// When the first event is due, until when it is of use, and how urgent it
+  /// is. The placer fills in the engines.
+  slot_request Slot;
+};
+
+struct placed_engine {
+  upstream_id Engine;
+  /// The version of the adapter there; 0 if the request names none.
+  std::uint64_t Version = 0;
+  /// How long the engine is expected to read the prompt; 0 if others are read
+  /// before it.
+  milliseconds Reading{0};
+};
+
+/// Chooses the engines of a zone for the requests of all hosts while this host
+/// is the zone's leader. As all requests pass here, it knows what each engine
+/// has to do without waiting for reports. What it has placed is kept in memory
+/// only; a successor begins with none. Thread-safe.
+class work_placer {
+public:
+  /// Returns the capacity of the engines of a service; none if it has none.
+  using capacity_port =
+      std::function<std::optional<engine_capacity>(std::string_view Service)>;
+
+  /// \p Clock, \p Fleet and \p Controller must outlive the placer.
+  work_placer(const runtime_clock &Clock, fleet_table &Fleet,
+              adapter_controller &Controller, std::string Zone,
+              capacity_port Capacity);
+
+  /// Chooses an engine of the zone and has it hold the adapter. Waits until
+  /// \p Until for room or the adapter; returns none on timeout. Blocks the
+  /// fiber.
+  /// \throws spindle_error NoUpstream, NotOwner, or AdapterNotLoaded if no
+  /// engine will serve the request in time to be of use.
+  std::optional<placed_engine> place(const placement_request &Request,
+                                     time_point Until);
+  /// The number of requests on the zone's engines, as far as they were placed
+  /// by this host.
+  std::size_t placedRequests() const;
+
+private:
+  struct engine_state {
+    std::int64_t StartedAt = 0;
+    engine_work Work;
+    prompt_cache_estimate Prompts;
+  };
+  /// The engines on which the request may run, the best first, with what it
+  /// asks of that one.
+  struct placement_plan {
+    std::vector<upstream_id> Engines;
+    engine_choice Best;
+    nanoseconds Backlog{0};
+  };
+  class reservation;
+
+  std::optional<placement_plan> plan(const placement_request &Request);
+  engine_state &stateOf(const upstream_entry &Entry,
+                        const engine_capacity &Capacity);
+  void refuseIfUseless(const placement_request &Request,
+                       const placement_plan &Plan) const;
+  std::optional<placed_engine> carryOut(const placement_request &Request,
+                                        const placement_plan &Plan,
+                                        time_point Until);
+
+  const runtime_clock &Clock;
+  fleet_table &Fleet;
+  adapter_controller &Controller;
+  const std::string Zone;
+  const capacity_port Capacity;
+  mutable std::mutex Mutex;
+  std::map<upstream_id, engine_state> Engines;
+};
+
+} // namespace spindle
+
+#endif // PARSLEYSPINDLE_LIBGATEWAY_WORK_PLACER_H
--- /dev/null
+++ b/Libraries/LibRouting/engine_work.cpp
@@ -0,0 +1,96 @@
+#include "LibRouting/engine_work.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace spindle {
+
+// Demand shifts within some seconds.
+static constexpr std::chrono::duration<double> ReadDecayTime{3.0};
+
+static double toMilliseconds(nanoseconds Time) {
+  return std::chrono::duration<double, std::milli>(Time).count();
+}
+
+static double decayedReads(const engine_work &Engine, time_point Now) {
+  const std::chrono::duration<double> Elapsed =
+      std::max(nanoseconds(0), nanoseconds(Now - Engine.DecayedAt));
+  return Engine.SquaredReads * std::exp(-Elapsed / ReadDecayTime);
+}
+
+static void addSquaredRead(engine_work &Engine, double Change, time_point Now) {
+  Engine.SquaredReads = std::max(0.0, decayedReads(Engine, Now) + Change);
+  Engine.DecayedAt = std::max(Engine.DecayedAt, Now);
+}
+
+static double squaredRead(const request_work &Work) {
+  const double Milliseconds = toMilliseconds(Work.Reading);
+  return Milliseconds * Milliseconds;
+}
+
+std::uint64_t addWork(engine_work &Engine, const request_work &Work,
+                      time_point Arrival) {
+  const time_point ReadUntil =
+      std::max(Engine.ReadingUntil, Arrival) + Work.Reading;
+  Engine.ReadingUntil = ReadUntil;
+  addSquaredRead(Engine, squaredRead(Work), Arrival);
+  Engine.Requests.push_back(
+      {++Engine.LastTicket, ReadUntil, ReadUntil + Work.Writing, Work});
+  return Engine.LastTicket;
+}
+
+/// Lets the prompts after a cancelled one be read so much sooner.
+static void advanceReading(engine_work &Engine, time_point ReadUntil,
+                           nanoseconds Time, time_point Now) {
+  for (placed_request &Request : Engine.Requests) {
+    if (Request.ReadUntil <= ReadUntil)
+      continue;
+    Request.ReadUntil -= Time;
+    Request.EndsAt -= Time;
+  }
+  Engine.ReadingUntil = std::max(Now, Engine.ReadingUntil - Time);
+}
+
+void cancelWork(engine_work &Engine, std::uint64_t Ticket, time_point Now) {
+  const auto Found = std::find_if(
+      Engine.Requests.begin(), Engine.Requests.end(),
+      [Ticket](const placed_request &Each) { return Each.Ticket == Ticket; });
+  if (Found == Engine.Requests.end())
+    return;
+  const placed_request Cancelled = *Found;
+  Engine.Requests.erase(Found);
+  addSquaredRead(Engine, -squaredRead(Cancelled.Work), Now);
+  const nanoseconds Unread = std::clamp<nanoseconds>(
+      Cancelled.ReadUntil - Now, nanoseconds(0), Cancelled.Work.Reading);
+  advanceReading(Engine, Cancelled.ReadUntil, Unread, Now);
+}
+
+void dropEnded(engine_work &Engine, time_point Now) {
+  std::erase_if(Engine.Requests, [Now](const placed_request &Request) {
+    return Request.EndsAt <= Now;
+  });
+}
+
+nanoseconds readingBacklog(const engine_work &Engine, time_point Now) {
+  return std::max(nanoseconds(0), nanoseconds(Engine.ReadingUntil - Now));
+}
+
+std::int64_t memoryInUse(const engine_work &Engine) {
+  std::int64_t Tokens = 0;
+  for (const placed_request &Request : Engine.Requests)
+    Tokens += Request.Work.MemoryTokens;
+  return Tokens;
+}
+
+double squaredReadingRate(const engine_work &Engine, time_point Now) {
+  return decayedReads(Engine, Now) / ReadDecayTime.count();
+}
+
+double pauseRisk(nanoseconds Reading, nanoseconds GapObjective) {
+  if (GapObjective <= nanoseconds(0))
+    return 0;
+  const double Ratio = toMilliseconds(Reading) / toMilliseconds(GapObjective);
+  return std::min(1.0, Ratio * Ratio);
+}
+
+} // namespace spindle
--- a/Libraries/LibSettings/host_settings.cpp
+++ b/Libraries/LibSettings/host_settings.cpp
@@ -173,6 +173,17 @@
   return Table;
 }
 
+static const field_table<routing_settings> &routingFields() {
+  using record = routing_settings;
+  static const field_table<record> Table = {
+      integerField<record>(
+          "placementMinEngines", &record::PlacementMinEngines, "", 0, 100'000,
+          "The leader of a zone places requests by their work where the zone "
+          "has at least so many engines of the service; 0 turns it off."),
+  };
+  return Table;
+}
+
 static const field_table<host_settings> &hostFields() {
   using record = host_settings;
   static const field_table<record> Table = {
@@ -210,6 +221,9 @@
       sectionField<record>("reaction", &record::Reaction, reactionFields(),
                            "How soon a change at the platform takes effect; "
                            "for the forwarding interface."),
+      sectionField<record>("routing", &record::Routing, routingFields(),
+                           "How the engine for a request is chosen; for the "
+                           "forwarding interface."),
   };
   return Table;
 }
--- a/Libraries/LibSettings/host_settings.h
+++ b/Libraries/LibSettings/host_settings.h
@@ -47,6 +47,13 @@
   milliseconds Evacuation{0};
 };
 
+/// How the engine for a request is chosen.
+struct routing_settings {
+  /// The leader of a zone places requests by their work where the zone has at
+  /// least so many engines of the service; 0 turns it off.
+  std::uint32_t PlacementMinEngines = 0;
+};
+
 /// Where the platform's API is.
 struct platform_settings {
   std::vector<endpoint> Servers;
@@ -92,6 +99,7 @@
   limit_settings Limits;
   repeat_settings Repeats;
   reaction_settings Reaction;
+  routing_settings Routing;
 };
 
 /// Reads a settings file's text, JSON with comments, and checks it whole.
--- a/Services/spindled/running_host.cpp
+++ b/Services/spindled/running_host.cpp
@@ -53,6 +53,7 @@
   Result.ChangeDelay =
       std::min(Settings.Reaction.Configuration, Settings.Reaction.Upstream);
   Result.EvacuationDelay = Settings.Reaction.Evacuation;
+  Result.PlacementMinEngines = Settings.Routing.PlacementMinEngines;
   return Result;
 }
 
