LibRouting: Estimate how long work takes on an engine

Cause: engines of unlike speeds stand side by side, and some state how long work takes at the moment, a figure that changes within less than a second. Change: TimeFactor is an average over prompts; a stated slowdown counts by its excess over the average of those stated, less with its age and with the length of the work. Absurd figures are left out or bounded. The effect on the choice of engines is not measured, as nothing uses it yet.

--- a/Libraries/LibRouting/engine_facts.h
+++ b/Libraries/LibRouting/engine_facts.h
@@ -29,6 +29,9 @@
   double TimeFactor = 1;
   /// When TimeFactor last changed; none if it is only assumed.
   std::optional<time_point> TimeFactorAt;
+  /// The average of the slowdowns that the engine stated. TimeFactor contains
+  /// it, so that only its excess counts for work that begins now.
+  double UsualSlowdown = 1;
 };
 
 /// Prompts whose reading time a host has seen since its last report.
@@ -41,7 +44,7 @@
 /// The functions below are not thread-safe.
 
 /// Records a reading taken at \p At. One older than the known reading is
-/// ignored.
+/// ignored; an absurd slowdown counts as not stated.
 void noteReading(engine_facts &Facts, const engine_reading &Reading,
                  time_point At);
 /// Records that \p Samples.Count prompts took the time given by their ratios.
