--- a/Tests/Platform/test_codecs.cpp
+++ b/Tests/Platform/test_codecs.cpp
@@ -272,3 +272,71 @@
     REQUIRE(Statement.IsMalformed);
   }
 }
+
+// Guards against loads taken from text that states none, and against an engine
+// that counts as free because its figures can't be read.
+TEST_CASE("a stated load that can't be read is taken for a load") {
+  const auto LoadOf = [](const http_fields &Fields) {
+    return readResponse({200, Fields});
+  };
+  const std::string Name = "X-Parsleyspindle-Server-Load";
+  REQUIRE_FALSE(LoadOf({}).Reading);
+  REQUIRE_FALSE(LoadOf({}).HasMalformedReading);
+  REQUIRE(*LoadOf({{Name, "3,0,8"}}).Reading ==
+          engine_reading{3, 0, 8, std::nullopt});
+  REQUIRE(*LoadOf({{"x-parsleyspindle-server-load", "3, 1, 8, 250"}}).Reading ==
+          engine_reading{3, 1, 8, 2.5});
+  for (const std::string Text : {"",
+                                 " ",
+                                 "3",
+                                 "3,0",
+                                 "3,0,",
+                                 "3,0,8,",
+                                 "3,0,8,0",
+                                 "3,0,8,100,1",
+                                 "-3,0,8",
+                                 "3,-1,8,100",
+                                 "3,0,8,-100",
+                                 "3,0,8,1.5",
+                                 "3,0,8,1e30",
+                                 "3,0,8,10001",
+                                 "1000000000000000000000000000000,0,8",
+                                 "4294967295,0,8",
+                                 "a,b,c",
+                                 "3;0;8",
+                                 "nan,0,8",
+                                 "3,,8",
+                                 "3 0,0,8"}) {
+    const upstream_response_metadata Read = LoadOf({{Name, Text}});
+    REQUIRE_FALSE(Read.Reading);
+    REQUIRE(Read.HasMalformedReading);
+  }
+  const upstream_response_metadata Twice =
+      LoadOf({{Name, "3,0,8"}, {Name, "3,0,8"}});
+  REQUIRE_FALSE(Twice.Reading);
+  REQUIRE(Twice.HasMalformedReading);
+}
+
+TEST_CASE("any text of a load makes the host crash or gives absurd figures") {
+  rc::prop("of digits, commas and others", [](const std::string &Text) {
+    const upstream_response_metadata Read =
+        readResponse({200, {{"X-Parsleyspindle-Server-Load", Text}}});
+    RC_ASSERT(Read.Reading.has_value() != Read.HasMalformedReading);
+    if (Read.Reading)
+      RC_ASSERT(Read.Reading->Waiting <= 1'000'000);
+  });
+}
+
+TEST_CASE("a length hint that can't be read is taken for one") {
+  const auto HintOf = [](const std::string &Text) {
+    return readRequest({"POST", "/x", {{"X-Parsleyspindle-Length-Hint", Text}}})
+        .OutputHint;
+  };
+  REQUIRE_FALSE(readRequest({"POST", "/x", {}}).OutputHint);
+  REQUIRE(HintOf("120") == 120);
+  REQUIRE(HintOf("0") == 0);
+  for (const std::string Text :
+       {"", "-1", "1e3", "abc", "12 ", "1000000000000000000000000000000",
+        "9223372036854775807"})
+    REQUIRE_FALSE(HintOf(Text));
+}
