--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -187,6 +187,23 @@
             {"request", AttemptId}});
 }
 
+/// Records the load that an engine states, whatever it responds.
+void noteReading(forwarded_request &Request, const upstream_entry &Upstream,
+                 const upstream_response_metadata &Metadata) {
+  gateway_services &Services = Request.Services;
+  if (Metadata.HasMalformedReading) {
+    Services.Metrics.count("spindle_malformed_loads_total");
+    logEvent(log_event::UpstreamLoadMalformed,
+             {{"request", Request.Description.AttemptId},
+              {"upstream", Upstream.Name}});
+  }
+  if (!Metadata.Reading)
+    return;
+  Services.Metrics.count("spindle_engine_loads_total");
+  Services.Fleet.noteReading(Upstream.Id, *Metadata.Reading,
+                             Services.Clock.now());
+}
+
 /// Handles the head of a response; reads and forwards the body if the response
 /// is meant for the caller.
 attempt_report forwardResponse(forwarded_request &Request,
@@ -198,6 +215,7 @@
       Request.Services.Codec.ReadResponse(Head);
   noteStatement(Request, Upstream, ResponseMetadata.Statement,
                 InFlight.sentAt());
+  noteReading(Request, Upstream, ResponseMetadata);
   if (ResponseMetadata.NotRun || Head.Status == HttpMisdirectedRequest) {
     Call.readAll(MaxResponseBytes);
     return makeReport(Head.Status == HttpMisdirectedRequest
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -69,6 +69,8 @@
     known_upstream &Known = Next[Entry->Id];
     if (IsSame)
       Known = std::move(Found->second);
+    else
+      Known.KnownSince = Clock.now();
     if (!IsSame || Known.Entry->Draining != Entry->Draining)
       logUpstream(*Entry);
     Known.Entry = Entry;
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -10,6 +10,7 @@
 #include "LibGateway/upstream_entry.h"
 #include "LibPeer/Generated/host_link.pb.h"
 #include "LibResilience/outlier_detector.h"
+#include "LibRouting/engine_facts.h"
 
 #include <map>
 #include <mutex>
@@ -72,6 +73,16 @@
   bool Leaving = false;
 };
 
+/// Who sent facts of engines.
+enum class facts_source {
+  /// A host of this leader's zone. Facts of engines elsewhere are passed on.
+  HostOfZone,
+  /// The leader of another zone.
+  OtherLeader,
+};
+
+using facts_field = google::protobuf::RepeatedPtrField<host_link::EngineFacts>;
+
 /// The upstreams known to this host, with their load, cached prompts and
 /// health. All methods are thread-safe and none blocks.
 class fleet_table {
@@ -117,6 +128,26 @@
   void mergeStatements(const host_link::UpstreamStatements &Message);
   /// The number of upstreams that state a limit.
   std::size_t limitedUpstreams() const;
+  /// Records what an engine stated of its load at \p At. One older than the
+  /// known reading is ignored.
+  void noteReading(upstream_id Id, const engine_reading &Reading,
+                   time_point At);
+  /// Records how long an engine took to read a prompt. A time that is not
+  /// finite or an expectation that is not positive is ignored.
+  void noteReadTime(upstream_id Id, double ExpectedMilliseconds,
+                    double ActualMilliseconds);
+  /// What is known of an engine; nothing for an unknown one.
+  engine_facts facts(upstream_id Id) const;
+  /// Writes what this host has itself learned of engines since the last call,
+  /// for its leader.
+  void writeOwnFacts(facts_field &Message);
+  /// Writes what this host and the others of its zone have learned since the
+  /// last call of the engines of \p Zone, for the leader there.
+  void writeFactsOf(std::string_view Zone, facts_field &Message);
+  /// Applies what other hosts have learned of engines.
+  void mergeFacts(const facts_field &Message, facts_source Source);
+  /// The number of engines that state that work takes much longer than usual.
+  std::size_t slowedEngines() const;
   /// Records that no connection to the upstream could be opened.
   void noteUnreachable(upstream_id Id);
   /// Records that a request was sent. Its prompt tokens count as unread until
@@ -149,6 +180,13 @@
   void setRemoteLoads(const std::vector<host_link::UpstreamLoad> &Loads);
 
 private:
+  /// What was learned of an engine and not reported yet.
+  struct unreported_facts {
+    bool HasReading = false;
+    read_time_samples ReadTimes;
+    time_point LastReadTime;
+  };
+
   struct known_upstream {
     upstream_pointer Entry;
     std::uint32_t Requests = 0;
@@ -165,6 +203,13 @@
     /// When AvailableSlots expires; after that the engine is assumed to have an
     /// available slot.
     time_point AvailableSlotsValidUntil;
+    /// When this start of the upstream became known here.
+    time_point KnownSince;
+    engine_facts Facts;
+    /// What this host has learned itself, and what hosts of its zone have
+    /// reported of an engine elsewhere.
+    unreported_facts OwnNews;
+    unreported_facts PassedNews;
   };
 
   /// Candidates, each with its state.
@@ -173,6 +218,20 @@
     std::vector<const known_upstream *> States;
   };
 
+  known_upstream *findKnown(upstream_id Id);
+  static void addReadTimes(unreported_facts &News,
+                           const read_time_samples &Added, time_point Now);
+  static bool hasNews(const unreported_facts &News);
+  void dropOldNews(known_upstream &Known) const;
+  void writeNews(known_upstream &Known, host_link::EngineFacts &Message) const;
+  void writeFacts(std::string_view Recipient,
+                  std::optional<std::string_view> Zone, facts_field &Message);
+  void mergeReading(known_upstream &Known,
+                    const host_link::EngineFacts &Reported,
+                    facts_source Source);
+  void mergeReadTimes(known_upstream &Known,
+                      const host_link::EngineFacts &Reported,
+                      facts_source Source);
   upstream_pointer withStatements(const upstream_pointer &Entry) const;
   bool recordLeaving(known_upstream &Known, time_point StatedAt);
   void mergeLimit(const host_link::UpstreamLimit &Reported);
@@ -198,6 +257,8 @@
   upstream_admission Admission;
   leaving_upstreams Leaving;
   outlier_detector Outliers;
+  /// The engine after which the next report of facts begins, by recipient.
+  std::map<std::string, upstream_id, std::less<>> NextFacts;
 };
 
 } // namespace spindle
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -329,6 +329,8 @@
                   static_cast<double>(failedFibers()));
     Metrics.gauge("spindle_limited_upstreams", {},
                   static_cast<double>(Fleet.limitedUpstreams()));
+    Metrics.gauge("spindle_slowed_engines", {},
+                  static_cast<double>(Fleet.slowedEngines()));
     RetryBudgets.setHosts(std::max<std::size_t>(1, Hosts.size()));
     Fleet.setHosts(std::move(Hosts), Settings.Name);
   });
