LibGateway: Exchange facts of engines between hosts

Cause: a host sees a small part of an engine's responses. Change: a host sends what it has learned to its leader, with the report that it sends anyway; a leader sends to the leader of each other zone what its hosts have learned of that zone's engines. Replies carry no facts. A leader keeps those of its own zone to itself. The test requires less than a tenth of the rest, and recent readings of nearly all engines at their leader.

--- a/Libraries/LibGateway/zone_coordinator.cpp
+++ b/Libraries/LibGateway/zone_coordinator.cpp
@@ -129,6 +129,7 @@
   Suspects.write(*Request.mutable_suspects());
   PartSuspects.write(*Request.mutable_part_suspects());
   Dependencies.Fleet.writeStatements(*Request.mutable_statements());
+  Dependencies.Fleet.writeFactsOf(Zone, *Request.mutable_facts());
   return Request;
 }
 
@@ -234,8 +235,10 @@
   const std::string Name = toText(Peer);
   bool LeaderReplied = false;
   try {
+    host_link::SyncRequest Request = makeRequest(Name);
+    Dependencies.Fleet.writeOwnFacts(*Request.mutable_facts());
     const host_link::SyncReply Reply =
-        Dependencies.Peers.Sync(Peer, makeRequest(Name), PeerTimeout);
+        Dependencies.Peers.Sync(Peer, Request, PeerTimeout);
     LeaderReplied = Reply.is_lead();
     if (LeaderReplied)
       applyLeaderReply(Name, Reply);
@@ -384,6 +387,9 @@
     }
   }
   Dependencies.Quota.noteRemoteUsage(Increase);
+  Dependencies.Fleet.mergeFacts(Request.facts(),
+                                IsOwnHost ? facts_source::HostOfZone
+                                          : facts_source::OtherLeader);
   applyReports();
 }
 
--- a/Tests/LibGateway/test_zone_coordinator.cpp
+++ b/Tests/LibGateway/test_zone_coordinator.cpp
@@ -3,7 +3,9 @@
 #include "LibPeer/host_link_server.h"
 #include "Support/fake_platform.h"
 
+#include <array>
 #include <memory>
+#include <random>
 
 #include <catch2/catch.hpp>
 
@@ -25,6 +27,17 @@
   std::set<std::pair<std::string, std::string>> Disconnected;
   /// A call ends without a reply if its messages take longer than its limit.
   double LinkBytesPerSecond = 1e9;
+  /// All bytes of exchanges, and those of facts of engines among them.
+  std::size_t ExchangedBytes = 0;
+  std::size_t FactBytes = 0;
+
+  void countBytes(const host_link::SyncRequest &Request,
+                  const host_link::SyncReply &Reply) {
+    host_link::SyncRequest WithoutFacts = Request;
+    WithoutFacts.clear_facts();
+    ExchangedBytes += Request.ByteSizeLong() + Reply.ByteSizeLong();
+    FactBytes += Request.ByteSizeLong() - WithoutFacts.ByteSizeLong();
+  }
 
   void checkTransfer(std::size_t Bytes, milliseconds Limit) const {
     const std::chrono::duration<double> Time(static_cast<double>(Bytes) /
@@ -39,7 +52,7 @@
 struct coordinator_host {
   coordinator_host(coordinator_fleet &Fleet, std::string Name, std::string Zone,
                    std::uint64_t Incarnation)
-      : Fleet(Fleet), Name(Name), Platform(Fleet.Fake.port()),
+      : Fleet(Fleet), Name(Name), Zone(Zone), Platform(Fleet.Fake.port()),
         Members(Fleet.Clock, Platform, "members", {}),
         Things(Fleet.Clock, Platform, "things", {}),
         Upstreams(Fleet.Clock, Zone),
@@ -86,6 +99,7 @@
 
   coordinator_fleet &Fleet;
   const std::string Name;
+  const std::string Zone;
   platform_port Platform;
   object_mirror Members;
   object_mirror Things;
@@ -117,6 +131,7 @@
     host_link::SyncReply Reply =
         find(Name, Peer).Coordinator.handleSync(Request);
     checkTransfer(Reply.ByteSizeLong(), Limit);
+    countBytes(Request, Reply);
     return Reply;
   };
   Port.FetchChanges = [this,
@@ -489,3 +504,95 @@
   REQUIRE(Test.Two->Things.find("main"));
   REQUIRE(Test.Two->Coordinator.isLeaderResponding());
 }
+
+namespace {
+
+/// 60 hosts of three zones, whose 140 engines run some 600 requests.
+struct loaded_fleet {
+  loaded_fleet() {
+    Fleet.Clock.pause();
+    for (std::uint64_t Number = 0; Number < 140; ++Number)
+      Engines.push_back(engine(Number));
+    for (std::uint64_t Number = 0; Number < 60; ++Number) {
+      Hosts.push_back(std::make_unique<coordinator_host>(
+          Fleet, "host-" + std::to_string(Number), Zones[Number % 3],
+          100 + Number));
+      Hosts.back()->Upstreams.applyUpstreams(Engines);
+      startRequests(*Hosts.back());
+    }
+  }
+
+  static upstream_pointer engine(std::uint64_t Number) {
+    upstream_entry Entry;
+    Entry.Name = "engine-" + std::to_string(Number);
+    Entry.Id = upstream_id::ofName(Entry.Name);
+    Entry.Zone = Zones[Number % 3];
+    return std::make_shared<const upstream_entry>(Entry);
+  }
+
+  const upstream_entry &anyEngine() {
+    return *Engines[Random() % Engines.size()];
+  }
+
+  void startRequests(coordinator_host &Host) {
+    for (int Request = 0; Request < 10; ++Request) {
+      request_description Description;
+      Description.Model = "model-100000";
+      Description.Adapter = "adapter-" + std::to_string(Random() % 60'000);
+      Description.PromptTokens = 1'000;
+      Host.Upstreams.noteRequestSent(anyEngine().Id, Description);
+    }
+  }
+
+  /// Each host gets some seven responses a second.
+  void step() {
+    constexpr milliseconds ExchangeInterval{250};
+    for (const std::unique_ptr<coordinator_host> &Host : Hosts) {
+      for (int Response = 0; Response < 2; ++Response) {
+        const upstream_id Engine = anyEngine().Id;
+        Host->Upstreams.noteReading(
+            Engine, {8, static_cast<std::uint32_t>(Random() % 4), 48, 1.3},
+            Fleet.Clock.now());
+        Host->Upstreams.noteReadTime(Engine, 100, 130);
+      }
+      Host->step();
+    }
+    Fleet.Clock.advance(ExchangeInterval);
+  }
+
+  static constexpr std::array<const char *, 3> Zones = {"a", "b", "c"};
+  std::mt19937_64 Random{20261204};
+  coordinator_fleet Fleet;
+  std::vector<upstream_pointer> Engines;
+  std::vector<std::unique_ptr<coordinator_host>> Hosts;
+};
+
+} // namespace
+
+// Guards against facts of engines that make the exchange of a large fleet grow,
+// and against leaders that lack what the others' hosts have seen.
+TEST_CASE("facts of engines take over a tenth of the exchange, or are lost") {
+  loaded_fleet Test;
+  for (int Step = 0; Step < 16; ++Step)
+    Test.step();
+  Test.Fleet.ExchangedBytes = 0;
+  Test.Fleet.FactBytes = 0;
+  for (int Step = 0; Step < 8; ++Step)
+    Test.step();
+  const std::size_t Others = Test.Fleet.ExchangedBytes - Test.Fleet.FactBytes;
+  INFO("facts " << Test.Fleet.FactBytes << " of " << Test.Fleet.ExchangedBytes);
+  REQUIRE(Test.Fleet.FactBytes > 0);
+  REQUIRE(Test.Fleet.FactBytes * 10 < Others);
+  for (const std::unique_ptr<coordinator_host> &Host : Test.Hosts) {
+    if (!Host->Coordinator.isLeader())
+      continue;
+    std::size_t Recent = 0;
+    for (const upstream_pointer &Engine : Test.Engines) {
+      const engine_facts Facts = Host->Upstreams.facts(Engine->Id);
+      if (Engine->Zone == Host->Zone && Facts.Reading &&
+          Test.Fleet.Clock.now() - Facts.ReadAt < seconds(2))
+        ++Recent;
+    }
+    REQUIRE(Recent >= 44);
+  }
+}
