--- a/Libraries/LibRouting/engine_facts.cpp
+++ b/Libraries/LibRouting/engine_facts.cpp
@@ -24,8 +24,10 @@
 /// A slowdown above this counts as not stated.
 constexpr double MaxStatedSlowdown = 100;
 constexpr std::uint32_t MaxWaiting = 10'000;
-/// How long a stated slowdown lasts on average.
+/// How long a stated slowdown lasts, and how long its reading is of use: it has
+/// lasted for an unknown time when it is read.
 constexpr std::chrono::duration<double> SlowdownPersistence{0.4};
+constexpr std::chrono::duration<double> ReadingPersistence{0.1};
 constexpr milliseconds WaitingValidity{1'000};
 /// A figure without news for this long begins to decay towards 1.
 constexpr seconds FactorValidity{10};
@@ -59,7 +61,7 @@
 /// The part of work of that length, begun now, during which a slowdown stated
 /// \p Age ago is expected to last.
 double weightOfSlowdown(nanoseconds Age, nanoseconds Duration) {
-  const double Elapsed = std::max(nanoseconds(0), Age) / SlowdownPersistence;
+  const double Elapsed = std::max(nanoseconds(0), Age) / ReadingPersistence;
   const double Length =
       std::max(nanoseconds(1), Duration) / SlowdownPersistence;
   return std::exp(-Elapsed) * -std::expm1(-Length) / Length;
