StandIns, Tests/EndToEnd: State the load of engines

Cause: no test covered the way from a response to the leader of another zone. Change: a switch of upstream_stand_in states any text as load; two end-to-end tests read hosts' metrics.

--- a/StandIns/LibForwarding/upstream_stand_in.cpp
+++ b/StandIns/LibForwarding/upstream_stand_in.cpp
@@ -14,6 +14,7 @@
 static constexpr std::string_view NotRunField = "X-Parsleyspindle-Not-Executed";
 static constexpr std::string_view LimitField = "Server-Limit";
 static constexpr std::string_view LeavingField = "Server-Leaving";
+static constexpr std::string_view LoadField = "X-Parsleyspindle-Server-Load";
 static constexpr std::string_view OnlyField =
     "X-Parsleyspindle-Expect-Instance";
 static constexpr std::string_view VersionField =
@@ -148,6 +149,8 @@
     Fields.push_back({std::string(LimitField), Now.Limit});
   if (Now.Leaving)
     Fields.push_back({std::string(LeavingField), "1"});
+  if (!Now.Load.empty())
+    Fields.push_back({std::string(LoadField), Now.Load});
   return Fields;
 }
 
--- a/StandIns/LibForwarding/upstream_stand_in.h
+++ b/StandIns/LibForwarding/upstream_stand_in.h
@@ -35,6 +35,8 @@
   std::string Limit;
   /// States in every answer that it leaves.
   bool Leaving = false;
+  /// The load that every answer states, as text; empty for none.
+  std::string Load;
   /// The Retry-After of every refusal, as text; empty for none.
   std::string RetryAfter;
 };
--- a/Tests/EndToEnd/forwarding_fleet.cpp
+++ b/Tests/EndToEnd/forwarding_fleet.cpp
@@ -112,6 +112,7 @@
       (Folder.path() / ("host-" + std::to_string(Host) + ".json")).string();
   Hosts[Host].Callers = freePort();
   Hosts[Host].Ready = freePort();
+  Hosts[Host].Metrics = freePort();
   json Settings;
   Settings["name"] = "host-" + std::to_string(Host);
   Settings["zone"] = zoneOf(Host);
@@ -120,7 +121,7 @@
   Settings["listen"] = {{"callers", toText(Hosts[Host].Callers)},
                         {"ready", toText(Hosts[Host].Ready)},
                         {"hostLink", toText(Links[Host])},
-                        {"metrics", "127.0.0.1:0"}};
+                        {"metrics", toText(Hosts[Host].Metrics)}};
   for (const endpoint &Link : Links)
     Settings["seeds"].push_back(toText(Link));
   Settings["platform"] = {{"servers", {toText(Store.address())}},
@@ -156,6 +157,21 @@
   return IsReady;
 }
 
+double forwarding_fleet::metric(std::size_t Host, const std::string &Name) {
+  std::string Text;
+  Runtime.runBlocking([&] {
+    Text = Client
+               .call(Hosts[Host].Metrics, {"GET", "/metrics", {}}, "", {},
+                     connection_use::FreshOnce, AnswerLimit)
+               .Body;
+  });
+  const std::string Start = "\n" + Name + " ";
+  const std::size_t Found = Text.find(Start);
+  return Found == std::string::npos
+             ? 0
+             : std::stod(Text.substr(Found + Start.size()));
+}
+
 forwarded_answer forwarding_fleet::send(std::size_t Host,
                                         const http_request_head &Head,
                                         const std::string &Body) {
--- a/Tests/EndToEnd/forwarding_fleet.h
+++ b/Tests/EndToEnd/forwarding_fleet.h
@@ -39,6 +39,8 @@
   const std::string &settingsFile(std::size_t Host) const {
     return Hosts[Host].SettingsFile;
   }
+  /// The value of a host's metric without labels; 0 if it has none.
+  double metric(std::size_t Host, const std::string &Name);
   /// Writes the operator's configuration, with these keys of customer c1.
   void configure(std::uint64_t Version, const std::vector<std::string> &Keys);
 
@@ -65,6 +67,7 @@
     std::string SettingsFile;
     endpoint Callers;
     endpoint Ready;
+    endpoint Metrics;
   };
 
   void writeSettings(std::size_t Host);
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -385,3 +385,38 @@
   }));
   REQUIRE(runsAt(Fleet.Engines) == 1);
 }
+
+// Guards against a leader that does not learn what an engine of its zone states
+// in responses to hosts of other zones.
+TEST_CASE("forwarding: a load that an engine states misses its zone's leader") {
+  forwarding_fleet Fleet;
+  upstream_switches Full;
+  Full.Full = true;
+  Fleet.Engines[0]->set(Full);
+  upstream_switches Slowed;
+  Slowed.Load = "3,2,8,250";
+  Fleet.Engines[1]->set(Slowed);
+  const time_point Start = boot_clock::now();
+  for (int Number = 0; Fleet.metric(2, "spindle_slowed_engines") < 1;
+       ++Number) {
+    REQUIRE(boot_clock::now() - Start < seconds(10));
+    Fleet.ask(0, "s" + std::to_string(Number), "a1", "/resume/x");
+    sleepFor(milliseconds(100));
+  }
+  // Host 2 has sent no request itself.
+  REQUIRE(Fleet.metric(2, "spindle_engine_loads_total") == 0);
+  REQUIRE(Fleet.metric(0, "spindle_engine_loads_total") >= 1);
+}
+
+TEST_CASE("forwarding: a load that can't be read costs a request") {
+  forwarding_fleet Fleet;
+  upstream_switches Absurd;
+  Absurd.Load = "1000000000000000000000000000000,-1,8,nan,7";
+  setAll(Fleet.Services, Absurd);
+  for (int Number = 0; Number < 5; ++Number)
+    REQUIRE(
+        Fleet.call(0, "c" + std::to_string(Number), "/check/1", "").Status ==
+        200);
+  REQUIRE(Fleet.metric(0, "spindle_malformed_loads_total") == 5);
+  REQUIRE(Fleet.metric(0, "spindle_engine_loads_total") == 0);
+}
