LibGateway: Note what each stream was expected to cost and did

Cause: nothing at the edge learns the output of requests, so no decision can depend on it. Change: each host has one cost model. It estimates a model request before its first attempt (forwarded_request::ExpectedCost), counts the events of a stream over all attempts, and learns from streams that the caller received whole and from responses of services without models. No decision uses the estimate yet.

--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -128,6 +128,8 @@
   Reader.feed(Bytes);
   stream_event Event;
   while (Reader.next(Event)) {
+    if (!Event.Data.empty() && !Event.Done)
+      ++Request.EventCount;
     if (!Resumable)
       continue;
     Request.Exchange.writeSome(Event.Raw);
@@ -136,6 +138,22 @@
   }
 }
 
+/// Records the output of a stream that the caller has received whole.
+void noteOutput(forwarded_request &Request) {
+  // A stream that the caller resumes is only the rest of one.
+  if (!Request.isModelCall() || !Request.Description.LastEventId.empty())
+    return;
+  const std::int64_t OutputTokens = Request.outputTokens();
+  Request.Services.Costs.noteOutput(costFeatures(Request), OutputTokens);
+  const metric_labels Labels{{"service", Request.Service.Name}};
+  const auto Count = [&](std::string_view Name, std::int64_t Tokens) {
+    Request.Services.Metrics.count(Name, Labels, static_cast<double>(Tokens));
+  };
+  Count("spindle_output_tokens_total", OutputTokens);
+  Count("spindle_expected_output_tokens_total",
+        Request.ExpectedCost.OutputTokens);
+}
+
 void forwardStream(forwarded_request &Request, const upstream_entry &Upstream,
                    http_call &Call, in_flight_guard &InFlight) {
   std::array<char, ReadBufferBytes> Buffer{};
@@ -152,6 +170,7 @@
     throw spindle_error(result_code::AnswerCutShort,
                         "the stream ended inside an event");
   Request.Exchange.finishStream();
+  noteOutput(Request);
 }
 
 attempt_report makeReport(attempt_outcome Outcome, int Status) {
@@ -225,6 +244,8 @@
     return Report;
   }
   Request.Exchange.respond(Head, Body);
+  if (isSuccess(Head.Status) && !Request.isModelCall())
+    Request.Services.Costs.notePlain(costFeatures(Request), InFlight.sentAt());
   return makeReport(attempt_outcome::Answered, Head.Status);
 }
 
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -144,6 +144,8 @@
         "a part of the prompt is suspected of crashing upstreams", Time);
   Services.RetryBudgets.noteRequest(Request.Service.Name);
   quota_charge Charge(Request);
+  if (Request.isModelCall())
+    Request.ExpectedCost = Services.Costs.estimate(costFeatures(Request));
   Request.Exchange.watchCaller(Request.Cancellation);
   runAttempts(Request);
 }
@@ -155,15 +157,18 @@
   Request.Services.Metrics.observeSeconds(
       "spindle_request_seconds", {{"outcome", std::string(OutcomeName)}},
       Elapsed.count());
-  logEvent(log_event::RequestServed,
-           {{"request", Request.Description.AttemptId},
-            {"route", Request.Route.Name},
-            {"customer", Request.Customer ? Request.Customer->Name : ""},
-            {"adapter", Request.Description.Adapter},
-            {"sends", std::to_string(Request.SendCount)},
-            {"outcome", std::string(OutcomeName)},
-            {"config", std::to_string(Request.Configuration->Version)},
-            {"ms", std::to_string(static_cast<int>(Elapsed.count() * 1'000))}});
+  logEvent(
+      log_event::RequestServed,
+      {{"request", Request.Description.AttemptId},
+       {"route", Request.Route.Name},
+       {"customer", Request.Customer ? Request.Customer->Name : ""},
+       {"adapter", Request.Description.Adapter},
+       {"sends", std::to_string(Request.SendCount)},
+       {"outcome", std::string(OutcomeName)},
+       {"expected_output", std::to_string(Request.ExpectedCost.OutputTokens)},
+       {"output", std::to_string(Request.outputTokens())},
+       {"config", std::to_string(Request.Configuration->Version)},
+       {"ms", std::to_string(static_cast<int>(Elapsed.count() * 1'000))}});
 }
 
 } // namespace
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -5,6 +5,7 @@
 #include "LibHTTP/http_server.h"
 #include "LibResilience/request_fingerprint.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -49,8 +50,19 @@
   std::string LastEventId;
   /// Whether the head of a stream, and maybe events, were sent to the caller.
   bool StreamStarted = false;
+  /// What the request was expected to cost before it was sent.
+  request_cost ExpectedCost{};
+  /// The events with data that were received, over all attempts.
+  std::int64_t EventCount = 0;
 
   bool isModelCall() const { return Service.Engine.has_value(); }
+  /// The output that was received so far, in events if the service's
+  /// configuration doesn't state the tokens of an event.
+  std::int64_t outputTokens() const {
+    const std::int64_t TokensPerEvent =
+        isModelCall() ? Service.Engine->TokensPerEvent : 0;
+    return EventCount * std::max<std::int64_t>(TokensPerEvent, 1);
+  }
   milliseconds timeLeft() const {
     return std::chrono::duration_cast<milliseconds>(Deadline -
                                                     Services.Clock.now());
--- a/Libraries/LibGateway/gateway_services.h
+++ b/Libraries/LibGateway/gateway_services.h
@@ -7,6 +7,7 @@
 #include "LibGateway/gateway_codec.h"
 #include "LibGateway/object_mirror.h"
 #include "LibGateway/release_table.h"
+#include "LibGateway/request_costs.h"
 #include "LibGateway/service_retry_budgets.h"
 #include "LibGateway/zone_coordinator.h"
 #include "LibHTTP/http_client.h"
@@ -51,6 +52,7 @@
   adapter_holds &Holds;
   release_table &Releases;
   service_retry_budgets &RetryBudgets;
+  request_costs &Costs;
 };
 
 } // namespace spindle
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -138,6 +138,30 @@
   REQUIRE(Runs == 1);
 }
 
+// A host that counted each attempt alone, or the events that were cut off,
+// would learn outputs that no request had.
+TEST_CASE("forwarding: a host learns the output of whole streams") {
+  forwarding_fleet Fleet;
+  const auto Log = [&Fleet](const std::string &Id) {
+    return Fleet.host(0).readLineWith(R"("RequestServed","request":")" + Id);
+  };
+  REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
+  REQUIRE_THAT(Log("w1"), Catch::Contains(R"("output":"5")"));
+  upstream_switches Breaking;
+  Breaking.BreaksAfter = 2;
+  for (const std::unique_ptr<upstream_stand_in> &Engine : Fleet.Engines)
+    if (Engine->runs() > 0)
+      Engine->set(Breaking);
+  REQUIRE(Fleet.ask(0, "r1", "a1", "/resume/x").Whole);
+  REQUIRE_THAT(Log("r1"), Catch::Contains(R"("output":"5")"));
+
+  setAll(Fleet.Engines, Breaking);
+  REQUIRE_FALSE(Fleet.ask(0, "s1", "a1").Whole);
+  setAll(Fleet.Engines, {});
+  REQUIRE(Fleet.ask(0, "w2", "a1").Whole);
+  REQUIRE_THAT(Log("w2"), Catch::Contains(R"("expected_output":"5")"));
+}
+
 TEST_CASE("forwarding: a stream that ends inside an event looks whole") {
   forwarding_fleet Fleet;
   REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
