LibGateway: Place by learned speed and cost, and log what made a stream late

Cause: the leader took all engines for equally fast and every output for as long as its limit; nothing showed whether a stream was late by its wait, its first event or a pause. Change: work_placer uses the facts and the estimated output. Hosts report how long a prompt took to be read. RequestServed gains prompt, wait_ms, first_ms and gap_ms.

--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -122,9 +122,8 @@
   Work.Service = Request.Service.Name;
   Work.Description = &Description;
   Work.Query.PromptTokens = Description.PromptTokens;
-  Work.Query.OutputTokens =
-      Description.OutputHint.value_or(Description.MaxOutputTokens);
-  Work.Query.HighOutputTokens = Description.MaxOutputTokens;
+  Work.Query.OutputTokens = Request.ExpectedCost.OutputTokens;
+  Work.Query.HighOutputTokens = Request.ExpectedCost.HighOutputTokens;
   Work.Query.GapObjective = Request.Route.GapObjective;
   Work.Query.Objective = Request.Route.Objective;
   upstream_query Query;
@@ -301,6 +300,7 @@
   if (!Held)
     return IsFinished;
   const upstream_entry &Upstream = *Held->Engine;
+  Request.ExpectedReading = Held->Reading;
   // Upstreams may have crashed on it while it waited, or on its last attempt.
   if (partsHeldBackFor(Request) > milliseconds(0)) {
     finishWithoutRetry("a part of the prompt is suspected of crashing "
--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -154,6 +154,23 @@
         Request.ExpectedCost.OutputTokens);
 }
 
+/// Records when events arrive, and with the first how long the upstream has
+/// read the prompt.
+void noteProgress(forwarded_request &Request, const upstream_entry &Upstream,
+                  time_point SentAt) {
+  // Shorter times say more of the network than of the upstream.
+  static constexpr milliseconds MinReading{40};
+  const time_point Now = Request.Services.Clock.now();
+  const bool IsFirst = !Request.Timing.FirstEventAt;
+  noteEvents(Request.Timing, Now);
+  if (!IsFirst || Request.ExpectedReading < MinReading)
+    return;
+  const std::chrono::duration<double, std::milli> Taken = Now - SentAt;
+  Request.Services.Fleet.noteReadTime(
+      Upstream.Id, static_cast<double>(Request.ExpectedReading.count()),
+      Taken.count());
+}
+
 void forwardStream(forwarded_request &Request, const upstream_entry &Upstream,
                    http_call &Call, in_flight_guard &InFlight) {
   std::array<char, ReadBufferBytes> Buffer{};
@@ -164,6 +181,7 @@
   while (const std::size_t Count = Call.readSome(Buffer)) {
     InFlight.markPromptProcessed();
     Request.Services.Fleet.noteActivity(Upstream.Id);
+    noteProgress(Request, Upstream, InFlight.sentAt());
     forwardBytes(Request, std::string_view(Buffer.data(), Count), Reader);
   }
   if (Reader.hasRemainder())
@@ -301,6 +319,7 @@
   in_flight_guard InFlight(Request, Upstream);
   const bool MayHaveRunBefore = Request.MayHaveRun;
   ++Request.SendCount;
+  Request.Timing.SentAt = InFlight.sentAt();
   try {
     Request.MayHaveRun = true;
     const std::unique_ptr<http_call> Call = Services.Client.start(
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -333,7 +333,7 @@
   for (const auto &[Id, Known] : Upstreams)
     if (Known.Entry->Zone == Zone && isEligible(Known, Query) &&
         !sendRate(Admission, *Known.Entry, Clock.now()))
-      Engines.push_back({Known.Entry, healthOf(Known)});
+      Engines.push_back({Known.Entry, healthOf(Known), Known.Facts});
   return Engines;
 }
 
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -57,6 +57,7 @@
   upstream_pointer Entry;
   /// The probability, from 0 to 1, that it serves a request.
   double Health = 1;
+  engine_facts Facts;
 };
 
 /// An adapter with requests in flight on an engine.
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -150,6 +150,24 @@
   runAttempts(Request);
 }
 
+std::string toMilliseconds(nanoseconds Time) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(Time).count());
+}
+
+/// How long the request waited in this host until it was last sent.
+nanoseconds waitBeforeSend(const forwarded_request &Request) {
+  const time_point Now = Request.Services.Clock.now();
+  return Request.Timing.SentAt.value_or(Now) - Request.Start;
+}
+
+/// How long the first event took after the last send; 0 if there was none.
+nanoseconds firstEventTime(const stream_timing &Timing) {
+  if (!Timing.SentAt || !Timing.FirstEventAt)
+    return nanoseconds(0);
+  return std::max(nanoseconds(0),
+                  nanoseconds(*Timing.FirstEventAt - *Timing.SentAt));
+}
+
 void logOutcome(const forwarded_request &Request,
                 std::string_view OutcomeName) {
   const std::chrono::duration<double> Elapsed =
@@ -167,6 +185,10 @@
        {"outcome", std::string(OutcomeName)},
        {"expected_output", std::to_string(Request.ExpectedCost.OutputTokens)},
        {"output", std::to_string(Request.outputTokens())},
+       {"prompt", std::to_string(Request.Description.PromptTokens)},
+       {"wait_ms", toMilliseconds(waitBeforeSend(Request))},
+       {"first_ms", toMilliseconds(firstEventTime(Request.Timing))},
+       {"gap_ms", toMilliseconds(Request.Timing.LongestGap)},
        {"config", std::to_string(Request.Configuration->Version)},
        {"ms", std::to_string(static_cast<int>(Elapsed.count() * 1'000))}});
 }
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -2,6 +2,7 @@
 #define PARSLEYSPINDLE_LIBGATEWAY_FORWARDED_REQUEST_H
 
 #include "LibGateway/gateway_services.h"
+#include "LibGateway/stream_timing.h"
 #include "LibHTTP/http_server.h"
 #include "LibResilience/request_fingerprint.h"
 
@@ -54,6 +55,9 @@
   request_cost ExpectedCost{};
   /// The events with data that were received, over all attempts.
   std::int64_t EventCount = 0;
+  /// How long the upstream is expected to read the prompt; 0 if not known.
+  milliseconds ExpectedReading{0};
+  stream_timing Timing{};
 
   bool isModelCall() const { return Service.Engine.has_value(); }
   /// The output that was received so far, in events if the service's
--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -79,6 +79,15 @@
   return Uses;
 }
 
+/// Sets how long reading and writing take on the engine, as they will while
+/// this request is read and written.
+static void applyFacts(engine_candidate &Candidate, const engine_facts &Facts,
+                       const placement_query &Query, time_point Now) {
+  const request_work Usual = workOn(Candidate, Query, placement_costs{});
+  Candidate.ReadingFactor = expectedTimeFactor(Facts, Usual.Reading, Now);
+  Candidate.WritingFactor = expectedTimeFactor(Facts, Usual.Writing, Now);
+}
+
 std::optional<work_placer::placement_plan>
 work_placer::plan(const placement_request &Request) {
   upstream_query Query;
@@ -119,6 +128,7 @@
     }
     if (Candidate.Adapter == adapter_readiness::Ready)
       Candidate.CachedTokens = State.Prompts.cachedTokens(Request.Description);
+    applyFacts(Candidate, Placeable[Index].Facts, Need, Now);
   }
   const std::vector<engine_choice> Ranked =
       rankEngines(Candidates, Need, placement_costs{}, Now);
