LibGateway: Hold loaded adapters where engines answer no orders

Cause: while orders stay unanswered, the placer chose engines whose state was unknown, and each such choice ended the attempt; engines that had the adapter loaded were left out as well. It also took reading times that contained the factor they are to teach. Change: a loaded adapter is held whatever becomes of orders; an engine whose state is unknown is unavailable for further adapters; after a failed placement the host asks another zone; reading times refer to the usual speed.

--- a/Libraries/LibGateway/adapter_controller.cpp
+++ b/Libraries/LibGateway/adapter_controller.cpp
@@ -507,21 +507,39 @@
 adapter_controller::outlooks(std::span<const upstream_pointer> Entries,
                              const versioned_adapter &Wanted) {
   std::vector<engine_pointer> Known;
-  for (const upstream_pointer &Entry : Entries)
+  for (const upstream_pointer &Entry : Entries) {
     Known.push_back(engineFor(Entry));
+    if (!Known.back()->OrderCountKnown && !isUnresponsive(*Known.back()))
+      startResync(Known.back());
+  }
   std::vector<adapter_outlook> Outlooks;
   const std::lock_guard<std::mutex> Lock(Mutex);
   for (const engine_pointer &Engine : Known) {
     adapter_outlook &Outlook = Outlooks.emplace_back();
     Outlook.Slots = outlookFor(Engine->Slots, Wanted, Clock.now());
     Outlook.LikelyHasCopy = Engine->PreviouslyLoaded.contains(Wanted.Name);
-    if (isUnresponsive(*Engine) &&
+    if ((isUnresponsive(*Engine) || !Engine->OrderCountKnown) &&
         Outlook.Slots.Readiness != adapter_readiness::Ready)
-      Outlook.Slots.Readiness = adapter_readiness::NoSlot;
+      Outlook.Slots.Readiness = adapter_readiness::Unavailable;
   }
   return Outlooks;
 }
 
+std::optional<std::uint64_t>
+adapter_controller::holdLoaded(upstream_id Engine,
+                               const versioned_adapter &Wanted) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Engines.find(Engine);
+  if (Found == Engines.end())
+    return std::nullopt;
+  adapter_slots &Slots = Found->second->Slots;
+  const slot_outlook Outlook = outlookFor(Slots, Wanted, Clock.now());
+  if (Outlook.Readiness != adapter_readiness::Ready)
+    return std::nullopt;
+  planHold(Slots, Wanted, Clock.now());
+  return findAdapterSlot(Slots, Wanted.Name)->Adapter.Version;
+}
+
 std::vector<available_slots> adapter_controller::listAvailableSlots() const {
   std::vector<available_slots> AvailableSlots;
   const std::lock_guard<std::mutex> Lock(Mutex);
--- a/Libraries/LibGateway/adapter_controller.h
+++ b/Libraries/LibGateway/adapter_controller.h
@@ -79,10 +79,15 @@
                                        const slot_request &SlotRequest,
                                        time_point Until);
   /// Returns what it takes to serve requests for \p Wanted on each of the
-  /// engines, in their order. An engine that answers no orders has no slot.
+  /// engines, in their order. An engine whose state is not known, or which
+  /// answers no orders, is unavailable for a further adapter.
   std::vector<adapter_outlook>
   outlooks(std::span<const upstream_pointer> Entries,
            const versioned_adapter &Wanted);
+  /// Keeps the adapter loaded on the engine for HoldTerm if it is, and returns
+  /// its version; also while the engine answers no orders.
+  std::optional<std::uint64_t> holdLoaded(upstream_id Engine,
+                                          const versioned_adapter &Wanted);
   /// Returns the number of adapters that each engine under this host's control
   /// could load now.
   std::vector<available_slots> listAvailableSlots() const;
--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -146,7 +146,7 @@
   std::optional<held_engine> Held =
       recordHold(Query, Placed->Engine, Placed->Version, RequestedAt);
   if (Held)
-    Held->Reading = Placed->Reading;
+    Held->UsualReading = Placed->UsualReading;
   return Held;
 }
 
@@ -232,7 +232,7 @@
         recordHold(Query, upstream_id::ofName(Reply.upstream()),
                    Reply.version(), RequestedAt);
     if (Held)
-      Held->Reading = milliseconds(Reply.reading_ms());
+      Held->UsualReading = milliseconds(Reply.reading_ms());
     return Held;
   }
   if (!Query.Work)
@@ -276,7 +276,7 @@
     Reply.set_term_ms(HoldTerm.count());
     Reply.set_version(Placed->Version);
     Reply.set_upstream(Engine->Name);
-    Reply.set_reading_ms(Placed->Reading.count());
+    Reply.set_reading_ms(Placed->UsualReading.count());
   } catch (const spindle_error &Error) {
     Reply.set_message(Error.what());
   }
--- a/Libraries/LibGateway/adapter_holds.h
+++ b/Libraries/LibGateway/adapter_holds.h
@@ -46,8 +46,8 @@
 struct held_engine {
   upstream_pointer Engine;
   std::uint64_t Version = 0;
-  /// How long the engine is expected to read the prompt; 0 if not known.
-  milliseconds Reading{0};
+  /// See placed_engine.
+  milliseconds UsualReading{0};
 };
 
 /// Acquires and caches holds. A hold guarantees for HoldTerm that an engine
--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -140,10 +140,7 @@
 /// \throws spindle_error if none does while the response is still of use to
 /// the caller.
 held_engine holdAdapter(const forwarded_request &Request,
-                        const chosen_upstream &Chosen, bool MayPlace) {
-  const bool IsPlaced =
-      MayPlace && Request.isModelCall() &&
-      Request.Services.Placement.appliesTo(Chosen.EnginesInZone);
+                        const chosen_upstream &Chosen, bool IsPlaced) {
   const bool NamesAdapter =
       Request.isModelCall() && !Request.Description.Adapter.empty();
   if (!NamesAdapter && !IsPlaced)
@@ -233,6 +230,8 @@
 
 private:
   bool attemptOnce();
+  bool isPlaced(const chosen_upstream &Chosen) const;
+  void avoidAsked(const chosen_upstream &Chosen);
   std::optional<held_engine> hold(const chosen_upstream &Chosen);
   void recordSent(const upstream_entry &Upstream);
   void finishWithoutRetry(const std::string &Cause);
@@ -260,12 +259,29 @@
     Request.SentTo.push_back(Upstream.Id);
 }
 
+bool attempt_loop::isPlaced(const chosen_upstream &Chosen) const {
+  return !Target.Only && Request.isModelCall() &&
+         Request.Services.Placement.appliesTo(Chosen.EnginesInZone);
+}
+
+/// Excludes the engines on which the adapter could not be held.
+void attempt_loop::avoidAsked(const chosen_upstream &Chosen) {
+  if (isPlaced(Chosen)) {
+    const std::vector<upstream_id> Engines = Request.Services.Fleet.enginesIn(
+        Chosen.Upstream->Zone, Request.Service.Name);
+    Request.Avoid.insert(Request.Avoid.end(), Engines.begin(), Engines.end());
+    return;
+  }
+  for (const upstream_pointer &Engine : Chosen.Engines)
+    Request.Avoid.push_back(Engine->Id);
+}
+
 /// Holds the adapter on one of the chosen engines. If that fails, excludes
 /// these engines from the next choice, or ends the request if no other zones
 /// may be asked.
 std::optional<held_engine> attempt_loop::hold(const chosen_upstream &Chosen) {
   try {
-    return holdAdapter(Request, Chosen, !Target.Only);
+    return holdAdapter(Request, Chosen, isPlaced(Chosen));
   } catch (const spindle_error &Error) {
     logEvent(log_event::AdapterHoldFailed,
              {{"request", Request.Description.AttemptId},
@@ -277,8 +293,7 @@
               {"cause", Error.what()}});
     if (Request.Cancellation->reason())
       throw;
-    for (const upstream_pointer &Engine : Chosen.Engines)
-      Request.Avoid.push_back(Engine->Id);
+    avoidAsked(Chosen);
     IsFinished = Target.Only || ++ZonesAsked >= MaxZonesAsked;
     if (IsFinished)
       finishWithoutRetry(Error.what());
@@ -300,7 +315,7 @@
   if (!Held)
     return IsFinished;
   const upstream_entry &Upstream = *Held->Engine;
-  Request.ExpectedReading = Held->Reading;
+  Request.UsualReading = Held->UsualReading;
   // Upstreams may have crashed on it while it waited, or on its last attempt.
   if (partsHeldBackFor(Request) > milliseconds(0)) {
     finishWithoutRetry("a part of the prompt is suspected of crashing "
--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -163,11 +163,11 @@
   const time_point Now = Request.Services.Clock.now();
   const bool IsFirst = !Request.Timing.FirstEventAt;
   noteEvents(Request.Timing, Now);
-  if (!IsFirst || Request.ExpectedReading < MinReading)
+  if (!IsFirst || Request.UsualReading < MinReading)
     return;
   const std::chrono::duration<double, std::milli> Taken = Now - SentAt;
   Request.Services.Fleet.noteReadTime(
-      Upstream.Id, static_cast<double>(Request.ExpectedReading.count()),
+      Upstream.Id, static_cast<double>(Request.UsualReading.count()),
       Taken.count());
 }
 
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -337,6 +337,16 @@
   return Engines;
 }
 
+std::vector<upstream_id>
+fleet_table::enginesIn(std::string_view Zone, std::string_view Service) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::vector<upstream_id> Engines;
+  for (const auto &[Id, Known] : Upstreams)
+    if (Known.Entry->Zone == Zone && Known.Entry->Service == Service)
+      Engines.push_back(Id);
+  return Engines;
+}
+
 std::vector<upstream_id> fleet_table::unusable(const upstream_query &Query,
                                                std::string_view Zone) const {
   static constexpr double MinHealth = 0.5;
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -119,6 +119,8 @@
   /// The engines of a zone on which the request may be placed.
   std::vector<placeable_engine> placeable(const upstream_query &Query,
                                           std::string_view Zone) const;
+  std::vector<upstream_id> enginesIn(std::string_view Zone,
+                                     std::string_view Service) const;
   /// The engines of a zone to which this host may not send the request now, or
   /// which would probably fail it.
   std::vector<upstream_id> unusable(const upstream_query &Query,
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -55,8 +55,9 @@
   request_cost ExpectedCost{};
   /// The events with data that were received, over all attempts.
   std::int64_t EventCount = 0;
-  /// How long the upstream is expected to read the prompt; 0 if not known.
-  milliseconds ExpectedReading{0};
+  /// How long an engine of the usual speed would read the prompt; 0 if its time
+  /// would say little of the engine's speed.
+  milliseconds UsualReading{0};
   stream_timing Timing{};
 
   bool isModelCall() const { return Service.Engine.has_value(); }
--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -9,12 +9,14 @@
 
 // How far below the best value that of an alternative engine may be.
 static constexpr double MaxValueGap = 0.05;
+// The same while all slots are in use: the first that is free will do.
+static constexpr double MaxValueGapWithoutSlot = 0.3;
 static constexpr milliseconds RoomPollInterval{10};
 // The part of an engine's memory that holds the parts of earlier prompts.
 static constexpr double CachedPartsShare = 0.7;
 // A reading time says something of the engine's speed if the prompt waited for
 // at most this part of it.
-static constexpr int MaxWaitDivisor = 4;
+static constexpr int MaxWaitDivisor = 10;
 
 work_placer::work_placer(const runtime_clock &Clock, fleet_table &Fleet,
                          adapter_controller &Controller, std::string Zone,
@@ -88,6 +90,18 @@
   Candidate.WritingFactor = expectedTimeFactor(Facts, Usual.Writing, Now);
 }
 
+/// How long an engine of the usual speed would read the prompt; 0 if it waits
+/// for others, so that its time would say little of the engine's speed.
+static milliseconds usualReading(const engine_candidate &Engine,
+                                 const placement_query &Query, time_point Now) {
+  engine_candidate Usual = Engine;
+  Usual.ReadingFactor = 1;
+  const nanoseconds Reading = workOn(Usual, Query, placement_costs{}).Reading;
+  if (readingBacklog(*Engine.Work, Now) * MaxWaitDivisor > Reading)
+    return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(Reading);
+}
+
 std::optional<work_placer::placement_plan>
 work_placer::plan(const placement_request &Request) {
   upstream_query Query;
@@ -136,9 +150,15 @@
     return std::nullopt;
   placement_plan Plan;
   Plan.Best = Ranked.front();
-  Plan.Backlog = readingBacklog(*Candidates[Plan.Best.Index].Work, Now);
+  Plan.IsAdapterReady =
+      Candidates[Plan.Best.Index].Adapter == adapter_readiness::Ready;
+  Plan.UsualReading = usualReading(Candidates[Plan.Best.Index], Need, Now);
+  const double Gap =
+      Candidates[Plan.Best.Index].Adapter == adapter_readiness::NoSlot
+          ? MaxValueGapWithoutSlot
+          : MaxValueGap;
   for (const engine_choice &Choice : Ranked)
-    if (Choice.Value >= Plan.Best.Value - MaxValueGap)
+    if (Choice.Value >= Plan.Best.Value - Gap)
       Plan.Engines.push_back(Entries[Choice.Index]->Id);
   return Plan;
 }
@@ -157,6 +177,23 @@
                                                Request.Slot.UsefulUntil));
 }
 
+/// Holds the adapter on one of the planned engines.
+std::optional<adapter_location>
+work_placer::holdAdapter(const placement_request &Request,
+                         const placement_plan &Plan, time_point Until) {
+  const versioned_adapter Wanted{
+      {Request.Description.Model, Request.Description.Adapter},
+      Request.AdapterVersion};
+  const upstream_id Best = Plan.Engines.front();
+  if (Plan.IsAdapterReady)
+    if (const std::optional<std::uint64_t> Version =
+            Controller.holdLoaded(Best, Wanted))
+      return adapter_location{Best, {Wanted.Name, *Version}};
+  slot_request Slot = Request.Slot;
+  Slot.Engines = Plan.Engines;
+  return Controller.hold(Wanted, Slot, Until);
+}
+
 std::optional<placed_engine>
 work_placer::carryOut(const placement_request &Request,
                       const placement_plan &Plan, time_point Until) {
@@ -166,12 +203,8 @@
   placed_engine Placed;
   Placed.Engine = Best;
   if (!Request.Description.Adapter.empty()) {
-    slot_request Slot = Request.Slot;
-    Slot.Engines = Plan.Engines;
-    const std::optional<adapter_location> Location = Controller.hold(
-        {{Request.Description.Model, Request.Description.Adapter},
-         Request.AdapterVersion},
-        Slot, Until);
+    const std::optional<adapter_location> Location =
+        holdAdapter(Request, Plan, Until);
     if (!Location)
       return std::nullopt;
     Placed.Engine = Location->Engine;
@@ -181,10 +214,8 @@
     Reserved.keep();
   else
     reservation(*this, Placed.Engine, Plan.Best.Work, Clock.now()).keep();
-  if (Placed.Engine == Best && Plan.Best.Loading == nanoseconds(0) &&
-      Plan.Backlog * MaxWaitDivisor <= Plan.Best.Work.Reading)
-    Placed.Reading = std::chrono::duration_cast<milliseconds>(
-        Plan.Backlog + Plan.Best.Work.Reading);
+  if (Placed.Engine == Best && Plan.Best.Loading == nanoseconds(0))
+    Placed.UsualReading = Plan.UsualReading;
   const std::lock_guard<std::mutex> Lock(Mutex);
   Engines[Placed.Engine].Prompts.note(Request.Description);
   return Placed;
--- a/Libraries/LibGateway/work_placer.h
+++ b/Libraries/LibGateway/work_placer.h
@@ -38,9 +38,9 @@
   upstream_id Engine;
   /// The version of the adapter there; 0 if the request names none.
   std::uint64_t Version = 0;
-  /// How long the engine is expected to read the prompt; 0 if others are read
-  /// before it.
-  milliseconds Reading{0};
+  /// How long an engine of the usual speed would read the prompt; 0 if its time
+  /// would say little of the engine's speed.
+  milliseconds UsualReading{0};
 };
 
 /// Chooses the engines of a zone for the requests of all hosts while this host
@@ -80,7 +80,9 @@
   struct placement_plan {
     std::vector<upstream_id> Engines;
     engine_choice Best;
-    nanoseconds Backlog{0};
+    bool IsAdapterReady = false;
+    /// See placed_engine.
+    milliseconds UsualReading{0};
   };
   class reservation;
 
@@ -89,6 +91,9 @@
                         const engine_capacity &Capacity);
   void refuseIfUseless(const placement_request &Request,
                        const placement_plan &Plan) const;
+  std::optional<adapter_location> holdAdapter(const placement_request &Request,
+                                              const placement_plan &Plan,
+                                              time_point Until);
   std::optional<placed_engine> carryOut(const placement_request &Request,
                                         const placement_plan &Plan,
                                         time_point Until);
--- a/Libraries/LibRouting/engine_placement.cpp
+++ b/Libraries/LibRouting/engine_placement.cpp
@@ -99,6 +99,7 @@
   case adapter_readiness::NeedsEviction:
     return Load + Costs.CopyLoadTime;
   case adapter_readiness::NoSlot:
+  case adapter_readiness::Unavailable:
     return Load + Costs.SlotWait;
   }
   return Load;
@@ -150,6 +151,10 @@
   return Choice;
 }
 
+static bool isUsable(const engine_candidate &Engine) {
+  return Engine.Health > 0 && Engine.Adapter != adapter_readiness::Unavailable;
+}
+
 std::vector<engine_choice>
 rankEngines(std::span<const engine_candidate> Engines,
             const placement_query &Query, const placement_costs &Costs,
@@ -157,7 +162,7 @@
   std::vector<engine_choice> Ranked;
   Ranked.reserve(Engines.size());
   for (std::size_t Index = 0; Index < Engines.size(); ++Index)
-    if (Engines[Index].Health > 0 && hasRoom(Engines[Index], Query))
+    if (isUsable(Engines[Index]) && hasRoom(Engines[Index], Query))
       Ranked.push_back(evaluate(Engines[Index], Index, Query, Costs, Now));
   std::stable_sort(Ranked.begin(), Ranked.end(),
                    [](const engine_choice &Left, const engine_choice &Right) {
--- a/Libraries/LibRouting/engine_placement.h
+++ b/Libraries/LibRouting/engine_placement.h
@@ -22,6 +22,8 @@
   NeedsEviction,
   /// All slots are in use.
   NoSlot,
+  /// The engine accepts no orders now.
+  Unavailable,
 };
 
 /// An engine on which a request may be placed.
