LibHTTP: Pause accepting while the process has no free descriptor

The bound on connections had no relation to the descriptors of the process.

Change: accepting pauses for 20 ms after any failure, and while the server has as many connections as getrlimit() allows less what upstreams, hosts, the store, metrics and readiness need. From three quarters of that, connections close after their next response, so that idle ones don't keep new callers out. A limit in the settings closes connections beyond it as before; one above the bound is logged at the start.

--- a/Libraries/LibHTTP/beast_exchange.cpp
+++ b/Libraries/LibHTTP/beast_exchange.cpp
@@ -35,10 +35,10 @@
 beast_exchange::beast_exchange(tcp_stream &Stream, beast::flat_buffer &Buffer,
                                request_parser &Parser,
                                const http_server_limits &Limits,
-                               const std::atomic<bool> &Draining,
+                               const closing_reasons &Closing,
                                std::uint64_t Connection)
     : Stream(Stream), Buffer(Buffer), Parser(Parser), Limits(Limits),
-      Draining(Draining), Connection(Connection) {
+      Closing(Closing), Connection(Connection) {
   const http::request<http::buffer_body> &Message = Parser.get();
   Head.Method = std::string(Message.method_string());
   Head.Target = std::string(Message.target());
@@ -104,7 +104,8 @@
 }
 
 bool beast_exchange::closesAfter() const {
-  return Draining.load() || !Parser.is_done() || !Parser.get().keep_alive();
+  return Closing.Draining.load() || Closing.Crowded.load() ||
+         !Parser.is_done() || !Parser.get().keep_alive();
 }
 
 template <typename message>
--- a/Libraries/LibHTTP/beast_exchange.h
+++ b/Libraries/LibHTTP/beast_exchange.h
@@ -12,6 +12,14 @@
 
 namespace spindle {
 
+/// Why connections are closed after the response that is being sent.
+struct closing_reasons {
+  /// The server is about to stop.
+  std::atomic<bool> Draining{false};
+  /// Connections are scarce.
+  std::atomic<bool> Crowded{false};
+};
+
 using request_parser =
     boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
@@ -21,7 +29,7 @@
   /// \p Parser has read the header. All references must outlive the object.
   beast_exchange(tcp_stream &Stream, boost::beast::flat_buffer &Buffer,
                  request_parser &Parser, const http_server_limits &Limits,
-                 const std::atomic<bool> &Draining, std::uint64_t Connection);
+                 const closing_reasons &Closing, std::uint64_t Connection);
   ~beast_exchange() override;
 
   const http_request_head &request() const override { return Head; }
@@ -56,7 +64,7 @@
   boost::beast::flat_buffer &Buffer;
   request_parser &Parser;
   const http_server_limits &Limits;
-  const std::atomic<bool> &Draining;
+  const closing_reasons &Closing;
   const std::uint64_t Connection;
   http_request_head Head;
   phase Phase = phase::Waiting;
--- a/Libraries/LibHTTP/http_server.cpp
+++ b/Libraries/LibHTTP/http_server.cpp
@@ -4,7 +4,9 @@
 #include "LibCore/result_code.h"
 #include "LibCore/retry_after_error.h"
 #include "LibHTTP/beast_exchange.h"
+#include "LibHTTP/connection_limit.h"
 #include "LibHTTP/error_response.h"
+#include "LibLog/log.h"
 
 #include <atomic>
 #include <limits>
@@ -13,6 +15,7 @@
 #include <set>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/read.hpp>
 
 namespace spindle {
@@ -63,18 +66,26 @@
 // Room beside a head in a connection's buffer. The parser keeps the line before
 // a chunk there until it is complete, however long it gets.
 static constexpr std::size_t BufferMarginBytes = 128 * 1024;
+// How long accepting pauses. Descriptors are given back at any time, so that
+// this is also how late a free one may be used.
+static constexpr milliseconds AcceptPause{20};
+// Pauses that follow each other sooner are one episode, which is logged once.
+static constexpr milliseconds EpisodeGap{10'000};
 
 struct http_server::state {
   state(fiber_runtime &Runtime, http_server_limits Limits, http_handler Handler,
         http_error_writer ErrorWriter)
       : Runtime(Runtime), Handler(std::move(Handler)),
         ErrorWriter(std::move(ErrorWriter)), Acceptor(Runtime.ioContext(0)),
-        Limits(Limits) {}
+        PauseTimer(Runtime.ioContext(0)), Limits(Limits) {}
 
   struct removal_guard;
 
   void listen(const endpoint &Address);
   void accept(const std::shared_ptr<state> &Self);
+  void pauseAccepting(const std::shared_ptr<state> &Self,
+                      std::string_view Reason);
+  void notePause(std::string_view Reason);
   void start(const std::shared_ptr<state> &Self, accepted_socket Socket,
              std::size_t Thread);
   void serve(server_connection &Connection);
@@ -90,17 +101,24 @@
   bool add(const connection_pointer &Connection);
   void remove(const connection_pointer &Connection);
   void closeConnections();
+  http_server_limits limits() const;
+  bool isFull() const;
+  void updateCrowded();
 
   fiber_runtime &Runtime;
-  http_server_limits limits() const;
+  const std::size_t DescriptorBound = callerConnectionLimit(descriptorLimit());
 
   const http_handler Handler;
   const http_error_writer ErrorWriter;
   acceptor Acceptor;
+  asio::steady_timer PauseTimer;
   endpoint Bound;
+  std::atomic<std::uint64_t> Pauses{0};
+  /// When accepting last paused; used on the acceptor's thread alone.
+  std::optional<std::chrono::steady_clock::time_point> PausedAt;
   std::size_t NextThread = 0;
   std::uint64_t LastConnection = 0;
-  std::atomic<bool> Draining{false};
+  closing_reasons Closing;
   /// Whether new requests are refused.
   std::atomic<bool> Refusing{false};
   /// Whether all connections are to end.
@@ -109,6 +127,8 @@
   mutable std::mutex Mutex;
   http_server_limits Limits;
   std::set<connection_pointer> Connections;
+  /// Whether the process had no descriptor for the last connection.
+  bool LacksDescriptors = false;
 };
 
 http_server_limits http_server::state::limits() const {
@@ -129,18 +149,69 @@
   }
 }
 
+bool http_server::state::isFull() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Connections.size() >= DescriptorBound;
+}
+
+/// Precondition: Mutex is locked.
+void http_server::state::updateCrowded() {
+  Closing.Crowded.store(LacksDescriptors ||
+                        isCrowded(Connections.size(), DescriptorBound));
+}
+
 void http_server::state::accept(const std::shared_ptr<state> &Self) {
+  if (Refusing.load())
+    return;
+  if (isFull()) {
+    pauseAccepting(Self, "the rest of the descriptors is reserved");
+    return;
+  }
   const std::size_t Thread = NextThread++ % Runtime.threadCount();
   Acceptor.async_accept(
       Runtime.ioContext(Thread),
       [Self, Thread](boost::system::error_code Error, accepted_socket Socket) {
+        if (Error == asio::error::operation_aborted)
+          return;
         if (!Error)
           Self->start(Self, std::move(Socket), Thread);
-        if (Error != asio::error::operation_aborted && !Self->Refusing.load())
+        if (!Error || Error == asio::error::connection_aborted)
           Self->accept(Self);
+        else
+          Self->pauseAccepting(Self, Error.message());
       });
 }
 
+/// Accepts again after a pause. A connection that can't be accepted stays with
+/// the kernel, so that accepting again at once would fail at once.
+void http_server::state::pauseAccepting(const std::shared_ptr<state> &Self,
+                                        std::string_view Reason) {
+  notePause(Reason);
+  PauseTimer.expires_after(AcceptPause);
+  PauseTimer.async_wait([Self](boost::system::error_code Error) {
+    if (!Error)
+      Self->accept(Self);
+  });
+}
+
+void http_server::state::notePause(std::string_view Reason) {
+  std::size_t Open = 0;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Open = Connections.size();
+    LacksDescriptors = Open < DescriptorBound;
+    updateCrowded();
+  }
+  ++Pauses;
+  const std::chrono::steady_clock::time_point Now =
+      std::chrono::steady_clock::now();
+  if (!PausedAt || Now - *PausedAt > EpisodeGap)
+    logEvent(log_event::AcceptingPaused, {{"address", toText(Bound)},
+                                          {"connections", std::to_string(Open)},
+                                          {"reason", std::string(Reason)}});
+  PausedAt = Now;
+}
+
 /// Removes a connection when its fiber ends, however it does.
 struct http_server::state::removal_guard {
   removal_guard(state &Server, connection_pointer Connection)
@@ -177,7 +248,11 @@
   boost::system::error_code Ignored;
   Connection.Stream.socket().shutdown(asio::socket_base::shutdown_send,
                                       Ignored);
-  if (!Closed.load())
+  const bool AllRead = Connection.Buffer.size() == 0 &&
+                       peek(Connection.Stream) == socket_peek::Quiet;
+  // Where connections are scarce, one is not kept for what may still come.
+  const bool Discards = !Closing.Crowded.load() || !AllRead;
+  if (!Closed.load() && Discards)
     discardRest(Connection);
   Connection.Stream.close();
 }
@@ -245,7 +320,7 @@
   }
   ++Running;
   beast_exchange Exchange(Connection.Stream, Connection.Buffer, Parser, Limits,
-                          Draining, Connection.Number);
+                          Closing, Connection.Number);
   handle(Exchange);
   --Running;
   return Exchange.reusable() && !Closed.load();
@@ -296,7 +371,7 @@
                                 const spindle_error &Refusal) {
   const http_server_limits Limits = limits();
   beast_exchange Exchange(Connection.Stream, Connection.Buffer, Parser, Limits,
-                          Draining, Connection.Number);
+                          Closing, Connection.Number);
   try {
     ErrorWriter(Exchange, Refusal);
   } catch (const std::exception &) {
@@ -306,15 +381,19 @@
 
 bool http_server::state::add(const connection_pointer &Connection) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  if (Closed || Connections.size() >= Limits.Connections)
+  if (Closed ||
+      (Limits.Connections > 0 && Connections.size() >= Limits.Connections))
     return false;
   Connections.insert(Connection);
+  LacksDescriptors = false;
+  updateCrowded();
   return true;
 }
 
 void http_server::state::remove(const connection_pointer &Connection) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   Connections.erase(Connection);
+  updateCrowded();
 }
 
 void http_server::state::closeConnections() {
@@ -331,7 +410,12 @@
     : State(std::make_shared<state>(Runtime, Limits, std::move(Handler),
                                     std::move(ErrorWriter))) {
   State->listen(Address);
-  State->accept(State);
+  if (Limits.Connections > State->DescriptorBound)
+    logEvent(log_event::ConnectionLimitLowered,
+             {{"address", toText(State->Bound)},
+              {"set", std::to_string(Limits.Connections)},
+              {"used", std::to_string(State->DescriptorBound)}});
+  asio::post(Runtime.ioContext(0), [State = State] { State->accept(State); });
 }
 
 http_server::~http_server() {
@@ -350,15 +434,16 @@
 
 endpoint http_server::address() const { return State->Bound; }
 
-void http_server::startDrain() { State->Draining.store(true); }
+void http_server::startDrain() { State->Closing.Draining.store(true); }
 
 void http_server::refuseNew() {
-  State->Draining.store(true);
+  State->Closing.Draining.store(true);
   if (State->Refusing.exchange(true))
     return;
   asio::post(State->Runtime.ioContext(0), [State = State] {
     boost::system::error_code Ignored;
     State->Acceptor.close(Ignored);
+    State->PauseTimer.cancel();
   });
 }
 
@@ -367,6 +452,8 @@
   State->Limits = Limits;
 }
 
+std::uint64_t http_server::acceptPauses() const { return State->Pauses.load(); }
+
 std::size_t http_server::runningExchanges() const {
   return State->Running.load();
 }
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -19,8 +19,9 @@
 /// Bounds on what one caller may use.
 struct http_server_limits {
   std::size_t HeaderBytes = 16 * 1024;
-  /// Connections beyond this are closed at once.
-  std::size_t Connections = 20'000;
+  /// Connections beyond this are closed at once; 0 stands for no such limit.
+  /// The descriptors of the process are a bound of their own.
+  std::size_t Connections = 0;
   /// From a request's first byte to the end of its header.
   milliseconds HeaderTimeout{10'000};
   /// How long an idle keep-alive connection is kept.
@@ -79,6 +80,11 @@
 
 /// An HTTP/1.1 server with keep-alive, whose connections are spread over the
 /// runtime's threads.
+///
+/// When it has as many connections as the descriptors of the process allow, see
+/// callerConnectionLimit(), or the process has no descriptor left, it accepts
+/// none until some have closed, and serves those that it has. Shortly before,
+/// and then, each connection is closed after its next response.
 class http_server {
 public:
   /// Listens at \p Address; port 0 lets the kernel choose.
@@ -102,6 +108,9 @@
   void refuseNew();
   /// Replaces the limits for requests that are read from now on. Thread-safe.
   void setLimits(const http_server_limits &Limits);
+  /// The number of times that the server has paused accepting for want of
+  /// descriptors. Thread-safe.
+  std::uint64_t acceptPauses() const;
   /// The number of exchanges that are running. Thread-safe.
   std::size_t runningExchanges() const;
 
