--- a/Tests/LibHTTP/test_descriptor_limit.cpp
+++ b/Tests/LibHTTP/test_descriptor_limit.cpp
@@ -178,6 +178,7 @@
   // Each stays connected after its response, as a caller that would use the
   // connection again.
   std::vector<std::unique_ptr<caller>> Idle;
+  Idle.reserve(60);
   for (int Count = 0; Count < 60; ++Count) {
     Idle.push_back(std::make_unique<caller>(Server.address()));
     REQUIRE(Idle.back()->isAnswered());
@@ -185,6 +186,7 @@
   REQUIRE(caller(Ready.address()).isAnswered());
   // With callers that send nothing, the bound is reached.
   std::vector<std::unique_ptr<caller>> Silent;
+  Silent.reserve(30);
   for (int Count = 0; Count < 30; ++Count)
     Silent.push_back(std::make_unique<caller>(Server.address()));
   const caller Late(Server.address());
