LibGateway: Start a process's quota buckets empty

Cause: each new process started with half of a customer's burst. While hosts restart in turn and a customer sends several times its rate, the burst is used up, and each restart gave it half a burst once more.

Change: the buckets of a process's first configuration start empty; those of customers that a later configuration adds start with half as before.

--- a/Libraries/LibGateway/customer_quota.cpp
+++ b/Libraries/LibGateway/customer_quota.cpp
@@ -10,6 +10,8 @@
 void customer_quota::applyConfiguration(
     const gateway_configuration &Configuration) {
   const std::lock_guard<std::mutex> Lock(Mutex);
+  const double Fill = HasConfiguration ? InitialFill : RestartFill;
+  HasConfiguration = true;
   std::map<customer_id, usage_bucket> Next;
   for (const gateway_customer &Customer : Configuration.Customers) {
     if (Customer.RatePerSecond <= 0)
@@ -21,7 +23,8 @@
       Bucket = Found->second;
     Bucket.Share = Share;
     setLimits(Bucket, Customer.RatePerSecond,
-              std::max(Customer.Burst, Customer.RatePerSecond), Clock.now());
+              std::max(Customer.Burst, Customer.RatePerSecond), Clock.now(),
+              Fill);
   }
   Buckets = std::move(Next);
 }
--- a/Libraries/LibGateway/customer_quota.h
+++ b/Libraries/LibGateway/customer_quota.h
@@ -20,6 +20,9 @@
 public:
   explicit customer_quota(const runtime_clock &Clock) : Clock(Clock) {}
 
+  /// Sets the customers' limits. The buckets of the first configuration start
+  /// with RestartFill, those of customers that a later one adds with
+  /// InitialFill.
   void applyConfiguration(const gateway_configuration &Configuration);
   /// Sets the fraction of the fleet that this host receives usage reports from.
   void setFleetShare(double Share);
@@ -39,6 +42,7 @@
   const runtime_clock &Clock;
   mutable std::mutex Mutex;
   double Share = 1;
+  bool HasConfiguration = false;
   std::map<customer_id, usage_bucket> Buckets;
   customer_usage LocalUnits;
 };
--- a/Libraries/LibGateway/usage_bucket.cpp
+++ b/Libraries/LibGateway/usage_bucket.cpp
@@ -22,15 +22,15 @@
                Bucket.Level + Passed.count() * Bucket.Rate * Bucket.Share);
 }
 
-void setLimits(usage_bucket &Bucket, double Rate, double Burst,
-               time_point Now) {
+void setLimits(usage_bucket &Bucket, double Rate, double Burst, time_point Now,
+               double Fill) {
   const bool IsNew = Bucket.RefilledAt == time_point();
   if (IsNew)
     Bucket.RefilledAt = Now;
   refill(Bucket, Now);
   Bucket.Rate = Rate;
   Bucket.Burst = Burst;
-  Bucket.Level = IsNew ? InitialFill * capacityOf(Bucket)
+  Bucket.Level = IsNew ? Fill * capacityOf(Bucket)
                        : std::min(Bucket.Level, capacityOf(Bucket));
 }
 
--- a/Libraries/LibGateway/usage_bucket.h
+++ b/Libraries/LibGateway/usage_bucket.h
@@ -23,13 +23,22 @@
   time_point OverusedUntil;
 };
 
-/// Fraction of the burst in a new bucket. It is below 1 because a restarted
-/// host does not know how much its previous process admitted.
+/// Fraction of the burst in the bucket of a new customer. It is below 1 because
+/// hosts apply a configuration at different times.
 inline constexpr double InitialFill = 0.5;
+/// Fraction of the burst in the buckets of a new process.
+///
+/// Answers the load pattern in which hosts restart while a customer exceeds its
+/// rate: the other hosts have used its burst up, and each new process would
+/// admit its part once more. A new process gets requests only after the
+/// balancer has found it ready; until then, a customer within its rate has
+/// enough again.
+inline constexpr double RestartFill = 0;
 
-/// Sets rate and burst. A new bucket starts with InitialFill of its burst; an
+/// Sets rate and burst. A new bucket starts with \p Fill of its burst; an
 /// existing one keeps its level, capped at the new burst. Not thread-safe.
-void setLimits(usage_bucket &Bucket, double Rate, double Burst, time_point Now);
+void setLimits(usage_bucket &Bucket, double Rate, double Burst, time_point Now,
+               double Fill = InitialFill);
 /// Sets the fraction of the fleet that reports are received from. Not
 /// thread-safe.
 void setShare(usage_bucket &Bucket, double Share, time_point Now);
