LibResidency: Name the check for a load that is due

wantsLoad is isLoadDue.

Nothing that leaves the process is renamed. The test programs pass; not measured otherwise.

--- a/Libraries/LibHost/residency_orders.cpp
+++ b/Libraries/LibHost/residency_orders.cpp
@@ -63,7 +63,7 @@
     const std::vector<pin_holder> &Holders) {
   {
     const std::lock_guard<std::mutex> Lock(OwnerMutex);
-    if (!wantsLoad(Owner, Holders, Clock.now())) {
+    if (!isLoadDue(Owner, Holders, Clock.now())) {
       planOrders(Owner, Holders, 0, Clock.now());
       return false;
     }
--- a/Libraries/LibResidency/order_planning.cpp
+++ b/Libraries/LibResidency/order_planning.cpp
@@ -197,7 +197,7 @@
   return Orders;
 }
 
-bool wantsLoad(const residency_owner &Owner, std::span<const pin_holder> Peers,
+bool isLoadDue(const residency_owner &Owner, std::span<const pin_holder> Peers,
                time_point Now) {
   return Now < Owner.ValidUntil &&
          std::ranges::any_of(
--- a/Libraries/LibResidency/residency_owner.h
+++ b/Libraries/LibResidency/residency_owner.h
@@ -121,7 +121,7 @@
                     order_result Result);
 
 /// Returns whether planOrders() would order a load.
-bool wantsLoad(const residency_owner &Owner, std::span<const pin_holder> Peers,
+bool isLoadDue(const residency_owner &Owner, std::span<const pin_holder> Peers,
                time_point Now);
 
 /// Results of orders are ignored if the ownership has changed since.
--- a/Tests/LibResidency/test_residency_owner.cpp
+++ b/Tests/LibResidency/test_residency_owner.cpp
@@ -100,7 +100,7 @@
   REQUIRE(Fixture.requestAdapter(1) == pin_verdict::Pinned);
   REQUIRE(Fixture.requestAdapter(2) == pin_verdict::NotOwner);
   REQUIRE_FALSE(maySendOrders(Fixture.Owner, Engine, 2, Fixture.Now));
-  REQUIRE_FALSE(wantsLoad(Fixture.Owner, Everyone, Fixture.Now));
+  REQUIRE_FALSE(isLoadDue(Fixture.Owner, Everyone, Fixture.Now));
   REQUIRE(planOrders(Fixture.Owner, Everyone, 8, Fixture.Now).empty());
 }
 
