--- a/Libraries/LibFleetModel/engine_model.cpp
+++ b/Libraries/LibFleetModel/engine_model.cpp
@@ -17,9 +17,9 @@
 }
 
 void engine_model::cancel(std::uint64_t Id) {
-  const auto IsMeant = [Id](const engine_run &Run) { return Run.Id == Id; };
-  Waiting.remove_if(IsMeant);
-  Running.remove_if(IsMeant);
+  const auto HasId = [Id](const engine_run &Run) { return Run.Id == Id; };
+  Waiting.remove_if(HasId);
+  Running.remove_if(HasId);
 }
 
 std::vector<std::uint64_t> engine_model::clear() {
@@ -30,7 +30,7 @@
     Lost.push_back(Run.Id);
   Running.clear();
   Waiting.clear();
-  Kept.clear();
+  Cache.clear();
   return Lost;
 }
 
@@ -41,7 +41,7 @@
                          });
 }
 
-/// Starts those that wait, while there is a slot and memory.
+/// Starts waiting requests while there is a slot and memory.
 void engine_model::admit() {
   std::int64_t Used = usedTokens();
   while (!Waiting.empty() && Running.size() < Fleet.BatchSlots) {
@@ -49,13 +49,13 @@
     Used += tokensOf(Next);
     if (Used > Fleet.MemoryTokens && !Running.empty())
       return;
-    Next.Unread = tokensOf(Next) - Kept.cachedTokens(*Next.Request);
+    Next.Unread = tokensOf(Next) - Cache.cachedTokens(*Next.Request);
     Running.splice(Running.end(), Waiting, Waiting.begin());
   }
 }
 
-/// Puts the newest of the least urgent requests back while memory lacks. What
-/// is kept of prompts yields first.
+/// Puts the newest of the least urgent requests back while memory is short.
+/// Cached prompts are evicted first.
 void engine_model::makeRoom() {
   while (usedTokens() > Fleet.MemoryTokens && Running.size() > 1) {
     auto Victim = Running.begin();
@@ -68,12 +68,12 @@
     ++Preemptions;
     Waiting.push_front(PutBack);
   }
-  Kept.setCapacity(
+  Cache.setCapacity(
       std::max<std::int64_t>(0, Fleet.MemoryTokens - usedTokens()));
 }
 
-/// Reads a piece of the prompts, the urgent first, and returns its size.
-std::int64_t engine_model::readPieces() {
+/// Prefills a piece of the prompts, the urgent first, and returns its size.
+std::int64_t engine_model::prefillPieces() {
   std::vector<engine_run *> Unread;
   for (engine_run &Run : Running)
     if (Run.Unread > 0)
@@ -88,13 +88,13 @@
     Run->Unread -= Piece;
     Left -= Piece;
     if (Run->Unread == 0)
-      Kept.note(*Run->Request);
+      Cache.note(*Run->Request);
   }
-  TokensRead += Fleet.PieceTokens - Left;
+  TokensPrefilled += Fleet.PieceTokens - Left;
   return Fleet.PieceTokens - Left;
 }
 
-/// Gives each request that is read its next token.
+/// Generates the next token of each request whose prompt is prefilled.
 void engine_model::generate(engine_events &Events) {
   for (auto Run = Running.begin(); Run != Running.end();) {
     if (Run->Unread > 0) {
@@ -103,10 +103,11 @@
     }
     ++Run->Generated;
     const bool Ended = Run->Generated >= Run->OutputTokens;
-    // The first token makes the first event.
-    if (!Run->WasRead || Ended || Run->Generated % Run->TokensPerEvent == 0)
+    // The first token is the first event.
+    if (!Run->WasPrefilled || Ended ||
+        Run->Generated % Run->TokensPerEvent == 0)
       Events.Events.push_back(Run->Id);
-    Run->WasRead = true;
+    Run->WasPrefilled = true;
     if (!Ended) {
       ++Run;
       continue;
@@ -119,14 +120,13 @@
 nanoseconds engine_model::step(engine_events &Events) {
   admit();
   makeRoom();
-  const std::int64_t Read = readPieces();
+  const std::int64_t Read = prefillPieces();
   const double Milliseconds =
       Fleet.StepMilliseconds +
       Fleet.PerRequestMilliseconds * static_cast<double>(Running.size()) +
       static_cast<double>(Read) / Fleet.ReadTokensPerMillisecond;
   generate(Events);
-  return std::chrono::duration_cast<nanoseconds>(
-      std::chrono::duration<double, std::milli>(Milliseconds));
+  return fromMilliseconds(Milliseconds);
 }
 
 } // namespace spindle
--- a/Libraries/LibFleetModel/engine_model.h
+++ b/Libraries/LibFleetModel/engine_model.h
@@ -21,62 +21,63 @@
   std::int64_t TokensPerEvent = 1;
   int Urgency = 0;
   /// Tokens of the prompt, and of what was generated before it was preempted,
-  /// that are still to be read.
+  /// that are still to be prefilled.
   std::int64_t Unread = 0;
   std::int64_t Generated = 0;
-  /// The whole prompt was read once.
-  bool WasRead = false;
+  /// Whether the whole prompt was prefilled once.
+  bool WasPrefilled = false;
   std::uint32_t Preempted = 0;
 };
 
-/// What happened in a step of an engine.
+/// The results of a step of an engine.
 struct engine_events {
-  /// Runs that have given an event now.
+  /// Runs that generated an event in the step.
   std::vector<std::uint64_t> Events;
   /// Runs that have ended.
   std::vector<std::uint64_t> Ended;
 };
 
-/// A model engine: it runs requests in a batch, reads prompts in pieces between
-/// the tokens of the others, and keeps what it has read in the memory that
-/// the running requests leave. Not thread-safe.
+/// A model engine: it runs requests in a batch, prefills prompts in pieces
+/// between the tokens of the others, and caches prefilled prompts in the memory
+/// that the running requests leave. Not thread-safe.
 class engine_model {
 public:
   explicit engine_model(const model_fleet &Fleet) : Fleet(Fleet) {}
 
-  /// Lets a request wait for its place in the batch. \p Run's Request must
+  /// Queues a request for its place in the batch. \p Run's Request must
   /// outlive it.
   void add(const engine_run &Run);
-  /// Takes a request out whose caller has left.
+  /// Removes a request whose caller has left.
   void cancel(std::uint64_t Id);
-  /// Drops all requests, and what was kept: the engine is gone.
+  /// Removes all requests and empties the cache, as the engine is gone; returns
+  /// the requests' ids.
   std::vector<std::uint64_t> clear();
-  /// Whether there is anything to do.
+  /// Whether any request runs or waits.
   bool busy() const { return !Running.empty() || !Waiting.empty(); }
-  /// Does one step and returns how long it took.
+  /// Runs one step and returns how long it took.
   nanoseconds step(engine_events &Events);
-  /// Tokens of the request's prompt that are kept here.
+  /// Tokens of the request's prompt that are cached.
   std::int64_t cachedTokens(const request_description &Request) const {
-    return Kept.cachedTokens(Request);
+    return Cache.cachedTokens(Request);
   }
   std::size_t running() const { return Running.size(); }
   std::size_t waiting() const { return Waiting.size(); }
   std::uint64_t preemptions() const { return Preemptions; }
-  std::int64_t tokensRead() const { return TokensRead; }
+  std::int64_t tokensPrefilled() const { return TokensPrefilled; }
 
 private:
   void admit();
   std::int64_t usedTokens() const;
   void makeRoom();
-  std::int64_t readPieces();
+  std::int64_t prefillPieces();
   void generate(engine_events &Events);
 
   const model_fleet &Fleet;
   std::list<engine_run> Waiting;
   std::list<engine_run> Running;
-  prompt_cache_estimate Kept;
+  prompt_cache_estimate Cache;
   std::uint64_t Preemptions = 0;
-  std::int64_t TokensRead = 0;
+  std::int64_t TokensPrefilled = 0;
 };
 
 } // namespace spindle
--- a/Libraries/LibFleetModel/fleet_model.h
+++ b/Libraries/LibFleetModel/fleet_model.h
@@ -16,22 +16,22 @@
 struct model_policy {
   std::string Name;
   upstream_ranking Rank;
-  /// Whether a request waits for a place at any engine of a zone, or at the
-  /// chosen one only.
+  /// Whether a request waits for an adapter slot at any engine of a zone, or at
+  /// the chosen one only.
   bool WaitsInZone = true;
 };
 
-/// The policy in use first, then what it is measured against.
+/// The policy in use, then those that it is compared with.
 std::vector<model_policy> modelPolicies();
 
 /// How the requests of one kind ended.
 struct kind_result {
   std::string Name;
-  std::uint64_t Asked = 0;
+  std::uint64_t Requests = 0;
   std::uint64_t InTime = 0;
   std::uint64_t Late = 0;
   std::uint64_t Refused = 0;
-  /// Their callers left, or their engine did.
+  /// Their caller left, or their engine was lost.
   std::uint64_t Failed = 0;
   double WorthOwed = 0;
   double WorthEarned = 0;
@@ -39,21 +39,21 @@
   double FirstEventP99Milliseconds = 0;
 };
 
-/// What a run has shown.
+/// The results of a run.
 struct model_result {
   std::vector<kind_result> Kinds;
   double WorthShare = 0;
-  /// The share of the worth by the second in which requests came.
+  /// The share of the worth by the second in which requests arrived.
   std::vector<double> WorthBySecond;
   std::uint64_t Fetches = 0;
   std::uint64_t CopiesLoaded = 0;
-  /// Requests that waited for a load or a place.
+  /// Requests that waited for a load or an adapter slot.
   std::uint64_t Stalled = 0;
   double StallP99Milliseconds = 0;
-  /// Tokens of prompts that were read, and the part of them that another
-  /// engine had read for the same adapter.
-  std::int64_t TokensRead = 0;
-  double ReadAgainShare = 0;
+  /// Tokens of prompts that were prefilled, and the part of them that another
+  /// engine had cached for the same adapter.
+  std::int64_t TokensPrefilled = 0;
+  double PrefilledAgainShare = 0;
   std::uint64_t Preemptions = 0;
   /// The part of the requests that ran in another zone than their host's.
   double OtherZoneShare = 0;
--- a/Libraries/LibFleetModel/model_report.cpp
+++ b/Libraries/LibFleetModel/model_report.cpp
@@ -53,7 +53,7 @@
         std::to_string(Result.CopiesLoaded),
         std::to_string(Result.Stalled),
         fixed(Result.StallP99Milliseconds, 0),
-        fixed(Result.ReadAgainShare, 3),
+        fixed(Result.PrefilledAgainShare, 3),
         fixed(Result.OtherZoneShare, 3),
         std::to_string(Result.Preemptions)};
     Text += line(Cells);
@@ -74,7 +74,7 @@
           Report.Pattern,
           Report.Policy,
           Kind.Name,
-          std::to_string(Kind.Asked),
+          std::to_string(Kind.Requests),
           std::to_string(Kind.InTime),
           std::to_string(Kind.Late),
           std::to_string(Kind.Refused),
@@ -99,14 +99,14 @@
     Run["copiesLoaded"] = Result.CopiesLoaded;
     Run["stalled"] = Result.Stalled;
     Run["stallP99Milliseconds"] = Result.StallP99Milliseconds;
-    Run["tokensRead"] = Result.TokensRead;
-    Run["readAgainShare"] = Result.ReadAgainShare;
+    Run["tokensRead"] = Result.TokensPrefilled;
+    Run["readAgainShare"] = Result.PrefilledAgainShare;
     Run["otherZoneShare"] = Result.OtherZoneShare;
     Run["preemptions"] = Result.Preemptions;
     for (const kind_result &Kind : Result.Kinds)
       Run["kinds"].push_back(
           {{"name", Kind.Name},
-           {"asked", Kind.Asked},
+           {"asked", Kind.Requests},
            {"inTime", Kind.InTime},
            {"late", Kind.Late},
            {"refused", Kind.Refused},
--- a/Libraries/LibFleetModel/model_settings.h
+++ b/Libraries/LibFleetModel/model_settings.h
@@ -10,6 +10,12 @@
 
 namespace spindle {
 
+/// A duration of fractional milliseconds. Thread-safe.
+inline nanoseconds fromMilliseconds(double Milliseconds) {
+  return std::chrono::duration_cast<nanoseconds>(
+      std::chrono::duration<double, std::milli>(Milliseconds));
+}
+
 /// The hosts and engines of a model, and how fast an engine works.
 struct model_fleet {
   std::uint32_t Zones = 3;
@@ -17,24 +23,24 @@
   std::uint32_t EnginesPerZone = 3;
   /// Requests that an engine runs at the same time.
   std::uint32_t BatchSlots = 64;
-  /// Tokens of running requests and of kept prompts together.
+  /// Tokens of running requests and of cached prompts together.
   std::int64_t MemoryTokens = 255'000;
-  /// A step gives every request that is read one token.
+  /// A step generates one token of every request whose prompt is prefilled.
   double StepMilliseconds = 4.4;
-  /// What each running request adds to a step.
+  /// The time that each running request adds to a step.
   double PerRequestMilliseconds = 0.05;
   double ReadTokensPerMillisecond = 38;
-  /// Tokens of prompts that are read in one step at most.
+  /// Tokens of prompts that are prefilled in one step at most.
   std::int64_t PieceTokens = 512;
   std::uint32_t AdapterPlaces = 7;
-  /// A fetch from the weight store.
+  /// The time of a fetch from the weight store.
   milliseconds FetchTime{250};
-  /// Fetches of all engines beyond this slow each other.
+  /// More fetches than this at once, over all engines, slow each other.
   std::uint32_t FetchesAtFullSpeed = 8;
-  /// Adapters that an engine keeps copies of after they were unloaded.
+  /// Unloaded adapters of which an engine keeps copies.
   std::uint32_t Copies = 60;
   milliseconds CopyTime{25};
-  /// One way between zones.
+  /// The latency of a message between zones.
   double ZoneMilliseconds = 1;
 };
 
@@ -56,7 +62,7 @@
   double LateWorth = 0.3;
   /// The smaller, the more urgent.
   int Urgency = 0;
-  /// How often a caller comes back after a refusal.
+  /// How often a caller retries after a refusal.
   std::uint32_t Retries = 1;
 };
 
@@ -65,11 +71,11 @@
   double AtSeconds = 0;
   double ForSeconds = 5;
   double RateFactor = 1;
-  /// The part of the requests that ask for one and the same adapter.
+  /// The part of the requests for one and the same adapter.
   double HotShare = 0;
-  /// The part of the requests that ask for any adapter, each as often.
+  /// The part of the requests whose adapter is drawn uniformly.
   double ColdShare = 0;
-  /// The part of the callers that come back at once, three times.
+  /// The part of the callers that retry at once, three times.
   double RepeatShare = 0;
   /// The part of the engines that are gone.
   double EnginesGone = 0;
@@ -77,7 +83,7 @@
   bool ZoneAlone = false;
 };
 
-/// A load that policies are measured under.
+/// A load that policies are compared under.
 struct model_pattern {
   std::string Name;
   std::string Meaning;
--- a/Libraries/LibFleetModel/zone_model.cpp
+++ b/Libraries/LibFleetModel/zone_model.cpp
@@ -6,7 +6,7 @@
 
 namespace spindle {
 
-// An order and its answer within a zone.
+// An order and its response within a zone.
 static constexpr milliseconds OrderTime{2};
 
 zone_model::zone_model(const model_fleet &Fleet, const runtime_clock &Clock,
@@ -18,14 +18,14 @@
 }
 
 void zone_model::clearEngine(upstream_id Engine) {
-  kept_engine &Kept = Engines.at(Engine);
-  const std::uint64_t Life = Kept.Life + 1;
-  Kept = {};
-  Kept.Slots.Capacity = Fleet.AdapterPlaces;
-  Kept.Life = Life;
+  zone_engine &Cleared = Engines.at(Engine);
+  const std::uint64_t Incarnation = Cleared.Incarnation + 1;
+  Cleared = {};
+  Cleared.Slots.Capacity = Fleet.AdapterPlaces;
+  Cleared.Incarnation = Incarnation;
 }
 
-milliseconds zone_model::loadTime(kept_engine &Engine,
+milliseconds zone_model::loadTime(zone_engine &Engine,
                                   const adapter_name &Adapter, bool &IsFetch) {
   const auto Copy =
       std::find(Engine.Copies.begin(), Engine.Copies.end(), Adapter);
@@ -48,37 +48,38 @@
 }
 
 void zone_model::startLoad(upstream_id Id, const adapter_name &Adapter) {
-  kept_engine &Engine = Engines.at(Id);
+  zone_engine &Engine = Engines.at(Id);
   noteLoading(Engine.Slots, {Adapter, 1}, Clock.now());
   bool IsFetch = false;
-  const milliseconds Takes = loadTime(Engine, Adapter, IsFetch);
-  Timer(Clock.now() + OrderTime + Takes,
-        [this, Id, Adapter, IsFetch, Life = Engine.Life] {
+  const milliseconds LoadTime = loadTime(Engine, Adapter, IsFetch);
+  Timer(Clock.now() + OrderTime + LoadTime,
+        [this, Id, Adapter, IsFetch, Incarnation = Engine.Incarnation] {
           if (IsFetch)
             --Store.Fetching;
-          kept_engine &Loaded = Engines.at(Id);
-          if (Loaded.Life == Life)
+          zone_engine &Loaded = Engines.at(Id);
+          if (Loaded.Incarnation == Incarnation)
             noteLoaded(Loaded.Slots, {Adapter, 1}, Clock.now());
         });
 }
 
 void zone_model::startUnload(upstream_id Id, const adapter_name &Adapter) {
-  kept_engine &Engine = Engines.at(Id);
+  zone_engine &Engine = Engines.at(Id);
   noteUnloading(Engine.Slots, Adapter);
-  Timer(Clock.now() + OrderTime, [this, Id, Adapter, Life = Engine.Life] {
-    kept_engine &Unloaded = Engines.at(Id);
-    if (Unloaded.Life == Life)
-      noteUnloaded(Unloaded.Slots, Adapter);
-  });
+  Timer(Clock.now() + OrderTime,
+        [this, Id, Adapter, Incarnation = Engine.Incarnation] {
+          zone_engine &Unloaded = Engines.at(Id);
+          if (Unloaded.Incarnation == Incarnation)
+            noteUnloaded(Unloaded.Slots, Adapter);
+        });
 }
 
-std::optional<upstream_id> zone_model::look(const adapter_name &Adapter,
-                                            const slot_request &Wish,
-                                            std::uint64_t &Ticket) {
+std::optional<upstream_id> zone_model::tryHold(const adapter_name &Adapter,
+                                               const slot_request &Request,
+                                               std::uint64_t &Ticket) {
   const time_point Now = Clock.now();
   std::vector<placement_candidate> Candidates;
-  for (const upstream_id Id : Wish.Engines) {
-    kept_engine &Engine = Engines.at(Id);
+  for (const upstream_id Id : Request.Engines) {
+    zone_engine &Engine = Engines.at(Id);
     const bool HadBefore = std::find(Engine.Copies.begin(), Engine.Copies.end(),
                                      Adapter) != Engine.Copies.end();
     Candidates.push_back({Id, &Engine.Slots, true, HadBefore});
@@ -106,11 +107,11 @@
     if (Ticket != 0)
       break;
     const std::optional<nanoseconds> Wait =
-        expectedWait(Queue, Adapter, Wish, Now);
-    if (Wait && Now + *Wait > Wish.UsefulUntil)
+        expectedWait(Queue, Adapter, Request, Now);
+    if (Wait && Now + *Wait > Request.UsefulUntil)
       throw spindle_error(result_code::AdapterNotLoaded,
                           "the turn would come too late");
-    Ticket = enterQueue(Queue, Adapter, Wish);
+    Ticket = enterQueue(Queue, Adapter, Request);
     break;
   }
   }
@@ -131,11 +132,12 @@
     spindle::setInUse(Engine.Slots, ByEngine[Id]);
 }
 
-std::vector<available_slots> zone_model::rooms() const {
-  std::vector<available_slots> Rooms;
+std::vector<available_slots> zone_model::availableSlots() const {
+  std::vector<available_slots> Available;
   for (const auto &[Id, Engine] : Engines)
-    Rooms.push_back({Id, availableSlots(Engine.Slots, Clock.now())});
-  return Rooms;
+    Available.push_back(
+        {Id, spindle::availableSlots(Engine.Slots, Clock.now())});
+  return Available;
 }
 
 std::vector<versioned_adapter> zone_model::loadedAt(upstream_id Engine) const {
--- a/Tests/LibFleetModel/test_engine_model.cpp
+++ b/Tests/LibFleetModel/test_engine_model.cpp
@@ -69,11 +69,11 @@
 TEST_CASE("a part that is kept for the same adapter is not read again") {
   loaded_engine Test;
   Test.runUntil(Test.add(prompt("a1", 2), 5));
-  REQUIRE(Test.Engine.tokensRead() == 500);
+  REQUIRE(Test.Engine.tokensPrefilled() == 500);
   Test.runUntil(Test.add(prompt("a1", 3), 5));
-  REQUIRE(Test.Engine.tokensRead() == 600);
+  REQUIRE(Test.Engine.tokensPrefilled() == 600);
   Test.runUntil(Test.add(prompt("a2", 4), 5));
-  REQUIRE(Test.Engine.tokensRead() == 1'100);
+  REQUIRE(Test.Engine.tokensPrefilled() == 1'100);
 }
 
 TEST_CASE("what is kept yields before a request is put back") {
--- a/Tests/LibFleetModel/test_fleet_model.cpp
+++ b/Tests/LibFleetModel/test_fleet_model.cpp
@@ -62,8 +62,8 @@
 TEST_CASE("every request ends in one way") {
   const model_result Result = run("repeats", "present");
   for (const kind_result &Kind : Result.Kinds) {
-    REQUIRE(Kind.Asked > 0);
-    REQUIRE(Kind.InTime + Kind.Late + Kind.Refused + Kind.Failed == Kind.Asked);
+    REQUIRE(Kind.Requests > 0);
+    REQUIRE(Kind.InTime + Kind.Late + Kind.Refused + Kind.Failed == Kind.Requests);
   }
 }
 
@@ -108,9 +108,9 @@
   Zone.addEngine(Engine);
   for (int Number = 0; Number < 4; ++Number) {
     std::uint64_t Ticket = 0;
-    const slot_request Wish{
+    const slot_request Request{
         {Engine}, Start + seconds(9), Start + seconds(9), 0};
-    Zone.look({"m", "a" + std::to_string(Number)}, Wish, Ticket);
+    Zone.tryHold({"m", "a" + std::to_string(Number)}, Request, Ticket);
   }
   REQUIRE(Taken.size() == 4);
   REQUIRE(Taken[1] == Taken[0]);
