Benchmarks: Split the placement model by job

Change: adapter_popularity, placement_fleet, placement_report and placement_statistics hold what their names say; the queue and the percentile are LibLoad's, also in two other experiments. KnowsPopularity is HasTruePopularity.

Measured: the output of ExperimentPlacement, ExperimentScheduling and ExperimentWindow is byte for byte that of the build before.

--- a/Benchmarks/experiment_scheduling.cpp
+++ b/Benchmarks/experiment_scheduling.cpp
@@ -1,6 +1,7 @@
 // Drives the queue of one host with seeded arrivals and a virtual clock, under
 // each policy, and prints the waits as Markdown tables.
 
+#include "LibLoad/percentile.h"
 #include "LibScheduling/fair_queue.h"
 
 #include <algorithm>
@@ -35,7 +36,7 @@
      {priority_class::Plain, 0.40, 1'200, 250},
      {priority_class::Batch, 0.15, 3'000, 500}}};
 
-/// One run's circumstances.
+/// The parameters of one run.
 struct scenario {
   std::string Name;
   double Load = 0.8;
@@ -208,14 +209,6 @@
   result Result;
 };
 
-double percentile(std::vector<double> Values, double Part) {
-  if (Values.empty())
-    return 0;
-  std::sort(Values.begin(), Values.end());
-  const double Index = Part * static_cast<double>(Values.size() - 1);
-  return Values[static_cast<std::size_t>(Index)];
-}
-
 result runScenario(const scenario &Scenario) {
   return driven_queue(Scenario).run(makeArrivals(Scenario));
 }
@@ -226,7 +219,7 @@
   return All == 0 ? 0 : 100.0 * static_cast<double>(Outcome.Refused) / All;
 }
 
-/// What the users judge by, of one run.
+/// The measures of one run that policies are judged by.
 struct verdict {
   double OthersP99 = 0;
   double WorstAgainstMedian = 0;
--- a/Benchmarks/experiment_window.cpp
+++ b/Benchmarks/experiment_window.cpp
@@ -2,6 +2,7 @@
 // clock: an equal share of the batch slots, no bound, and the window that
 // follows the engines' lagging reports.
 
+#include "LibLoad/percentile.h"
 #include "LibScheduling/concurrency_window.h"
 #include "LibScheduling/fair_queue.h"
 
@@ -248,14 +249,6 @@
   figures Figures;
 };
 
-double percentile(std::vector<double> Values, double Part) {
-  if (Values.empty())
-    return 0;
-  std::sort(Values.begin(), Values.end());
-  return Values[static_cast<std::size_t>(
-      Part * static_cast<double>(Values.size() - 1))];
-}
-
 } // namespace
 
 int main() {
--- a/Benchmarks/placement_model.h
+++ b/Benchmarks/placement_model.h
@@ -9,7 +9,7 @@
 
 namespace spindle {
 
-/// The load that a placement policy is measured under.
+/// The load that placement policies are compared under.
 struct placement_load {
   std::uint32_t Zones = 3;
   std::uint32_t HostsPerZone = 2;
@@ -40,11 +40,12 @@
   std::string Name;
   routing_policy Routing = routing_policy::Residency;
   victim_policy Victims = victim_policy::Value;
-  /// Evict by the true popularity, and start with the best placement.
-  bool KnowsPopularity = false;
+  /// Whether owners evict by the true popularity and start with the best
+  /// placement.
+  bool HasTruePopularity = false;
 };
 
-/// What a run has shown. Times in seconds.
+/// The results of a run. Times in seconds.
 struct placement_result {
   std::uint64_t Requests = 0;
   std::uint64_t Refused = 0;
