Benchmarks: Say in technical terms what the programs do

Names of benchmarks and printed tables stay. Measured: the output of ExperimentCrashes is byte for byte that of the build before; the benchmarks were built only.

--- a/Benchmarks/benchmark_limits.cpp
+++ b/Benchmarks/benchmark_limits.cpp
@@ -79,7 +79,7 @@
 }
 BENCHMARK(maintain)->Arg(5)->Arg(500);
 
-/// A request that finds its share empty and asks eight of 369 peers in vain.
+/// A request whose share is empty and that eight of 369 peers lend nothing.
 void refuseAfterAsking(benchmark::State &State) {
   limited_host Host(1);
   const tokens Whole{1'000'000'000};
--- a/Benchmarks/benchmark_residency.cpp
+++ b/Benchmarks/benchmark_residency.cpp
@@ -7,7 +7,7 @@
 
 using namespace spindle;
 
-/// Adapters that one owner may see at the size the design is made for.
+/// Adapters that one owner may be requested for at the designed size.
 static constexpr std::size_t FullAdapters = 62'000;
 static constexpr std::size_t EnginesPerOwner = 3;
 static constexpr std::uint32_t SlotsPerEngine = 32;
@@ -17,7 +17,7 @@
   return {(Index + 1) * 0x9e3779b97f4a7c15};
 }
 
-/// An owner of full engines that has seen \p Percent of all adapters.
+/// An owner of full engines, requested for \p Percent of all adapters.
 static residency_owner makeOwner(std::int64_t Percent, time_point Now) {
   residency_owner Owner;
   Owner.ValidUntil = time_point::max();
--- a/Benchmarks/benchmark_routing.cpp
+++ b/Benchmarks/benchmark_routing.cpp
@@ -6,7 +6,7 @@
 
 using namespace spindle;
 
-/// The size that the design is made for.
+/// The designed size.
 static constexpr std::size_t FullEngines = 1'100;
 static constexpr std::size_t FullAdapters = 62'000;
 static constexpr std::size_t Models = 7;
@@ -89,7 +89,7 @@
 }
 BENCHMARK(takeLoadReport)->Arg(1)->Arg(10)->Arg(100);
 
-/// The memory of the table, worked out from its parts.
+/// The memory of the table, computed from its parts.
 static void tableBytes(benchmark::State &State) {
   const routing_fleet Fleet = makeFleet(State.range(0));
   double Bytes = static_cast<double>(
--- a/Benchmarks/benchmark_scheduling.cpp
+++ b/Benchmarks/benchmark_scheduling.cpp
@@ -1,5 +1,5 @@
 // The cost of one decision of the queue, the detector and the suspects, by
-// the number of things known.
+// the number of entries.
 
 #include "LibResilience/crash_suspects.h"
 #include "LibResilience/outlier_detector.h"
@@ -58,7 +58,7 @@
 }
 BENCHMARK(noteOutcomeAndWeigh)->Arg(11)->Arg(110)->Arg(1'100);
 
-/// The check, start and end of one request, with Range suspects known.
+/// The check, start and end of one request, with Range suspects recorded.
 static void checkAndRun(benchmark::State &State) {
   crash_suspects Suspects;
   const time_point Now{seconds(1)};
--- a/Benchmarks/benchmark_stand_ins.cpp
+++ b/Benchmarks/benchmark_stand_ins.cpp
@@ -1,5 +1,5 @@
-// The cost of reading requests and answers, and what the stand-ins carry over
-// loopback, callers included.
+// The cost of reading requests and answers, and the throughput of the stand-ins
+// over loopback, callers included.
 
 #include "LibEngine/answer_verifier.h"
 #include "LibEngine/completion_request.h"
--- a/Benchmarks/experiment_crashes.cpp
+++ b/Benchmarks/experiment_crashes.cpp
@@ -1,6 +1,6 @@
-// Repeats a request that crashes engines for ever among innocent requests,
-// over hosts that tell each other what they suspect, on a virtual clock.
-// Prints how many engines it takes down and how many innocent requests suffer.
+// Repeats a request that crashes engines without end among other requests,
+// over hosts that send each other their suspects, on a virtual clock.
+// Prints how many engines it crashes and how many other requests are affected.
 
 #include "LibResilience/crash_suspects.h"
 
@@ -19,9 +19,9 @@
 constexpr int Hosts = 7;
 constexpr int Engines = 9;
 constexpr double RunSeconds = 1'200;
-/// Innocent requests arrive at this rate over all hosts and run this long.
-constexpr double InnocentPerSecond = 10;
-constexpr double InnocentSeconds = 9;
+/// Other requests arrive at this rate over all hosts and run this long.
+constexpr double OthersPerSecond = 10;
+constexpr double OtherSeconds = 9;
 /// From its start on an engine to the engine's crash.
 constexpr double CrashSeconds = 0.3;
 constexpr double RestartSeconds = 10;
@@ -43,8 +43,8 @@
 };
 
 struct run_request {
-  request_fingerprint Print;
-  bool Guilty = false;
+  request_fingerprint Fingerprint;
+  bool IsCrashing = false;
   int Host = 0;
   int Attempts = 0;
   double Started = 0;
@@ -70,12 +70,12 @@
 
 struct run_figures {
   double Crashes = 0;
-  double Innocent = 0;
-  double InnocentLost = 0;
-  /// Innocent requests lost twice: repeats of theirs are held back.
+  double Others = 0;
+  double OthersLost = 0;
+  /// Other requests lost twice: repeats of theirs are held back.
   double HeldBack = 0;
-  /// Innocent requests that could not be retried anywhere.
-  double GivenUp = 0;
+  /// Other requests that could not be retried anywhere.
+  double NotRetried = 0;
   double PauseSeconds = 0;
 };
 
@@ -85,7 +85,7 @@
       : Policy(Policy), Random(Seed), Boards(Hosts) {}
 
   run_figures run() {
-    push({drawGap(InnocentPerSecond), 0, event_kind::Arrive});
+    push({drawGap(OthersPerSecond), 0, event_kind::Arrive});
     push({60, 0, event_kind::Repeat});
     while (!Events.empty() && Events.top().Time < RunSeconds) {
       event Next = Events.top();
@@ -100,9 +100,9 @@
   void handle(event &Event) {
     switch (Event.Kind) {
     case event_kind::Arrive:
-      push({Now + drawGap(InnocentPerSecond), 0, event_kind::Arrive});
-      ++Figures.Innocent;
-      start({request_fingerprint{++LastPrint}, false, drawHost(), 0});
+      push({Now + drawGap(OthersPerSecond), 0, event_kind::Arrive});
+      ++Figures.Others;
+      start({request_fingerprint{++LastFingerprint}, false, drawHost(), 0});
       return;
     case event_kind::Repeat:
       start({request_fingerprint{1}, true, drawHost(), 0});
@@ -127,27 +127,26 @@
   void start(run_request Request) {
     crash_suspects &Board = Boards[Request.Host];
     const bool HeldBack = Policy != crash_policy::None &&
-                          isQuarantined(Board, Request.Print, clock());
+                          isQuarantined(Board, Request.Fingerprint, clock());
     const int Engine = HeldBack ? -1 : chooseEngine(Board, Request);
     if (Engine < 0) {
-      Figures.GivenUp += Request.Guilty ? 0 : 1;
-      repeatGuilty(Request);
+      Figures.NotRetried += Request.IsCrashing ? 0 : 1;
+      repeatCrashing(Request);
       return;
     }
     Request.Started = Now;
     ++Request.Attempts;
-    noteRunStarted(Board, idOf(Engine), Request.Print, clock());
+    noteRunStarted(Board, idOf(Engine), Request.Fingerprint, clock());
     Running[++LastRun] = {Request, Engine};
-    if (Request.Guilty)
+    if (Request.IsCrashing)
       push({Now + CrashSeconds, 0, event_kind::Crash, LastRun, {}, Engine});
     else
-      push(
-          {Now + drawGap(1 / InnocentSeconds), 0, event_kind::Finish, LastRun});
+      push({Now + drawGap(1 / OtherSeconds), 0, event_kind::Finish, LastRun});
   }
 
-  /// The caller of the request that crashes engines repeats it for ever.
-  void repeatGuilty(const run_request &Request) {
-    if (Request.Guilty)
+  /// The caller of the request that crashes engines repeats it without end.
+  void repeatCrashing(const run_request &Request) {
+    if (Request.IsCrashing)
       push({Now + RepeatSeconds, 0, event_kind::Repeat});
   }
 
@@ -157,7 +156,7 @@
       if (DownUntil[Engine] > Now)
         continue;
       if (Policy < crash_policy::Isolated ||
-          mayStartOn(Board, idOf(Engine), Request.Print, clock()))
+          mayStartOn(Board, idOf(Engine), Request.Fingerprint, clock()))
         Allowed.push_back(Engine);
     }
     if (Allowed.empty())
@@ -172,24 +171,24 @@
       return;
     const auto [Request, Engine] = Found->second;
     Running.erase(Found);
-    noteRunEnded(Boards[Request.Host], idOf(Engine), Request.Print, End,
+    noteRunEnded(Boards[Request.Host], idOf(Engine), Request.Fingerprint, End,
                  clock());
     if (End != run_end::Lost)
       return;
-    Figures.InnocentLost += Request.Guilty ? 0 : 1;
+    Figures.OthersLost += Request.IsCrashing ? 0 : 1;
     if (Request.Attempts >= 2) {
-      Figures.HeldBack += Request.Guilty ? 0 : 1;
-      repeatGuilty(Request);
+      Figures.HeldBack += Request.IsCrashing ? 0 : 1;
+      repeatCrashing(Request);
       return;
     }
-    // Hosts tell each other before they retry.
+    // Hosts send each other their suspects before they retry.
     double Pause = 2 * ShareSeconds;
     if (Policy == crash_policy::Paused) {
       const nanoseconds Ran(
           static_cast<std::int64_t>((Now - Request.Started) * 1e9));
       Pause += std::chrono::duration<double>(pauseBeforeRetry(Ran)).count();
     }
-    Figures.PauseSeconds += Request.Guilty ? 0 : Pause;
+    Figures.PauseSeconds += Request.IsCrashing ? 0 : Pause;
     push({Now + Pause, 0, event_kind::Retry, 0, Request});
   }
 
@@ -233,7 +232,7 @@
   std::map<std::uint64_t, std::pair<run_request, int>> Running;
   std::array<double, Engines> DownUntil{};
   double Now = 0;
-  std::uint64_t LastPrint = 1;
+  std::uint64_t LastFingerprint = 1;
   std::uint64_t LastRun = 0;
   std::uint64_t LastOrder = 0;
   run_figures Figures;
@@ -246,16 +245,16 @@
     const run_figures One = crash_run(Policy, 20261204 + Run).run();
     MostCrashes = std::max(MostCrashes, One.Crashes);
     Mean.Crashes += One.Crashes / Runs;
-    Mean.Innocent += One.Innocent / Runs;
-    Mean.InnocentLost += One.InnocentLost / Runs;
+    Mean.Others += One.Others / Runs;
+    Mean.OthersLost += One.OthersLost / Runs;
     Mean.HeldBack += One.HeldBack / Runs;
-    Mean.GivenUp += One.GivenUp / Runs;
+    Mean.NotRetried += One.NotRetried / Runs;
     Mean.PauseSeconds += One.PauseSeconds / Runs;
   }
   std::printf("| %s | %.1f | %.0f | %.0f | %.1f | %.2f | %.2f | %.2f |\n", Name,
-              Mean.Crashes, MostCrashes, Mean.Innocent, Mean.InnocentLost,
-              Mean.HeldBack, Mean.GivenUp,
-              Mean.PauseSeconds / Mean.InnocentLost);
+              Mean.Crashes, MostCrashes, Mean.Others, Mean.OthersLost,
+              Mean.HeldBack, Mean.NotRetried,
+              Mean.PauseSeconds / Mean.OthersLost);
 }
 
 } // namespace
