--- a/Tests/StandIns/test_engine_server.cpp
+++ b/Tests/StandIns/test_engine_server.cpp
@@ -25,7 +25,7 @@
 
 namespace {
 
-/// The engine stand-in and the product's port to it over loopback.
+/// The engine stand-in and the hosts' port to it over loopback.
 struct loopback_engine {
   explicit loopback_engine(
       const engine_server_settings &Settings = fastSettings())
@@ -83,7 +83,7 @@
     control("PUT", "/control", Switches.dump());
   }
 
-  /// Asks for a stream of \p Tokens tokens, as a host does, and checks it.
+  /// Requests a stream of \p Tokens tokens, as a host does, and checks it.
   result_code stream(const std::string &Prompt, std::uint32_t Tokens,
                      connection_use Use = connection_use::PooledIdempotent) {
     return run([&] { readStream(Prompt, Tokens, Use); });
--- a/Tests/Support/fake_platform.h
+++ b/Tests/Support/fake_platform.h
@@ -18,9 +18,9 @@
   int LoseAnswers = 0;
   /// The next writes, this many, fail without effect.
   int FailWrites = 0;
-  /// Looks at changes hear nothing.
+  /// Polls for changes return nothing.
   bool HideChanges = false;
-  /// Changes before this version can't be looked at.
+  /// Changes before this version can't be polled.
   std::uint64_t ForgottenUpTo = 0;
 };
 
