--- a/Tests/EndToEnd/caller.cpp
+++ b/Tests/EndToEnd/caller.cpp
@@ -25,8 +25,8 @@
   Answer.State = Error.at("state").get<std::string>();
 }
 
-/// Makes one attempt to call a host and read its answer; a failed connection
-/// is noted, not thrown.
+/// Calls a host once and reads its answer; a failed connection is recorded, not
+/// thrown.
 static caller_answer callHost(fleet &Fleet, std::size_t Host,
                               const http_request_head &Request,
                               const std::string &Body) {
@@ -114,8 +114,8 @@
   }
 }
 
-caller_answer ask(fleet &Fleet, std::size_t Host,
-                  const completion_question &Question) {
+caller_answer requestCompletion(fleet &Fleet, std::size_t Host,
+                                const completion_question &Question) {
   caller_answer Answer;
   if (!Question.Stream) {
     Answer = callHost(Fleet, Host, {"POST", "/v1/completions", callerFields()},
--- a/Tests/EndToEnd/caller.h
+++ b/Tests/EndToEnd/caller.h
@@ -6,14 +6,14 @@
 
 namespace spindle {
 
-/// What a caller got for a request.
+/// What a caller received for a request.
 struct caller_answer {
   int Status = 0;
   /// Whether the answer presents itself as complete.
   bool Whole = false;
   /// Whether its connection was cut.
   bool Cut = false;
-  /// The number and state of the error it was told of; 0 if none.
+  /// The number and state of the error it received; 0 if none.
   int Code = 0;
   std::string State;
   /// The model's text, or the body of a service's answer.
@@ -24,7 +24,7 @@
   }
 };
 
-/// A completion as the tests ask for it.
+/// A completion as the tests request it.
 struct completion_question {
   std::string Model = "pickler@1";
   std::string Prompt;
@@ -36,9 +36,10 @@
 std::string describe(const caller_answer &Answer);
 /// The fields of a request with the key of customer aalst.
 http_fields callerFields();
-/// Asks host \p Host and reads the answer. Never throws spindle_error.
-caller_answer ask(fleet &Fleet, std::size_t Host,
-                  const completion_question &Question);
+/// Requests a completion from host \p Host and reads the answer. Never throws
+/// spindle_error.
+caller_answer requestCompletion(fleet &Fleet, std::size_t Host,
+                                const completion_question &Question);
 /// Starts a stream. Call it in a fiber. \throws spindle_error.
 std::unique_ptr<http_call> startStream(fleet &Fleet, std::size_t Host,
                                        const completion_question &Question);
@@ -47,7 +48,7 @@
 /// Sends an order to host \p Host. Never throws spindle_error.
 caller_answer sendOrder(fleet &Fleet, std::size_t Host,
                         const std::string &OrderKey);
-/// Asks host \p Host for a stock check. Never throws spindle_error.
+/// Requests a stock check from host \p Host. Never throws spindle_error.
 caller_answer checkStock(fleet &Fleet, std::size_t Host);
 /// Whether the answer is the right one in whole, or an explicit error after at
 /// most a part of the right one.
--- a/Tests/EndToEnd/fleet.h
+++ b/Tests/EndToEnd/fleet.h
@@ -15,7 +15,7 @@
 
 namespace spindle {
 
-/// How many programs a test wants.
+/// How many programs a test starts.
 struct fleet_size {
   std::size_t Hosts = 2;
   std::size_t Engines = 2;
@@ -46,7 +46,7 @@
                           const std::function<void(nlohmann::json &)> &Change);
   /// The path of a file \p Name among the test's files.
   std::string filePath(const std::string &Name) const;
-  /// Changes the state that the platform's list of machines tells.
+  /// Changes a machine's state in the platform's list.
   void setMachineState(const std::string &Name, const std::string &State);
   /// Starts host \p Index again, which was ended before.
   void startHost(std::size_t Index);
@@ -60,7 +60,7 @@
   http_response call(std::size_t Index, const http_request_head &Request,
                      std::string_view Body = {},
                      const http_call_limits &Limits = {});
-  /// Asks host \p Index for a completion by \p Model.
+  /// Requests a completion by \p Model from host \p Index.
   http_response complete(std::size_t Index, const std::string &Model,
                          const std::string &Prompt, bool Stream = false);
   /// Reads or sets a stand-in's switches and records.
--- a/Tests/EndToEnd/forwarding_fleet.cpp
+++ b/Tests/EndToEnd/forwarding_fleet.cpp
@@ -14,7 +14,8 @@
 static constexpr std::size_t AnswerLimit = 1U << 20U;
 static constexpr seconds ReadyLimit{20};
 
-/// A port that is free now. The kernel gives it to nobody else for a while.
+/// A port that is free now. The kernel assigns it to no other socket for a
+/// while.
 static endpoint freePort() { return parseEndpoint(occupied_port().address()); }
 
 static std::string zoneOf(std::size_t Host) { return Host < 2 ? "a" : "b"; }
@@ -42,7 +43,7 @@
       throw std::runtime_error("the fleet is not ready");
     sleepFor(milliseconds(20));
   }
-  // The hosts hear of the leads a moment later.
+  // The hosts receive the leaders a moment later.
   sleepFor(milliseconds(500));
 }
 
@@ -200,16 +201,17 @@
   return Head;
 }
 
-forwarded_answer forwarding_fleet::ask(std::size_t Host, const std::string &Id,
-                                       const std::string &Adapter,
-                                       const std::string &Path,
-                                       const std::string &Key) {
+forwarded_answer forwarding_fleet::request(std::size_t Host,
+                                           const std::string &Id,
+                                           const std::string &Adapter,
+                                           const std::string &Path,
+                                           const std::string &Key) {
   return send(Host, streamHeadFor(Id, Adapter, Path, Key), "prompt of " + Id);
 }
 
-void forwarding_fleet::askAndLeave(std::size_t Host, const std::string &Id,
-                                   const std::string &Adapter,
-                                   milliseconds Time) {
+void forwarding_fleet::requestAndLeave(std::size_t Host, const std::string &Id,
+                                       const std::string &Adapter,
+                                       milliseconds Time) {
   Runtime.runBlocking([&] {
     const std::shared_ptr<cancellation> Leaving =
         std::make_shared<cancellation>();
@@ -226,7 +228,7 @@
                  connection_use::FreshOnce)
           ->readAll(AnswerLimit);
     } catch (const spindle_error &) {
-      // This caller leaves.
+      // This caller closes its connection.
       return;
     }
   });
--- a/Tests/EndToEnd/forwarding_fleet.h
+++ b/Tests/EndToEnd/forwarding_fleet.h
@@ -14,7 +14,7 @@
 
 namespace spindle {
 
-/// What a caller got. Cut answers have Whole unset.
+/// What a caller received. Cut answers have Whole unset.
 struct forwarded_answer {
   int Status = 0;
   http_fields Fields;
@@ -42,14 +42,14 @@
   /// Writes the operator's configuration, with these keys of customer c1.
   void configure(std::uint64_t Version, const std::vector<std::string> &Keys);
 
-  /// Asks for a stream of adapter \p Adapter.
-  forwarded_answer ask(std::size_t Host, const std::string &Id,
-                       const std::string &Adapter,
-                       const std::string &Path = "/once/x",
-                       const std::string &Key = "k1");
-  /// Asks for a stream and closes the connection after \p Time.
-  void askAndLeave(std::size_t Host, const std::string &Id,
-                   const std::string &Adapter, milliseconds Time);
+  /// Requests a stream of adapter \p Adapter.
+  forwarded_answer request(std::size_t Host, const std::string &Id,
+                           const std::string &Adapter,
+                           const std::string &Path = "/once/x",
+                           const std::string &Key = "k1");
+  /// Requests a stream and closes the connection after \p Time.
+  void requestAndLeave(std::size_t Host, const std::string &Id,
+                       const std::string &Adapter, milliseconds Time);
   /// Calls the plain service: "/order/x" at most once, "/check/x" idempotent.
   forwarded_answer call(std::size_t Host, const std::string &Id,
                         const std::string &Path, const std::string &Body);
@@ -69,7 +69,7 @@
 
   void writeSettings(std::size_t Host);
   void registerAll();
-  /// Whether all hosts are ready and each zone has its lead.
+  /// Whether all hosts are ready and each zone has its leader.
   bool settled();
   forwarded_answer send(std::size_t Host, const http_request_head &Head,
                         const std::string &Body);
--- a/Tests/EndToEnd/test_failures_calls.cpp
+++ b/Tests/EndToEnd/test_failures_calls.cpp
@@ -21,7 +21,7 @@
   }
 }
 
-/// Whether the state that a caller was told agrees with the services' record.
+/// Whether the state that a caller received agrees with the services' record.
 void checkState(fleet &Fleet, const caller_answer &Answer,
                 const std::string &OrderKey) {
   INFO(OrderKey << ": " << describe(Answer));
@@ -34,7 +34,7 @@
     CHECK(Effects == 0);
 }
 
-/// Starts an order whose answer nobody waits for.
+/// Starts an order whose answer is not awaited.
 void sendOrderUnattended(fleet &Fleet, std::size_t Host,
                          const std::string &OrderKey) {
   http_fields Fields = callerFields();
@@ -57,7 +57,9 @@
   fleet Fleet({1, 1, 0});
   Fleet.applyIntent(shortenDeadlines);
   for (int Index = 0; Index < 6; ++Index)
-    REQUIRE(ask(Fleet, 0, {"pickler@1", "warm" + std::to_string(Index)}).Whole);
+    REQUIRE(requestCompletion(Fleet, 0,
+                              {"pickler@1", "warm" + std::to_string(Index)})
+                .Whole);
   const completion_question Question{"pickler@1", "a long dossier", 100'000};
   std::unique_ptr<http_call> Stream;
   Fleet.run([&] { Stream = startStream(Fleet, 0, Question); });
@@ -73,12 +75,12 @@
   Fleet.run([&] { Stream.reset(); });
   const time_point Start = boot_clock::now();
   CHECK(holdsWithin(MostRecovery, [&] {
-    const time_point Asked = boot_clock::now();
+    const time_point SentAt = boot_clock::now();
     const completion_question After{"pickler@1", "after", 20, true};
-    const caller_answer Answer = ask(Fleet, 0, After);
+    const caller_answer Answer = requestCompletion(Fleet, 0, After);
     INFO(describe(Answer));
     CHECK(isOwnOrError(Answer, After));
-    CHECK(boot_clock::now() - Asked <
+    CHECK(boot_clock::now() - SentAt <
           milliseconds(2 * FirstByteMilliseconds) + Lateness);
     return Answer.Whole;
   }));
@@ -87,7 +89,7 @@
 
 TEST_CASE("a silent service delays a check and gets no order twice") {
   constexpr int Rounds = 3;
-  // Enough that each host knows how fast each service answers.
+  // Enough for each host to measure each service's latency.
   constexpr int WarmChecks = 400;
   // The shortest deadline that follows from measured latency.
   constexpr milliseconds MostSilence{5'000};
@@ -131,7 +133,7 @@
     }
   CHECK(Fleet.control(Fleet.Services[0], "/control/record").at("repeated") ==
         json::object());
-  // What was lost for a moment only refuses nothing.
+  // A short loss leads to no refusals.
   CHECK(Fleet.control(Fleet.Services[0], "/control/record").at("effects") == 6);
 }
 
@@ -188,7 +190,7 @@
   Fleet.waitUntilReady(0);
   CHECK_FALSE(sendOrder(Fleet, 0, Key).Whole);
   CHECK(effectsOf(Fleet, Key) == 1);
-  // Its share of the rate may be leased to its former self.
+  // Its share of the rate may be leased to its former process.
   int Number = 0;
   CHECK(holdsWithin(MostShareWait, [&] {
     return sendOrder(Fleet, 0, "another-" + std::to_string(Number++)).Whole;
--- a/Tests/EndToEnd/test_failures_configuration.cpp
+++ b/Tests/EndToEnd/test_failures_configuration.cpp
@@ -40,7 +40,7 @@
   return Plan;
 }
 
-/// How many requests and calls an upstream has been given.
+/// How many requests and calls an upstream has received.
 std::uint64_t workOf(fleet &Fleet, const endpoint &Engine) {
   std::uint64_t Sum = 0;
   for (const json &Count :
@@ -57,7 +57,7 @@
   fleet Fleet({3, 3, 3});
   Fleet.applyIntent();
   for (std::size_t Host = 0; Host < 3; ++Host)
-    REQUIRE(ask(Fleet, Host, {"pickler@1", "warm"}).Whole);
+    REQUIRE(requestCompletion(Fleet, Host, {"pickler@1", "warm"}).Whole);
   const std::string Plan = plan(Fleet, "meanwhile", withAdapter("meanwhile"));
   Fleet.setControl(Fleet.Platform, {{"cut_zones", {"b"}}});
   const time_point Start = boot_clock::now();
@@ -85,7 +85,7 @@
   while (boot_clock::now() - Start < CutTime) {
     const completion_question Question{"pickler@1",
                                        "cut " + std::to_string(Round++)};
-    const caller_answer Answer = ask(Fleet, 1, Question);
+    const caller_answer Answer = requestCompletion(Fleet, 1, Question);
     INFO("completion " << Round << ": " << describe(Answer));
     CHECK(Answer.Whole);
     CHECK(isOwnOrError(Answer, Question));
@@ -100,7 +100,7 @@
   CHECK(holdsWithin(MostUntilInForce, [&] {
     return Fleet.spindlectl({"status"}).ExitCode == 0;
   }));
-  CHECK(ask(Fleet, 1, {"meanwhile@1", "healed"}).Whole);
+  CHECK(requestCompletion(Fleet, 1, {"meanwhile@1", "healed"}).Whole);
 }
 
 TEST_CASE("the second of two plans made from one version is outdated") {
@@ -147,11 +147,12 @@
   fleet Fleet({2, 2, 2});
   Fleet.applyIntent();
   for (int Index = 0; Index < 8; ++Index) {
-    REQUIRE(ask(Fleet, Index % 2, {"pickler@1", "w" + std::to_string(Index)})
+    REQUIRE(requestCompletion(Fleet, Index % 2,
+                              {"pickler@1", "w" + std::to_string(Index)})
                 .Whole);
     REQUIRE(checkStock(Fleet, Index % 2).Whole);
   }
-  // The upstream that has had the more work, as that is most tempting.
+  // The upstream with more work, as hosts prefer it.
   const std::size_t Leaving =
       workOf(Fleet, Fleet.Engines[0]) >= workOf(Fleet, Fleet.Engines[1]) ? 0
                                                                          : 1;
@@ -164,9 +165,9 @@
       sumOfRecords(Fleet, {Fleet.Services[Leaving]}, "arrived");
   for (int Index = 0; Index < 20; ++Index) {
     const caller_answer Answer =
-        ask(Fleet, Index % 2,
-            {"pickler@" + std::to_string(1 + Index / 2 % 2),
-             "new work " + std::to_string(Index)});
+        requestCompletion(Fleet, Index % 2,
+                          {"pickler@" + std::to_string(1 + Index / 2 % 2),
+                           "new work " + std::to_string(Index)});
     INFO(describe(Answer));
     CHECK(Answer.Whole);
     CHECK(checkStock(Fleet, Index % 2).Whole);
--- a/Tests/EndToEnd/test_failures_engines.cpp
+++ b/Tests/EndToEnd/test_failures_engines.cpp
@@ -10,7 +10,7 @@
 constexpr seconds MostRecovery{30};
 constexpr std::uint64_t MostEnginesLost = 2;
 
-/// Adds what the engines report to run at present.
+/// The sum of the requests that the engines report as running.
 std::uint64_t runningAtEngines(fleet &Fleet) {
   std::uint64_t Sum = 0;
   for (const endpoint &Engine : Fleet.Engines)
@@ -30,7 +30,7 @@
           json::array());
 }
 
-/// Asks for a few answers under a fault, then for good ones.
+/// Requests a few answers under a fault, then some without it.
 void checkAnswersUnder(fleet &Fleet, const json &Fault, const json &NoFault) {
   constexpr std::size_t Questions = 6;
   setAll(Fleet, Fleet.Engines, Fault);
@@ -38,7 +38,8 @@
     completion_question Question;
     Question.Prompt = "a lid " + Fault.dump() + std::to_string(Index);
     Question.Stream = Index % 2 == 0;
-    const caller_answer Answer = ask(Fleet, Index / 2 % 2, Question);
+    const caller_answer Answer =
+        requestCompletion(Fleet, Index / 2 % 2, Question);
     INFO(Fault.dump() << " stream " << Question.Stream << ": "
                       << describe(Answer));
     CHECK(isOwnOrError(Answer, Question));
@@ -46,7 +47,7 @@
   setAll(Fleet, Fleet.Engines, NoFault);
   CHECK(holdsWithin(MostRecovery, [&] {
     const completion_question Question{"pickler@1", "after " + Fault.dump()};
-    const caller_answer Answer = ask(Fleet, 0, Question);
+    const caller_answer Answer = requestCompletion(Fleet, 0, Question);
     INFO(describe(Answer));
     CHECK(isOwnOrError(Answer, Question));
     return Answer.Whole;
@@ -57,16 +58,16 @@
 
 TEST_CASE("a request that crashes engines takes at most two of them down") {
   constexpr std::size_t Repeats = 40;
-  // Its first calls may be those that show what it does.
+  // Its first calls may be those that reveal the fault.
   constexpr std::size_t FirstHeldBack = 2;
   fleet Fleet({2, 4, 0});
   Fleet.applyIntent();
   for (std::size_t Host = 0; Host < 2; ++Host)
-    REQUIRE(ask(Fleet, Host, {"pickler@1", "warm"}).Whole);
+    REQUIRE(requestCompletion(Fleet, Host, {"pickler@1", "warm"}).Whole);
   setAll(Fleet, Fleet.Engines, {{"crash_mark", "poison"}, {"crash_ms", 1'000}});
   for (std::size_t Index = 0; Index < Repeats; ++Index) {
-    const caller_answer Answer =
-        ask(Fleet, Index % 2, {"pickler@1", "poison", 20, Index / 2 % 2 == 1});
+    const caller_answer Answer = requestCompletion(
+        Fleet, Index % 2, {"pickler@1", "poison", 20, Index / 2 % 2 == 1});
     INFO("repeat " << Index << ": " << describe(Answer));
     CHECK_FALSE(Answer.Whole);
     if (Index >= FirstHeldBack) {
@@ -81,7 +82,7 @@
   for (const endpoint &Engine : Fleet.Engines)
     CHECK(Fleet.control(Engine, "/control/record").at("restarts") <= 1);
   for (std::size_t Host = 0; Host < 2; ++Host)
-    CHECK(ask(Fleet, Host, {"pickler@1", "harmless"}).Whole);
+    CHECK(requestCompletion(Fleet, Host, {"pickler@1", "harmless"}).Whole);
 }
 
 TEST_CASE("others are served while engines that a request crashed are down") {
@@ -89,13 +90,15 @@
   fleet Fleet({2, 4, 0});
   Fleet.applyIntent();
   for (std::size_t Host = 0; Host < 2; ++Host)
-    REQUIRE(ask(Fleet, Host, {"pickler@1", "warm"}).Whole);
+    REQUIRE(requestCompletion(Fleet, Host, {"pickler@1", "warm"}).Whole);
   setAll(Fleet, Fleet.Engines, {{"crash_mark", "poison"}, {"crash_ms", 1'000}});
   for (std::size_t Round = 0; Round < Rounds; ++Round) {
-    CHECK_FALSE(ask(Fleet, Round % 2, {"pickler@1", "poison"}).Whole);
+    CHECK_FALSE(
+        requestCompletion(Fleet, Round % 2, {"pickler@1", "poison"}).Whole);
     const completion_question Other{"pickler@1",
                                     "harmless " + std::to_string(Round)};
-    const caller_answer Served = ask(Fleet, (Round + 1) % 2, Other);
+    const caller_answer Served =
+        requestCompletion(Fleet, (Round + 1) % 2, Other);
     INFO("round " << Round << ": " << describe(Served));
     CHECK(Served.Whole);
     CHECK(isOwnOrError(Served, Other));
@@ -106,7 +109,7 @@
   constexpr std::size_t StreamCount = 8;
   fleet Fleet({2, 2, 0});
   Fleet.applyIntent();
-  REQUIRE(ask(Fleet, 0, {"pickler@1", "warm"}).Whole);
+  REQUIRE(requestCompletion(Fleet, 0, {"pickler@1", "warm"}).Whole);
   std::vector<std::unique_ptr<http_call>> Streams;
   std::vector<completion_question> Questions;
   for (std::size_t Index = 0; Index < StreamCount; ++Index)
@@ -132,7 +135,7 @@
   for (std::size_t Host = 0; Host < 2; ++Host)
     CHECK(holdsWithin(MostRecovery - (boot_clock::now() - Start), [&] {
       const completion_question Question{"pickler", "after"};
-      return ask(Fleet, Host, Question).Whole;
+      return requestCompletion(Fleet, Host, Question).Whole;
     }));
   checkNoEvictionInUse(Fleet);
 }
@@ -140,7 +143,7 @@
 TEST_CASE("crossed and wrong and short answers reach nobody") {
   fleet Fleet({2, 2, 0});
   Fleet.applyIntent();
-  REQUIRE(ask(Fleet, 0, {"pickler@1", "warm"}).Whole);
+  REQUIRE(requestCompletion(Fleet, 0, {"pickler@1", "warm"}).Whole);
   checkAnswersUnder(Fleet, {{"crossed", 3}}, {{"crossed", 0}});
   checkAnswersUnder(Fleet, {{"wrong_adapter", 3}}, {{"wrong_adapter", 0}});
   checkAnswersUnder(Fleet, {{"truncate", 3}, {"truncate_after", 7}},
@@ -159,17 +162,17 @@
 TEST_CASE("a repeated event of a stream reaches nobody") {
   fleet Fleet({2, 2, 0});
   Fleet.applyIntent();
-  REQUIRE(ask(Fleet, 0, {"pickler@1", "warm"}).Whole);
+  REQUIRE(requestCompletion(Fleet, 0, {"pickler@1", "warm"}).Whole);
   checkAnswersUnder(Fleet, {{"duplicate", 3}}, {{"duplicate", 0}});
 }
 
 TEST_CASE("a stream with a repeated event never ends like a whole answer") {
   fleet Fleet({1, 1, 0});
   Fleet.applyIntent();
-  REQUIRE(ask(Fleet, 0, {"pickler@1", "warm"}).Whole);
+  REQUIRE(requestCompletion(Fleet, 0, {"pickler@1", "warm"}).Whole);
   Fleet.setControl(Fleet.Engines[0], {{"duplicate", 1}});
   const completion_question Question{"pickler@1", "repeated", 20, true};
-  const caller_answer Answer = ask(Fleet, 0, Question);
+  const caller_answer Answer = requestCompletion(Fleet, 0, Question);
   INFO(describe(Answer));
   CHECK_FALSE(Answer.Whole);
   CHECK(Answer.Code != 0);
@@ -180,7 +183,7 @@
   constexpr seconds MostUntilCancelled{5};
   fleet Fleet({1, 1, 0});
   Fleet.applyIntent();
-  REQUIRE(ask(Fleet, 0, {"pickler@1", "warm"}).Whole);
+  REQUIRE(requestCompletion(Fleet, 0, {"pickler@1", "warm"}).Whole);
   std::vector<std::unique_ptr<http_call>> Streams;
   Fleet.run([&] {
     for (int Index = 0; Index < 4; ++Index)
@@ -191,7 +194,7 @@
   Fleet.run([&] { Streams.clear(); });
   CHECK(holdsWithin(MostUntilCancelled,
                     [&] { return runningAtEngines(Fleet) == 0; }));
-  CHECK(ask(Fleet, 0, {"pickler@1", "after"}).Whole);
+  CHECK(requestCompletion(Fleet, 0, {"pickler@1", "after"}).Whole);
 }
 
 TEST_CASE("a caller that stops reading does not hurt others") {
@@ -200,7 +203,7 @@
   constexpr std::size_t Rounds = 20;
   fleet Fleet({1, 1, 0, {"--step-ms", "0"}});
   Fleet.applyIntent();
-  REQUIRE(ask(Fleet, 0, {"pickler@1", "warm"}).Whole);
+  REQUIRE(requestCompletion(Fleet, 0, {"pickler@1", "warm"}).Whole);
   std::vector<std::unique_ptr<http_call>> Stalled;
   Fleet.run([&] {
     for (int Index = 0; Index < 4; ++Index)
@@ -211,7 +214,7 @@
     const completion_question Question{
         "pickler@1", "meanwhile " + std::to_string(Round), 20, Round % 2 == 0};
     const time_point Start = boot_clock::now();
-    const caller_answer Answer = ask(Fleet, 0, Question);
+    const caller_answer Answer = requestCompletion(Fleet, 0, Question);
     INFO(describe(Answer));
     CHECK(boot_clock::now() - Start < MostWait);
     CHECK(Answer.Whole);
--- a/Tests/EndToEnd/test_whole_path.cpp
+++ b/Tests/EndToEnd/test_whole_path.cpp
@@ -115,7 +115,7 @@
   CHECK(Refused.Body.find("\"not run\"") != std::string::npos);
   CHECK(Fleet.control(Fleet.Services[0], "/control/record").at("effects") == 0);
   CHECK(Fleet.complete(0, "pickler@1", "during").Head.Status == 200);
-  // The leases lapse after 10 s. What is loaded goes on serving.
+  // The leases lapse after 10 s. Loaded adapters are served on.
   sleepFor(seconds(13));
   CHECK(Fleet.complete(0, "pickler@1", "for long").Head.Status == 200);
   CHECK(Fleet.call(0, {"GET", "/stock/7", keyed(fleet::KeyOfAalst)})
