--- a/Tests/EndToEnd/forwarding_fleet.cpp
+++ b/Tests/EndToEnd/forwarding_fleet.cpp
@@ -201,17 +201,16 @@
   return Head;
 }
 
-forwarded_answer forwarding_fleet::request(std::size_t Host,
-                                           const std::string &Id,
-                                           const std::string &Adapter,
-                                           const std::string &Path,
-                                           const std::string &Key) {
+forwarded_answer forwarding_fleet::ask(std::size_t Host, const std::string &Id,
+                                       const std::string &Adapter,
+                                       const std::string &Path,
+                                       const std::string &Key) {
   return send(Host, streamHeadFor(Id, Adapter, Path, Key), "prompt of " + Id);
 }
 
-void forwarding_fleet::requestAndLeave(std::size_t Host, const std::string &Id,
-                                       const std::string &Adapter,
-                                       milliseconds Time) {
+void forwarding_fleet::askAndLeave(std::size_t Host, const std::string &Id,
+                                   const std::string &Adapter,
+                                   milliseconds Time) {
   Runtime.runBlocking([&] {
     const std::shared_ptr<cancellation> Leaving =
         std::make_shared<cancellation>();
--- a/Tests/EndToEnd/forwarding_fleet.h
+++ b/Tests/EndToEnd/forwarding_fleet.h
@@ -43,13 +43,13 @@
   void configure(std::uint64_t Version, const std::vector<std::string> &Keys);
 
   /// Requests a stream of adapter \p Adapter.
-  forwarded_answer request(std::size_t Host, const std::string &Id,
-                           const std::string &Adapter,
-                           const std::string &Path = "/once/x",
-                           const std::string &Key = "k1");
+  forwarded_answer ask(std::size_t Host, const std::string &Id,
+                       const std::string &Adapter,
+                       const std::string &Path = "/once/x",
+                       const std::string &Key = "k1");
   /// Requests a stream and closes the connection after \p Time.
-  void requestAndLeave(std::size_t Host, const std::string &Id,
-                       const std::string &Adapter, milliseconds Time);
+  void askAndLeave(std::size_t Host, const std::string &Id,
+                   const std::string &Adapter, milliseconds Time);
   /// Calls the plain service: "/order/x" at most once, "/check/x" idempotent.
   forwarded_answer call(std::size_t Host, const std::string &Id,
                         const std::string &Path, const std::string &Body);
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -31,14 +31,14 @@
 }
 
 /// Requests a stream of 1.5 s from host 0 and runs \p During while it is sent.
-forwarded_answer requestSlowStream(forwarding_fleet &Fleet,
-                                   const std::function<void()> &During) {
+forwarded_answer askForSlowStream(forwarding_fleet &Fleet,
+                                  const std::function<void()> &During) {
   upstream_switches Slow;
   Slow.EventPause = milliseconds(300);
   setAll(Fleet.Engines, Slow);
   forwarded_answer Answer;
   {
-    const std::jthread Caller([&] { Answer = Fleet.request(0, "s1", "a1"); });
+    const std::jthread Caller([&] { Answer = Fleet.ask(0, "s1", "a1"); });
     sleepFor(milliseconds(600));
     During();
   }
@@ -49,7 +49,7 @@
 
 TEST_CASE("forwarding: streams, orders and checks pass unchanged") {
   forwarding_fleet Fleet;
-  const forwarded_answer Stream = Fleet.request(0, "s1", "a1");
+  const forwarded_answer Stream = Fleet.ask(0, "s1", "a1");
   REQUIRE(Stream.Status == 200);
   REQUIRE(Stream.Whole);
   REQUIRE(Stream.Body == WholeStream);
@@ -70,16 +70,16 @@
   REQUIRE(findField(Seen.Fields, "Host") == "a.example");
   REQUIRE(Shop.lastBody() == "two");
 
-  REQUIRE(Fleet.request(0, "s2", "a1", "/once/x", "unknown").Status == 401);
+  REQUIRE(Fleet.ask(0, "s2", "a1", "/once/x", "unknown").Status == 401);
   REQUIRE(Fleet.call(0, "x1", "/nowhere/", "").Status == 404);
 }
 
 TEST_CASE("forwarding: more adapters than places are loaded in turn") {
   forwarding_fleet Fleet;
   for (int Number = 0; Number < 8; ++Number) {
-    const forwarded_answer Answer = Fleet.request(
-        static_cast<std::size_t>(Number % 3), "s" + std::to_string(Number),
-        "a" + std::to_string(Number));
+    const forwarded_answer Answer =
+        Fleet.ask(static_cast<std::size_t>(Number % 3),
+                  "s" + std::to_string(Number), "a" + std::to_string(Number));
     REQUIRE(Answer.Status == 200);
     REQUIRE(Answer.Body == WholeStream);
     sleepFor(milliseconds(400));
@@ -118,19 +118,19 @@
 TEST_CASE("forwarding: a stream that breaks is resumed only where it may be") {
   forwarding_fleet Fleet;
   // Both engines have the adapter, so that the stream can go on at the other.
-  REQUIRE(Fleet.request(0, "w1", "a1").Whole);
+  REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
   upstream_switches Breaking;
   Breaking.BreaksAfter = 2;
   for (const std::unique_ptr<upstream_stand_in> &Engine : Fleet.Engines)
     if (Engine->runs() > 0)
       Engine->set(Breaking);
-  const forwarded_answer Resumed = Fleet.request(0, "r1", "a1", "/resume/x");
+  const forwarded_answer Resumed = Fleet.ask(0, "r1", "a1", "/resume/x");
   REQUIRE(Resumed.Status == 200);
   REQUIRE(Resumed.Whole);
   REQUIRE(Resumed.Body == WholeStream);
 
   setAll(Fleet.Engines, Breaking);
-  const forwarded_answer Cut = Fleet.request(0, "s1", "a1");
+  const forwarded_answer Cut = Fleet.ask(0, "s1", "a1");
   REQUIRE_FALSE(Cut.Whole);
   int Runs = 0;
   for (const std::unique_ptr<upstream_stand_in> &Engine : Fleet.Engines)
@@ -140,36 +140,35 @@
 
 TEST_CASE("forwarding: a stream that ends inside an event looks whole") {
   forwarding_fleet Fleet;
-  REQUIRE(Fleet.request(0, "w1", "a1").Whole);
+  REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
   upstream_switches Ending;
   Ending.BreaksAfter = 2;
   Ending.EndsBroken = true;
   for (const std::unique_ptr<upstream_stand_in> &Engine : Fleet.Engines)
     if (Engine->runs() > 0)
       Engine->set(Ending);
-  const forwarded_answer Resumed = Fleet.request(0, "r1", "a1", "/resume/x");
+  const forwarded_answer Resumed = Fleet.ask(0, "r1", "a1", "/resume/x");
   REQUIRE(Resumed.Whole);
   REQUIRE(Resumed.Body == WholeStream);
 
   setAll(Fleet.Engines, Ending);
-  REQUIRE_FALSE(Fleet.request(0, "s1", "a1").Whole);
+  REQUIRE_FALSE(Fleet.ask(0, "s1", "a1").Whole);
 }
 
 TEST_CASE("forwarding: a withdrawn key and a new version are in force within "
           "two seconds") {
   forwarding_fleet Fleet;
-  REQUIRE(Fleet.request(0, "s1", "a1", "/once/x", "k2").Status == 200);
+  REQUIRE(Fleet.ask(0, "s1", "a1", "/once/x", "k2").Status == 200);
   Fleet.configure(2, {"k1"});
   sleepFor(seconds(2));
   for (std::size_t Host = 0; Host < 3; ++Host)
-    REQUIRE(
-        Fleet.request(Host, "w" + std::to_string(Host), "a1", "/once/x", "k2")
-            .Status == 401);
+    REQUIRE(Fleet.ask(Host, "w" + std::to_string(Host), "a1", "/once/x", "k2")
+                .Status == 401);
 
   Fleet.Store.put("versions", "m.a1",
                   {{"model", "m"}, {"adapter", "a1"}, {"version", 7}});
   sleepFor(seconds(2));
-  REQUIRE(Fleet.request(0, "s2", "a1").Body == WholeStream);
+  REQUIRE(Fleet.ask(0, "s2", "a1").Body == WholeStream);
   bool HasNew = false;
   for (const std::unique_ptr<upstream_stand_in> &Engine : Fleet.Engines)
     if (Engine->runsOf("s2") > 0)
@@ -193,11 +192,11 @@
 
 TEST_CASE("forwarding: a store that is down stops nobody who runs") {
   forwarding_fleet Fleet;
-  REQUIRE(Fleet.request(0, "s1", "a1").Whole);
+  REQUIRE(Fleet.ask(0, "s1", "a1").Whole);
   Fleet.Store.setDown(true);
   sleepFor(seconds(2));
-  REQUIRE(Fleet.request(1, "s2", "a1").Body == WholeStream);
-  REQUIRE(Fleet.request(2, "s3", "a5").Body == WholeStream);
+  REQUIRE(Fleet.ask(1, "s2", "a1").Body == WholeStream);
+  REQUIRE(Fleet.ask(2, "s3", "a5").Body == WholeStream);
   // A host that starts meanwhile receives all from the others.
   Fleet.killHost(1);
   Fleet.startHost(1);
@@ -209,13 +208,13 @@
           "a key for good") {
   forwarding_fleet Fleet;
   REQUIRE(Fleet.call(0, "x1", "/nowhere/", "").Status == 404);
-  REQUIRE(Fleet.request(0, "s1", "a1", "/once/x", "unknown").Status == 401);
+  REQUIRE(Fleet.ask(0, "s1", "a1", "/once/x", "unknown").Status == 401);
   Fleet.Store.setDown(true);
   sleepFor(milliseconds(2'500));
   const forwarded_answer Refused = Fleet.call(0, "x2", "/nowhere/", "");
   REQUIRE(Refused.Status == 503);
   REQUIRE_FALSE(findField(Refused.Fields, "Retry-After").empty());
-  REQUIRE(Fleet.request(0, "s2", "a1", "/once/x", "unknown").Status == 503);
+  REQUIRE(Fleet.ask(0, "s2", "a1", "/once/x", "unknown").Status == 503);
   Fleet.Store.setDown(false);
   sleepFor(milliseconds(2'500));
   REQUIRE(Fleet.call(0, "x3", "/nowhere/", "").Status == 404);
@@ -226,13 +225,13 @@
   Fleet.Store.compact();
   Fleet.configure(5, {"k9"});
   REQUIRE(holdsWithin(seconds(3), [&] {
-    return Fleet.request(0, "s1", "a1", "/once/x", "k9").Status == 200;
+    return Fleet.ask(0, "s1", "a1", "/once/x", "k9").Status == 200;
   }));
 }
 
 TEST_CASE("forwarding: all hosts killed at once are back and serve") {
   forwarding_fleet Fleet;
-  REQUIRE(Fleet.request(0, "s1", "a1").Whole);
+  REQUIRE(Fleet.ask(0, "s1", "a1").Whole);
   for (std::size_t Host = 0; Host < 3; ++Host)
     Fleet.killHost(Host);
   for (std::size_t Host = 0; Host < 3; ++Host)
@@ -241,13 +240,13 @@
     REQUIRE(
         holdsWithin(milliseconds(1'500), [&] { return Fleet.ready(Host); }));
   REQUIRE(holdsWithin(seconds(5), [&] {
-    return Fleet.request(0, "n1", "a9").Body == WholeStream;
+    return Fleet.ask(0, "n1", "a9").Body == WholeStream;
   }));
 }
 
 TEST_CASE("forwarding: a stopped host ends its streams and cuts none") {
   forwarding_fleet Fleet;
-  const forwarded_answer Answer = requestSlowStream(Fleet, [&Fleet] {
+  const forwarded_answer Answer = askForSlowStream(Fleet, [&Fleet] {
     Fleet.host(0).signal(SIGTERM);
     sleepFor(milliseconds(200));
     REQUIRE_FALSE(Fleet.ready(0));
@@ -259,7 +258,7 @@
 
 TEST_CASE("forwarding: a SIGTERM that comes twice cuts a stream") {
   forwarding_fleet Fleet;
-  const forwarded_answer Answer = requestSlowStream(Fleet, [&Fleet] {
+  const forwarded_answer Answer = askForSlowStream(Fleet, [&Fleet] {
     Fleet.host(0).signal(SIGTERM);
     sleepFor(milliseconds(250));
     Fleet.host(0).signal(SIGTERM);
@@ -271,13 +270,13 @@
 
 TEST_CASE("forwarding: a late copy of a 421 lets a request run twice") {
   forwarding_fleet Fleet;
-  REQUIRE(Fleet.request(0, "w1", "a1").Whole);
+  REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
   upstream_switches Misdirecting;
   Misdirecting.RepeatsMisdirection = true;
   setAll(Fleet.Engines, Misdirecting);
   for (int Number = 0; Number < 5; ++Number) {
     const std::string Id = "t" + std::to_string(Number);
-    const forwarded_answer Answer = Fleet.request(0, Id, "a1");
+    const forwarded_answer Answer = Fleet.ask(0, Id, "a1");
     CHECK(Answer.Status == 200);
     CHECK(Answer.Body == WholeStream);
     CHECK(Fleet.Engines[0]->runsOf(Id) + Fleet.Engines[1]->runsOf(Id) == 1);
@@ -288,9 +287,9 @@
   forwarding_fleet Fleet;
   for (std::size_t Host = 0; Host < 3; ++Host) {
     const std::string Id = "u" + std::to_string(Host);
-    REQUIRE(Fleet.request(Host, Id, "gl\xfchwein").Status == 400);
+    REQUIRE(Fleet.ask(Host, Id, "gl\xfchwein").Status == 400);
   }
-  REQUIRE(Fleet.request(0, "s1", "a1").Body == WholeStream);
+  REQUIRE(Fleet.ask(0, "s1", "a1").Body == WholeStream);
   for (std::size_t Host = 0; Host < 3; ++Host)
     REQUIRE(Fleet.ready(Host));
 }
@@ -377,7 +376,7 @@
   setAll(Fleet.Engines, Slow);
   // No event has come when the caller leaves, so that only the closed
   // connection shows it.
-  Fleet.requestAndLeave(0, "s1", "a1", milliseconds(700));
+  Fleet.askAndLeave(0, "s1", "a1", milliseconds(700));
   REQUIRE(holdsWithin(Allowed, [&] {
     int Abandoned = 0;
     for (const std::unique_ptr<upstream_stand_in> &Engine : Fleet.Engines)
