LibHost: Take the choice of gossip peers out of the configuration follower

Change: gossip_peers holds the peers, the rotation and which hosts relay, under a lock of their own.

--- a/Libraries/LibHost/configuration_follower.cpp
+++ b/Libraries/LibHost/configuration_follower.cpp
@@ -3,10 +3,10 @@
 #include "LibConfiguration/configuration_codec.h"
 #include "LibConfiguration/configuration_head.h"
 #include "LibCore/result_code.h"
+#include "LibHost/gossip_peers.h"
 #include "LibHost/part_fetcher.h"
 #include "LibHost/snapshot_builder.h"
 #include "LibLog/log.h"
-#include "LibMembership/rendezvous.h"
 
 #include <algorithm>
 #include <deque>
@@ -19,11 +19,7 @@
 using lock = std::lock_guard<std::mutex>;
 
 static constexpr std::string_view HeadName = "head";
-/// Hosts per zone that watch the configuration head.
-static constexpr std::size_t RelaysInZone = 2;
-/// Hosts of the own zone that are contacted in one gossip round.
-static constexpr std::size_t GossipFanOut = 2;
-/// The most peers that are asked for a part after the platform.
+/// The most peers that a part is requested from after the platform.
 static constexpr std::size_t MaxPeersPerPart = 3;
 /// Polls per second of the whole fleet: a twentieth of the platform's read
 /// rate.
@@ -53,8 +49,8 @@
         HostLink(std::move(HostLink)), Self(std::move(Self)),
         Settings(std::move(Settings)), Fetcher{this->Platform, this->HostLink,
                                                this->Self,
-                                               this->Settings.PeerCallTimeout} {
-  }
+                                               this->Settings.PeerCallTimeout},
+        Peers(this->Self, this->Settings.Seeds) {}
 
   std::uint64_t version() const {
     const lock Lock(Mutex);
@@ -73,7 +69,6 @@
   std::uint64_t readPlatformHead();
   void exchangeVersions(const endpoint &Peer);
   void fetchHeadFrom(const endpoint &Peer);
-  std::vector<endpoint> peerEndpoints(bool OwnZone) const;
   std::vector<endpoint> pickGossipPeers();
 
   const runtime_clock &Clock;
@@ -82,6 +77,7 @@
   const host_link::Sender Self;
   const configuration_follower_settings Settings;
   const part_fetcher Fetcher;
+  gossip_peers Peers;
   /// Set before the first poll and not modified after it.
   std::vector<listener> Listeners;
 
@@ -89,13 +85,8 @@
   snapshot_pointer Current;
   std::string HeadText;
   std::map<std::string, std::string> Parts;
-  std::vector<peer_host> Peers;
-  std::uint32_t FleetHosts = 1;
   /// The version that a fiber is currently fetching; 0 if none.
   std::uint64_t Fetching = 0;
-  /// The last version that this host announced to its whole zone.
-  std::uint64_t AnnouncedVersion = 0;
-  std::size_t GossipRound = 0;
   time_point LastConfirmed = Never;
   /// When the platform itself last confirmed the active version.
   time_point ConfirmedByPlatform = Never;
@@ -122,9 +113,7 @@
 }
 
 void configuration_follower::applyView(const host_view &View) {
-  const lock Lock(State->Mutex);
-  State->Peers = View.Peers;
-  State->FleetHosts = View.FleetHosts;
+  State->Peers.applyView(View);
 }
 
 time_point configuration_follower::lastConfirmed() const {
@@ -238,7 +227,7 @@
     Text = Fetcher.fetchFromPeer(Digest, *From);
   if (!Text)
     Text = Fetcher.fetchFromPlatform(Digest);
-  const std::vector<endpoint> Others = peerEndpoints(true);
+  const std::vector<endpoint> Others = Peers.endpoints(true);
   for (std::size_t Index = 0;
        !Text && Index < std::min(Others.size(), MaxPeersPerPart); ++Index)
     Text = Fetcher.fetchFromPeer(Digest, Others[Index]);
@@ -284,14 +273,11 @@
 }
 
 milliseconds configuration_follower::pollInterval() const {
-  const lock Lock(State->Mutex);
-  const milliseconds FleetInterval(State->FleetHosts * 1'000 /
+  const milliseconds FleetInterval(State->Peers.fleetHosts() * 1'000 /
                                    FleetPollsPerSecond);
   const milliseconds Base =
       std::max(State->Settings.PollInterval, FleetInterval);
-  const std::uint64_t Jitter =
-      rendezvousScore(State->GossipRound, host_id{State->Self.host()}) % 20;
-  return Base * (90 + Jitter) / 100;
+  return Base * (90 + State->Peers.roundScore() % 20) / 100;
 }
 
 bool configuration_follower::watchOnce(milliseconds Limit) {
@@ -315,48 +301,11 @@
   }
 }
 
-bool configuration_follower::isRelay() const {
-  const lock Lock(State->Mutex);
-  std::vector<host_id> Others;
-  for (const peer_host &Peer : State->Peers)
-    if (Peer.Zone.Value == State->Self.zone() && !Peer.Draining)
-      Others.push_back(Peer.Id);
-  return rendezvousRank(State->Self.zone(), host_id{State->Self.host()},
-                        Others) < RelaysInZone;
-}
-
-std::vector<endpoint>
-configuration_follower::state::peerEndpoints(bool OwnZone) const {
-  const lock Lock(Mutex);
-  std::vector<endpoint> Links;
-  for (const peer_host &Peer : Peers)
-    if ((Peer.Zone.Value == Self.zone()) == OwnZone)
-      Links.push_back(Peer.Link);
-  if (Peers.empty() && OwnZone)
-    Links = Settings.Seeds;
-  return Links;
-}
+bool configuration_follower::isRelay() const { return State->Peers.isRelay(); }
 
-/// Picks peers in rotation: all of the zone if there is a version that was not
-/// announced to it yet.
+/// The peers of the next gossip round.
 std::vector<endpoint> configuration_follower::state::pickGossipPeers() {
-  const std::vector<endpoint> OwnZonePeers = peerEndpoints(true);
-  const std::vector<endpoint> OtherZonePeers = peerEndpoints(false);
-  const lock Lock(Mutex);
-  const std::size_t Round = GossipRound++;
-  const std::uint64_t Version = Current == nullptr ? 0 : Current->version();
-  const bool HasNewVersion = Version > AnnouncedVersion;
-  AnnouncedVersion = Version;
-  const std::size_t Count = HasNewVersion
-                                ? OwnZonePeers.size()
-                                : std::min(OwnZonePeers.size(), GossipFanOut);
-  std::vector<endpoint> Picked;
-  for (std::size_t Index = 0; Index < Count; ++Index)
-    Picked.push_back(
-        OwnZonePeers[(Round * GossipFanOut + Index) % OwnZonePeers.size()]);
-  if (!OtherZonePeers.empty())
-    Picked.push_back(OtherZonePeers[Round % OtherZonePeers.size()]);
-  return Picked;
+  return Peers.pickForGossip(version());
 }
 
 /// Announces the active version to a peer, sends the head as well if the peer's
@@ -382,7 +331,7 @@
     }
     HostLink.Announce(Peer, Request, Settings.PeerCallTimeout);
   } catch (const spindle_error &) {
-    // A peer that does not answer is asked again in a later round.
+    // A peer that does not answer is called again in a later round.
   }
 }
 
@@ -402,13 +351,8 @@
 
 host_link::AnnounceReply configuration_follower::handleAnnounce(
     const host_link::AnnounceRequest &Request) {
-  std::optional<endpoint> From;
-  {
-    const lock Lock(State->Mutex);
-    for (const peer_host &Peer : State->Peers)
-      if (Peer.Id.Value == Request.sender().host())
-        From = Peer.Link;
-  }
+  const std::optional<endpoint> From =
+      State->Peers.findLink(host_id{Request.sender().host()});
   if (!Request.head().empty())
     State->applyIfNewer({readHead(Request.head()), Request.head(), From});
   host_link::AnnounceReply Reply;
