LibSettings: Read all settings files with one function

Cause: four parsers of settings files had the same steps. Change: readSettingsFile takes the table of fields and a check of the whole. In the model's settings, fields that stand twice are now listed before other problems, as everywhere else.

--- a/Libraries/LibFleetModel/model_settings.cpp
+++ b/Libraries/LibFleetModel/model_settings.cpp
@@ -136,20 +136,12 @@
 
 model_settings parseModelSettings(std::string_view Text,
                                   std::string_view FileName) {
-  const nlohmann::json Json =
-      parseJsonText(Text, FileName, result_code::InvalidSettings);
-  std::vector<input_problem> Problems;
-  model_settings Settings =
-      readRecord(Json, settingsFields(), field_context{"", Problems});
-  const json_places Places = findPlaces(Text);
-  Problems.insert(Problems.end(), Places.Duplicates.begin(),
-                  Places.Duplicates.end());
-  if (Problems.empty() && Settings.Kinds.empty())
-    Problems.push_back({"kinds", "must name a kind"});
-  if (!Problems.empty())
-    throw spindle_error(result_code::InvalidSettings,
-                        describeProblems(Problems, FileName, Text, Places));
-  return Settings;
+  return readSettingsFile(
+      Text, FileName, settingsFields(),
+      [](const model_settings &Settings, std::vector<input_problem> &Problems) {
+        if (Problems.empty() && Settings.Kinds.empty())
+          Problems.push_back({"kinds", "must name a kind"});
+      });
 }
 
 std::string describeModelSettings() {
--- a/Libraries/LibLoad/load_scenario.cpp
+++ b/Libraries/LibLoad/load_scenario.cpp
@@ -120,14 +120,8 @@
   return Table;
 }
 
-load_scenarios parseScenarios(std::string_view Text,
-                              std::string_view FileName) {
-  const nlohmann::json Root =
-      parseJsonText(Text, FileName, result_code::InvalidSettings);
-  const json_places Places = findPlaces(Text);
-  std::vector<input_problem> Problems = Places.Duplicates;
-  load_scenarios Scenarios =
-      readRecord(Root, fileFields(), field_context{"", Problems});
+static void checkScenarios(const load_scenarios &Scenarios,
+                           std::vector<input_problem> &Problems) {
   if (Scenarios.Customers.empty())
     Problems.push_back({"customers", "must not be empty"});
   if (Scenarios.Classes.empty())
@@ -138,10 +132,11 @@
       Problems.push_back(
           {"scenarios[" + std::to_string(Index) + "].heavyCustomer",
            "names no customer"});
-  if (!Problems.empty())
-    throw spindle_error(result_code::InvalidSettings,
-                        describeProblems(Problems, FileName, Text, Places));
-  return Scenarios;
+}
+
+load_scenarios parseScenarios(std::string_view Text,
+                              std::string_view FileName) {
+  return readSettingsFile(Text, FileName, fileFields(), checkScenarios);
 }
 
 } // namespace spindle
--- a/Libraries/LibSettings/field_table.h
+++ b/Libraries/LibSettings/field_table.h
@@ -97,6 +97,30 @@
   return Record;
 }
 
+/// Parses a JSON text with comments.
+/// \throws spindle_error \p Code that names file, line and column.
+nlohmann::json parseJsonText(std::string_view Text, std::string_view FileName,
+                             result_code Code);
+
+/// Reads a whole settings file, JSON with comments, by its table. \p Check
+/// gets the record and the list of problems, to which it may add.
+/// \throws spindle_error InvalidSettings whose message has a line for each
+/// problem: "FILE:LINE:COLUMN: field: what is wrong".
+template <typename record, typename check>
+record readSettingsFile(std::string_view Text, std::string_view FileName,
+                        const field_table<record> &Table, const check &Check) {
+  const nlohmann::json Root =
+      parseJsonText(Text, FileName, result_code::InvalidSettings);
+  const json_places Places = findPlaces(Text);
+  std::vector<input_problem> Problems = Places.Duplicates;
+  record Record = readRecord(Root, Table, field_context{"", Problems});
+  Check(Record, Problems);
+  if (!Problems.empty())
+    throw spindle_error(result_code::InvalidSettings,
+                        describeProblems(Problems, FileName, Text, Places));
+  return Record;
+}
+
 /// Writes the fields that differ from their defaults or are required.
 template <typename record>
 nlohmann::json writeRecord(const record &Record,
@@ -364,11 +388,6 @@
 std::string writeReference(
     const std::vector<std::pair<field_description, std::string>> &Lines);
 
-/// Parses a JSON text with comments.
-/// \throws spindle_error \p Code that names file, line and column.
-nlohmann::json parseJsonText(std::string_view Text, std::string_view FileName,
-                             result_code Code);
-
 } // namespace spindle
 
 #endif // PARSLEYSPINDLE_LIBSETTINGS_FIELD_TABLE_H
--- a/Libraries/LibSettings/host_settings.cpp
+++ b/Libraries/LibSettings/host_settings.cpp
@@ -227,17 +227,11 @@
 
 host_settings parseHostSettings(std::string_view Text,
                                 std::string_view FileName) {
-  const nlohmann::json Root =
-      parseJsonText(Text, FileName, result_code::InvalidSettings);
-  const json_places Places = findPlaces(Text);
-  std::vector<input_problem> Problems = Places.Duplicates;
-  host_settings Settings =
-      readRecord(Root, hostFields(), field_context{"", Problems});
-  checkLease(Settings.Lease, Problems);
-  if (!Problems.empty())
-    throw spindle_error(result_code::InvalidSettings,
-                        describeProblems(Problems, FileName, Text, Places));
-  return Settings;
+  return readSettingsFile(
+      Text, FileName, hostFields(),
+      [](const host_settings &Settings, std::vector<input_problem> &Problems) {
+        checkLease(Settings.Lease, Problems);
+      });
 }
 
 std::string fieldsThatNeedRestart(const host_settings &Current,
--- a/Utilities/spindleload/load_targets.cpp
+++ b/Utilities/spindleload/load_targets.cpp
@@ -32,18 +32,12 @@
 }
 
 load_targets parseTargets(std::string_view Text, std::string_view FileName) {
-  const nlohmann::json Root =
-      parseJsonText(Text, FileName, result_code::InvalidSettings);
-  const json_places Places = findPlaces(Text);
-  std::vector<input_problem> Problems = Places.Duplicates;
-  load_targets Targets =
-      readRecord(Root, targetsFields(), field_context{"", Problems});
-  if (Targets.Hosts.empty())
-    Problems.push_back({"hosts", "must not be empty"});
-  if (!Problems.empty())
-    throw spindle_error(result_code::InvalidSettings,
-                        describeProblems(Problems, FileName, Text, Places));
-  return Targets;
+  return readSettingsFile(
+      Text, FileName, targetsFields(),
+      [](const load_targets &Targets, std::vector<input_problem> &Problems) {
+        if (Targets.Hosts.empty())
+          Problems.push_back({"hosts", "must not be empty"});
+      });
 }
 
 const load_target *findTarget(const load_targets &Targets,
