--- a/Utilities/spindleload/main.cpp
+++ b/Utilities/spindleload/main.cpp
@@ -1,13 +1,12 @@
 #include "LibCore/result_code.h"
 #include "LibLoad/load_scenario.h"
 #include "LibLoad/svg_plot.h"
+#include "LibLoad/text_file.h"
 #include "closed_loop.h"
 #include "open_loop.h"
 
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <popt.h>
 
@@ -38,23 +37,10 @@
 
 } // namespace
 
-static std::string readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  if (!File)
-    throw spindle_error(result_code::InvalidSettings, "cannot read " + Path);
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
-static void writeFile(const char *Path, const std::string &Text) {
-  if (Path == nullptr)
-    return;
-  std::ofstream File(Path);
-  File << Text;
-  if (!File)
-    throw spindle_error(result_code::Internal,
-                        std::string("cannot write ") + Path);
+/// Writes a file unless \p Path is null.
+static void writeIfNamed(const char *Path, const std::string &Text) {
+  if (Path != nullptr)
+    writeTextFile(Path, Text);
 }
 
 static std::string drawSummaries(const std::vector<load_summary> &Summaries) {
@@ -76,9 +62,9 @@
 
 static int runScenarios(fiber_runtime &Runtime, const command_line &Line) {
   const load_scenarios Common =
-      parseScenarios(readFile(Line.Scenarios), Line.Scenarios);
+      parseScenarios(readTextFile(Line.Scenarios), Line.Scenarios);
   const load_targets Targets =
-      parseTargets(readFile(Line.Targets), Line.Targets);
+      parseTargets(readTextFile(Line.Targets), Line.Targets);
   std::vector<load_summary> Summaries;
   std::size_t Foreign = 0;
   for (const load_scenario &Scenario : Common.Scenarios) {
@@ -89,9 +75,9 @@
       Foreign += Group.Foreign;
   }
   std::cout << writeMarkdown(Summaries);
-  writeFile(Line.Json, writeJson(Summaries));
-  writeFile(Line.Markdown, writeMarkdown(Summaries));
-  writeFile(Line.Plot, drawSummaries(Summaries));
+  writeIfNamed(Line.Json, writeJson(Summaries));
+  writeIfNamed(Line.Markdown, writeMarkdown(Summaries));
+  writeIfNamed(Line.Plot, drawSummaries(Summaries));
   return Foreign == 0 ? 0 : ExitForeignAnswer;
 }
 
--- a/Utilities/spindlemodel/main.cpp
+++ b/Utilities/spindlemodel/main.cpp
@@ -2,11 +2,10 @@
 // policies, under the load patterns of a settings file.
 #include "LibCore/result_code.h"
 #include "LibFleetModel/model_report.h"
+#include "LibLoad/text_file.h"
 
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <popt.h>
 
@@ -28,22 +27,6 @@
   int Describe = 0;
 };
 
-std::string readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  if (!File)
-    throw spindle_error(result_code::InvalidSettings, "cannot read " + Path);
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
-void writeFile(const std::string &Path, const std::string &Text) {
-  std::ofstream File(Path);
-  File << Text;
-  if (!File)
-    throw spindle_error(result_code::Internal, "cannot write " + Path);
-}
-
 bool isSelected(const char *Only, const std::string &Name) {
   return Only == nullptr || Name == Only;
 }
@@ -68,7 +51,7 @@
 
 void runAll(const command_line &Options) {
   const model_settings Settings =
-      parseModelSettings(readFile(Options.Settings), Options.Settings);
+      parseModelSettings(readTextFile(Options.Settings), Options.Settings);
   std::vector<model_report> All;
   for (const model_pattern &Pattern : Settings.Patterns) {
     if (!isSelected(Options.Pattern, Pattern.Name))
@@ -76,8 +59,8 @@
     const std::vector<model_report> Reports =
         runPattern(Settings, Pattern, Options);
     if (Options.Plots != nullptr)
-      writeFile(std::string(Options.Plots) + Pattern.Name + ".svg",
-                drawReports(Reports, Pattern.Meaning));
+      writeTextFile(std::string(Options.Plots) + Pattern.Name + ".svg",
+                    drawReports(Reports, Pattern.Meaning));
     All.insert(All.end(), Reports.begin(), Reports.end());
   }
   if (All.empty())
@@ -85,7 +68,7 @@
                         "no such pattern or policy");
   std::cout << (Options.ShowKinds != 0 ? writeKindTable(All) : writeTable(All));
   if (Options.Json != nullptr)
-    writeFile(Options.Json, writeJson(All));
+    writeTextFile(Options.Json, writeJson(All));
 }
 
 } // namespace
