--- a/Tests/Support/fake_platform.cpp
+++ b/Tests/Support/fake_platform.cpp
@@ -46,13 +46,7 @@
     ++Writes;
     checkUp();
     const object_key Key{std::string(Kind), std::string(Name)};
-    const auto Found = Objects.find(Key);
-    if (Found == Objects.end())
-      throw spindle_error(result_code::PlatformNotFound,
-                          "no object " + Key.second);
-    if (Found->second.Version != Version)
-      throw spindle_error(result_code::PlatformConflict,
-                          "object has changed: " + Key.second);
+    requireVersion(Key, Version);
     return write(Key, Body, platform_change::Modified);
   };
   Port.Remove = [this](std::string_view Kind, std::string_view Name,
@@ -61,14 +55,8 @@
     ++Writes;
     checkUp();
     const object_key Key{std::string(Kind), std::string(Name)};
-    const auto Found = Objects.find(Key);
-    if (Found == Objects.end())
-      throw spindle_error(result_code::PlatformNotFound,
-                          "no object " + Key.second);
-    if (Found->second.Version != Version)
-      throw spindle_error(result_code::PlatformConflict,
-                          "object has changed: " + Key.second);
-    write(Key, Found->second.Body, platform_change::Deleted);
+    requireVersion(Key, Version);
+    write(Key, Objects.at(Key).Body, platform_change::Deleted);
   };
   Port.Watch = [this](std::string_view Kind, std::uint64_t FromVersion,
                       milliseconds,
@@ -127,6 +115,17 @@
     throw spindle_error(result_code::PlatformUnavailable, "platform is down");
 }
 
+void fake_platform::requireVersion(const object_key &Key,
+                                   std::uint64_t Version) const {
+  const auto Found = Objects.find(Key);
+  if (Found == Objects.end())
+    throw spindle_error(result_code::PlatformNotFound,
+                        "no object " + Key.second);
+  if (Found->second.Version != Version)
+    throw spindle_error(result_code::PlatformConflict,
+                        "object has changed: " + Key.second);
+}
+
 std::uint64_t fake_platform::write(const object_key &Key, std::string_view Body,
                                    platform_change Change) {
   if (Faults.FailWrites > 0) {
--- a/Tests/Support/fake_platform.h
+++ b/Tests/Support/fake_platform.h
@@ -40,6 +40,8 @@
 
   platform_changes changes(std::string_view Kind, std::uint64_t FromVersion);
   void checkUp();
+  /// \throws spindle_error unless the object exists and has \p Version.
+  void requireVersion(const object_key &Key, std::uint64_t Version) const;
   std::uint64_t write(const object_key &Key, std::string_view Body,
                       platform_change Change);
 
