--- a/Tests/Support/fake_platform.h
+++ b/Tests/Support/fake_platform.h
@@ -18,9 +18,9 @@
   int LoseAnswers = 0;
   /// The next writes, this many, fail without effect.
   int FailWrites = 0;
-  /// Looks at changes hear nothing.
+  /// Polls for changes return nothing.
   bool HideChanges = false;
-  /// Changes before this version can't be looked at.
+  /// Changes before this version can't be polled.
   std::uint64_t ForgottenUpTo = 0;
 };
 
@@ -40,6 +40,8 @@
 
   platform_changes changes(std::string_view Kind, std::uint64_t FromVersion);
   void checkUp();
+  /// \throws spindle_error unless the object exists and has \p Version.
+  void requireVersion(const object_key &Key, std::uint64_t Version) const;
   std::uint64_t write(const object_key &Key, std::string_view Body,
                       platform_change Change);
 
--- a/Utilities/spindleload/main.cpp
+++ b/Utilities/spindleload/main.cpp
@@ -1,13 +1,12 @@
 #include "LibCore/result_code.h"
 #include "LibLoad/load_scenario.h"
 #include "LibLoad/svg_plot.h"
+#include "LibLoad/text_file.h"
 #include "closed_loop.h"
 #include "open_loop.h"
 
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <popt.h>
 
@@ -18,7 +17,7 @@
 constexpr int ExitUsage = 2;
 constexpr int ExitForeignAnswer = 3;
 
-/// What the command line gave; the pointers belong to popt.
+/// The options of the command line; the pointers belong to popt.
 struct command_line {
   const char *Scenarios = nullptr;
   const char *Targets = nullptr;
@@ -38,23 +37,10 @@
 
 } // namespace
 
-static std::string readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  if (!File)
-    throw spindle_error(result_code::InvalidSettings, "cannot read " + Path);
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
-static void writeFile(const char *Path, const std::string &Text) {
-  if (Path == nullptr)
-    return;
-  std::ofstream File(Path);
-  File << Text;
-  if (!File)
-    throw spindle_error(result_code::Internal,
-                        std::string("cannot write ") + Path);
+/// Writes a file unless \p Path is null.
+static void writeIfNamed(const char *Path, const std::string &Text) {
+  if (Path != nullptr)
+    writeTextFile(Path, Text);
 }
 
 static std::string drawSummaries(const std::vector<load_summary> &Summaries) {
@@ -66,8 +52,8 @@
       {"First byte, 99th percentile", "seconds since the start", "ms"}, Lines);
 }
 
-/// Tells whether \p Name is in a list separated by commas; null: any name is.
-static bool isWanted(const char *Only, const std::string &Name) {
+/// Whether \p Name is in a list separated by commas; null: any name is.
+static bool isSelected(const char *Only, const std::string &Name) {
   if (Only == nullptr)
     return true;
   const std::string List = "," + std::string(Only) + ",";
@@ -76,22 +62,22 @@
 
 static int runScenarios(fiber_runtime &Runtime, const command_line &Line) {
   const load_scenarios Common =
-      parseScenarios(readFile(Line.Scenarios), Line.Scenarios);
+      parseScenarios(readTextFile(Line.Scenarios), Line.Scenarios);
   const load_targets Targets =
-      parseTargets(readFile(Line.Targets), Line.Targets);
+      parseTargets(readTextFile(Line.Targets), Line.Targets);
   std::vector<load_summary> Summaries;
   std::size_t Foreign = 0;
   for (const load_scenario &Scenario : Common.Scenarios) {
-    if (!isWanted(Line.Only, Scenario.Name))
+    if (!isSelected(Line.Only, Scenario.Name))
       continue;
     Summaries.push_back(runOpenLoop(Runtime, Common, Scenario, Targets));
     for (const auto &[Kind, Group] : Summaries.back().Kinds)
       Foreign += Group.Foreign;
   }
   std::cout << writeMarkdown(Summaries);
-  writeFile(Line.Json, writeJson(Summaries));
-  writeFile(Line.Markdown, writeMarkdown(Summaries));
-  writeFile(Line.Plot, drawSummaries(Summaries));
+  writeIfNamed(Line.Json, writeJson(Summaries));
+  writeIfNamed(Line.Markdown, writeMarkdown(Summaries));
+  writeIfNamed(Line.Plot, drawSummaries(Summaries));
   return Foreign == 0 ? 0 : ExitForeignAnswer;
 }
 
