LibHTTP, LibGateway: State Retry-After in fractions where callers read them

Cause: refusals of the forwarding interface state 0.3 to 2.5 s, but the response rounded them up to whole seconds. Callers wait at most a third of the time that they have left, so one with less than three seconds left was told to stay away by every refusal, and all others returned at the same whole second. Change: errorResponse() states thousandths where its caller says so; the forwarding interface does. The own interface keeps whole seconds.

--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -5,6 +5,7 @@
 #include "LibGateway/gateway_services.h"
 #include "LibGateway/load_rate_limiter.h"
 #include "LibGateway/registration_applier.h"
+#include "LibHTTP/error_response.h"
 #include "LibHTTP/server_quiet.h"
 #include "LibLog/log.h"
 #include "LibPeer/host_link_server.h"
@@ -379,7 +380,10 @@
     logEvent(log_event::RequestRefused,
              {{"path", std::string(pathOf(Exchange.request().Target))},
               {"reason", Error.what()}});
-    writeErrorResponse(Exchange, Error);
+    // Callers may have less than a second left.
+    const http_response Response =
+        errorResponse(Error, retry_after_form::Fractions);
+    Exchange.respond(Response.Head, Response.Body);
   };
   CallerServer.emplace(Runtime, Settings.Callers, http_server_limits{}, Serve,
                        HandleError);
--- a/Libraries/LibHTTP/error_response.cpp
+++ b/Libraries/LibHTTP/error_response.cpp
@@ -24,7 +24,16 @@
   return Response;
 }
 
-http_response errorResponse(const std::exception &Error) {
+/// Rounds up, as an earlier repeat may be refused again.
+static std::string retryAfterText(milliseconds Wait, retry_after_form Form) {
+  if (Form == retry_after_form::WholeSeconds)
+    return std::to_string(std::chrono::ceil<seconds>(Wait).count());
+  const std::string Digits = std::to_string(Wait.count() % 1'000 + 1'000);
+  return std::to_string(Wait.count() / 1'000) + "." + Digits.substr(1);
+}
+
+http_response errorResponse(const std::exception &Error,
+                            retry_after_form Form) {
   const spindle_error *const Known =
       dynamic_cast<const spindle_error *>(&Error);
   if (!Known)
@@ -33,17 +42,15 @@
   http_response Response =
       makeResponse(Known->code(), Known->state(), Known->what());
   if (const retry_after_error *const Later =
-          dynamic_cast<const retry_after_error *>(&Error)) {
-    const std::chrono::seconds Wait =
-        std::chrono::ceil<std::chrono::seconds>(Later->retryAfter());
+          dynamic_cast<const retry_after_error *>(&Error))
     Response.Head.Fields.push_back(
-        {"Retry-After", std::to_string(Wait.count())});
-  }
+        {"Retry-After", retryAfterText(Later->retryAfter(), Form)});
   return Response;
 }
 
 void writeErrorResponse(http_exchange &Exchange, const std::exception &Error) {
-  const http_response Response = errorResponse(Error);
+  const http_response Response =
+      errorResponse(Error, retry_after_form::WholeSeconds);
   Exchange.respond(Response.Head, Response.Body);
 }
 
--- a/Tests/LibHTTP/test_http.cpp
+++ b/Tests/LibHTTP/test_http.cpp
@@ -1,4 +1,5 @@
 #include "LibCore/retry_after_error.h"
+#include "LibHTTP/error_response.h"
 #include "LibHTTP/http_client.h"
 #include "LibHTTP/http_server.h"
 
@@ -113,6 +114,19 @@
   REQUIRE(Response.Body.find("\"not run\"") != std::string::npos);
 }
 
+TEST_CASE("a refusal states fractions of a second to callers that read them") {
+  const auto RetryAfter = [](int Milliseconds) {
+    const retry_after_error Error(result_code::RateExceeded, "too much",
+                                  milliseconds(Milliseconds));
+    const http_response Response =
+        errorResponse(Error, retry_after_form::Fractions);
+    return std::string(findField(Response.Head.Fields, "Retry-After"));
+  };
+  REQUIRE(RetryAfter(6'100) == "6.100");
+  REQUIRE(RetryAfter(7) == "0.007");
+  REQUIRE(RetryAfter(0) == "0.000");
+}
+
 TEST_CASE("headers and bodies over their limits are refused by name") {
   http_server_limits Limits;
   Limits.HeaderBytes = 1024;
