LibScheduling, LibGateway: Spread the return of refused callers

Cause: refused callers got 0.4 s with a quarter of jitter, and those over their rate all the same time, so they returned together and were refused again. A caller with a short deadline could be told more than it waits for although there would be room. Change: retryAfter() spreads returns over the time that serving the callers who were refused lately takes, and states at most a third of the time that a caller has left if it can be served. It is used for refusals for want of room and of rate. UntilSlot of a request takes the expected wait of a zone. New metrics: spindle_turned_away_total, spindle_retry_after_seconds.

--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -1,6 +1,5 @@
 #include "LibGateway/attempt_loop.h"
 
-#include "LibCore/random_fraction.h"
 #include "LibCore/retry_after_error.h"
 #include "LibLog/log.h"
 
@@ -36,20 +35,14 @@
 /// leader is detected.
 constexpr milliseconds HoldCallTimeout{400};
 
-/// Adds jitter of 25 % to \p Pause, so that callers that are refused together
-/// do not retry together.
-milliseconds withJitter(milliseconds Pause) {
-  const double Milliseconds =
-      static_cast<double>(Pause.count()) * (0.75 + 0.5 * randomFraction());
-  return milliseconds(static_cast<std::int64_t>(Milliseconds));
-}
-
 /// When a repeat of a request that found no upstream may succeed.
 milliseconds retryTime(const forwarded_request &Request) {
+  if (Request.UntilSlot)
+    return *Request.UntilSlot;
   const std::optional<milliseconds> Wait =
       Request.Services.Fleet.timeUntilSend(Request.Service.Name);
-  return withJitter(std::clamp(Wait.value_or(RetryAfterShort), RetryAfterShort,
-                               MaxRetryAfter));
+  return std::clamp(Wait.value_or(RetryAfterShort), RetryAfterShort,
+                    MaxRetryAfter);
 }
 
 /// Throws the error that the caller gets when no attempts remain.
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -166,6 +166,42 @@
             {"ms", std::to_string(static_cast<int>(Elapsed.count() * 1'000))}});
 }
 
+/// Whether a request that is refused with \p Code is served once there is room.
+bool endsWithRoom(result_code Code) {
+  return Code == result_code::NoUpstream ||
+         Code == result_code::AdapterNotLoaded ||
+         Code == result_code::RateExceeded;
+}
+
+/// When the caller of a refused request should return.
+milliseconds returnTime(const forwarded_request &Request,
+                        const retry_after_error &Refusal) {
+  if (!endsWithRoom(Refusal.code()))
+    return Refusal.retryAfter();
+  service_retry_paces &Paces = Request.Services.RetryPaces;
+  // The room that a customer's rate leaves isn't that of the service.
+  const bool IsOwnRate = Refusal.code() == result_code::RateExceeded;
+  const std::string_view Service = IsOwnRate ? "" : Request.Service.Name;
+  if (!IsOwnRate)
+    Paces.noteRefused(Service);
+  return Paces.retryAfter(Service, Refusal.retryAfter(), Request.timeLeft(),
+                          randomFraction());
+}
+
+/// Throws \p Refusal with the time at which this caller should return.
+[[noreturn]] void refuseUntil(const forwarded_request &Request,
+                              const retry_after_error &Refusal) {
+  const milliseconds Wait = returnTime(Request, Refusal);
+  const std::string Code(describe(Refusal.code()).Name);
+  metrics &Metrics = Request.Services.Metrics;
+  Metrics.count("spindle_turned_away_total",
+                {{"customer", Request.Customer ? Request.Customer->Name : ""},
+                 {"code", Code}});
+  Metrics.observeSeconds("spindle_retry_after_seconds", {{"code", Code}},
+                         std::chrono::duration<double>(Wait).count());
+  throw retry_after_error(Refusal.code(), Refusal.what(), Wait);
+}
+
 } // namespace
 
 void forwardRequest(gateway_services &Services, http_exchange &Exchange) {
@@ -209,7 +245,11 @@
                             false};
   try {
     serve(Request);
+    Services.RetryPaces.noteServed(Service.Name);
     logOutcome(Request, "served");
+  } catch (const retry_after_error &Refusal) {
+    logOutcome(Request, describe(Refusal.code()).Name);
+    refuseUntil(Request, Refusal);
   } catch (const spindle_error &Error) {
     logOutcome(Request, describe(Error.code()).Name);
     throw;
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -49,6 +49,9 @@
   std::string LastEventId;
   /// Whether the head of a stream, and maybe events, were sent to the caller.
   bool StreamStarted = false;
+  /// Until an adapter slot is expected to be granted, as stated by the zone
+  /// that refused the request last; none if it stated no time.
+  std::optional<milliseconds> UntilSlot = std::nullopt;
 
   bool isModelCall() const { return Service.Engine.has_value(); }
   milliseconds timeLeft() const {
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -92,6 +92,7 @@
   customer_quota Quota;
   release_table Releases;
   service_retry_budgets RetryBudgets;
+  service_retry_paces RetryPaces;
   load_rate_limiter ModelLoads;
   zone_coordinator Coordinator;
   adapter_controller Controller;
@@ -128,7 +129,7 @@
           Clock, Ports.Platform, Ports.Codec.EvacuationKind,
           makeMirrorSettings(Settings.EvacuationDelay, VersionPollInterval)),
       Fleet(Clock, Settings.Zone), Quota(Clock),
-      RetryBudgets(Clock, Settings.RetryLimits),
+      RetryBudgets(Clock, Settings.RetryLimits), RetryPaces(Clock),
       Coordinator(
           {Settings.Name, Settings.Zone, Settings.HostLink, Incarnation, Self},
           {Clock, Ports.Platform, Link, Fleet, Quota, Members, polledMirrors(),
@@ -140,7 +141,8 @@
       Holds(Clock, Fleet, Coordinator, Controller, Link, Self),
       Services{Clock,         Ports.Codec,    Metrics,  Client,
                Configuration, Configurations, Fleet,    Quota,
-               Coordinator,   Holds,          Releases, RetryBudgets},
+               Coordinator,   Holds,          Releases, RetryBudgets,
+               RetryPaces},
       Registrations(Clock, Upstreams, Ports.Codec, Fleet), Tasks(Runtime) {
   Configurations.onChange([this] { applyConfiguration(); });
   Upstreams.onChange([this] { Registrations.apply(); });
--- a/Libraries/LibGateway/gateway_services.h
+++ b/Libraries/LibGateway/gateway_services.h
@@ -8,6 +8,7 @@
 #include "LibGateway/object_mirror.h"
 #include "LibGateway/release_table.h"
 #include "LibGateway/service_retry_budgets.h"
+#include "LibGateway/service_retry_paces.h"
 #include "LibGateway/zone_coordinator.h"
 #include "LibHTTP/http_client.h"
 #include "LibMetrics/metrics.h"
@@ -51,6 +52,7 @@
   adapter_holds &Holds;
   release_table &Releases;
   service_retry_budgets &RetryBudgets;
+  service_retry_paces &RetryPaces;
 };
 
 } // namespace spindle
