LibGateway, docs: Show who waits for adapters and why callers are refused

Cause: a host's metrics state refusals by code only, and no wait. Change: spindle_adapter_waits and spindle_adapter_oldest_wait_seconds by service and customer; refusals by customer and code under the name spindle_forwarding_refusals_total, rather than spindle_turned_away_total.

--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -115,6 +115,9 @@
       Request.isModelCall() && !Request.Description.Adapter.empty();
   if (!NamesAdapter)
     return {Chosen.Upstream, 0};
+  const waiting_requests::registration Wait(
+      Request.Services.Waits,
+      {Request.Service.Name, Request.Customer ? Request.Customer->Name : ""});
   const hold_query Query = makeHoldQuery(Request, Chosen);
   while (true) {
     if (const std::optional<result_code> Reason =
--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -194,7 +194,7 @@
   const milliseconds Wait = returnTime(Request, Refusal);
   const std::string Code(describe(Refusal.code()).Name);
   metrics &Metrics = Request.Services.Metrics;
-  Metrics.count("spindle_turned_away_total",
+  Metrics.count("spindle_forwarding_refusals_total",
                 {{"customer", Request.Customer ? Request.Customer->Name : ""},
                  {"code", Code}});
   Metrics.observeSeconds("spindle_retry_after_seconds", {{"code", Code}},
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -93,6 +93,7 @@
   release_table Releases;
   service_retry_budgets RetryBudgets;
   service_retry_paces RetryPaces;
+  waiting_requests Waits;
   load_rate_limiter ModelLoads;
   zone_coordinator Coordinator;
   adapter_controller Controller;
@@ -130,6 +131,7 @@
           makeMirrorSettings(Settings.EvacuationDelay, VersionPollInterval)),
       Fleet(Clock, Settings.Zone), Quota(Clock),
       RetryBudgets(Clock, Settings.RetryLimits), RetryPaces(Clock),
+      Waits(Clock),
       Coordinator(
           {Settings.Name, Settings.Zone, Settings.HostLink, Incarnation, Self},
           {Clock, Ports.Platform, Link, Fleet, Quota, Members, polledMirrors(),
@@ -142,7 +144,7 @@
       Services{Clock,         Ports.Codec,    Metrics,  Client,
                Configuration, Configurations, Fleet,    Quota,
                Coordinator,   Holds,          Releases, RetryBudgets,
-               RetryPaces},
+               RetryPaces,    Waits},
       Registrations(Clock, Upstreams, Ports.Codec, Fleet), Tasks(Runtime) {
   Configurations.onChange([this] { applyConfiguration(); });
   Upstreams.onChange([this] { Registrations.apply(); });
@@ -360,6 +362,7 @@
     if (pathOf(Exchange.request().Target) != "/metrics")
       throw spindle_error(result_code::NoRoute,
                           "this address serves only /metrics");
+    Waits.report(Metrics);
     Exchange.respond({HttpOk, {{"Content-Type", "text/plain; version=0.0.4"}}},
                      Metrics.toText());
   };
--- a/Libraries/LibGateway/gateway_services.h
+++ b/Libraries/LibGateway/gateway_services.h
@@ -9,6 +9,7 @@
 #include "LibGateway/release_table.h"
 #include "LibGateway/service_retry_budgets.h"
 #include "LibGateway/service_retry_paces.h"
+#include "LibGateway/waiting_requests.h"
 #include "LibGateway/zone_coordinator.h"
 #include "LibHTTP/http_client.h"
 #include "LibMetrics/metrics.h"
@@ -53,6 +54,7 @@
   release_table &Releases;
   service_retry_budgets &RetryBudgets;
   service_retry_paces &RetryPaces;
+  waiting_requests &Waits;
 };
 
 } // namespace spindle
