--- a/Libraries/LibGateway/forward_request.cpp
+++ b/Libraries/LibGateway/forward_request.cpp
@@ -181,9 +181,11 @@
   service_retry_paces &Paces = Request.Services.RetryPaces;
   // The room that a customer's rate leaves isn't that of the service.
   const bool IsOwnRate = Refusal.code() == result_code::RateExceeded;
-  const std::string_view Service = IsOwnRate ? "" : Request.Service.Name;
-  if (!IsOwnRate)
+  std::string_view Service;
+  if (!IsOwnRate) {
+    Service = Request.Service.Name;
     Paces.noteRefused(Service);
+  }
   return Paces.retryAfter(Service, Refusal.retryAfter(), Request.timeLeft(),
                           randomFraction());
 }
