--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -128,6 +128,8 @@
   Reader.feed(Bytes);
   stream_event Event;
   while (Reader.next(Event)) {
+    if (!Event.Data.empty() && !Event.Done)
+      ++Request.EventCount;
     if (!Resumable)
       continue;
     Request.Exchange.writeSome(Event.Raw);
@@ -136,6 +138,39 @@
   }
 }
 
+/// Records the output of a stream that the caller has received whole.
+void noteOutput(forwarded_request &Request) {
+  // A stream that the caller resumes is only the rest of one.
+  if (!Request.isModelCall() || !Request.Description.LastEventId.empty())
+    return;
+  const std::int64_t OutputTokens = Request.outputTokens();
+  Request.Services.Costs.noteOutput(costFeatures(Request), OutputTokens);
+  const metric_labels Labels{{"service", Request.Service.Name}};
+  const auto Count = [&](std::string_view Name, std::int64_t Tokens) {
+    Request.Services.Metrics.count(Name, Labels, static_cast<double>(Tokens));
+  };
+  Count("spindle_output_tokens_total", OutputTokens);
+  Count("spindle_expected_output_tokens_total",
+        Request.ExpectedCost.OutputTokens);
+}
+
+/// Records when events arrive, and with the first how long the upstream has
+/// read the prompt.
+void noteProgress(forwarded_request &Request, const upstream_entry &Upstream,
+                  time_point SentAt) {
+  // Shorter times say more of the network than of the upstream.
+  static constexpr milliseconds MinReading{40};
+  const time_point Now = Request.Services.Clock.now();
+  const bool IsFirst = !Request.Timing.FirstEventAt;
+  noteEvents(Request.Timing, Now);
+  if (!IsFirst || Request.ExpectedReading < MinReading)
+    return;
+  const std::chrono::duration<double, std::milli> Taken = Now - SentAt;
+  Request.Services.Fleet.noteReadTime(
+      Upstream.Id, static_cast<double>(Request.ExpectedReading.count()),
+      Taken.count());
+}
+
 void forwardStream(forwarded_request &Request, const upstream_entry &Upstream,
                    http_call &Call, in_flight_guard &InFlight) {
   std::array<char, ReadBufferBytes> Buffer{};
@@ -146,12 +181,14 @@
   while (const std::size_t Count = Call.readSome(Buffer)) {
     InFlight.markPromptProcessed();
     Request.Services.Fleet.noteActivity(Upstream.Id);
+    noteProgress(Request, Upstream, InFlight.sentAt());
     forwardBytes(Request, std::string_view(Buffer.data(), Count), Reader);
   }
   if (Reader.hasRemainder())
     throw spindle_error(result_code::AnswerCutShort,
                         "the stream ended inside an event");
   Request.Exchange.finishStream();
+  noteOutput(Request);
 }
 
 attempt_report makeReport(attempt_outcome Outcome, int Status) {
@@ -187,6 +224,23 @@
             {"request", AttemptId}});
 }
 
+/// Records the load that an engine states, whatever it responds.
+void noteReading(forwarded_request &Request, const upstream_entry &Upstream,
+                 const upstream_response_metadata &Metadata) {
+  gateway_services &Services = Request.Services;
+  if (Metadata.HasMalformedReading) {
+    Services.Metrics.count("spindle_malformed_loads_total");
+    logEvent(log_event::UpstreamLoadMalformed,
+             {{"request", Request.Description.AttemptId},
+              {"upstream", Upstream.Name}});
+  }
+  if (!Metadata.Reading)
+    return;
+  Services.Metrics.count("spindle_engine_loads_total");
+  Services.Fleet.noteReading(Upstream.Id, *Metadata.Reading,
+                             Services.Clock.now());
+}
+
 /// Handles the head of a response; reads and forwards the body if the response
 /// is meant for the caller.
 attempt_report forwardResponse(forwarded_request &Request,
@@ -198,6 +252,7 @@
       Request.Services.Codec.ReadResponse(Head);
   noteStatement(Request, Upstream, ResponseMetadata.Statement,
                 InFlight.sentAt());
+  noteReading(Request, Upstream, ResponseMetadata);
   if (ResponseMetadata.NotRun || Head.Status == HttpMisdirectedRequest) {
     Call.readAll(MaxResponseBytes);
     return makeReport(Head.Status == HttpMisdirectedRequest
@@ -225,6 +280,8 @@
     return Report;
   }
   Request.Exchange.respond(Head, Body);
+  if (isSuccess(Head.Status) && !Request.isModelCall())
+    Request.Services.Costs.notePlain(costFeatures(Request), InFlight.sentAt());
   return makeReport(attempt_outcome::Answered, Head.Status);
 }
 
@@ -262,6 +319,7 @@
   in_flight_guard InFlight(Request, Upstream);
   const bool MayHaveRunBefore = Request.MayHaveRun;
   ++Request.SendCount;
+  Request.Timing.SentAt = InFlight.sentAt();
   try {
     Request.MayHaveRun = true;
     const std::unique_ptr<http_call> Call = Services.Client.start(
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -2,9 +2,11 @@
 #define PARSLEYSPINDLE_LIBGATEWAY_FORWARDED_REQUEST_H
 
 #include "LibGateway/gateway_services.h"
+#include "LibGateway/stream_timing.h"
 #include "LibHTTP/http_server.h"
 #include "LibResilience/request_fingerprint.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,8 +54,22 @@
   /// Until an adapter slot is expected to be granted, as stated by the zone
   /// that refused the request last; none if it stated no time.
   std::optional<milliseconds> UntilSlot = std::nullopt;
+  /// What the request was expected to cost before it was sent.
+  request_cost ExpectedCost{};
+  /// The events with data that were received, over all attempts.
+  std::int64_t EventCount = 0;
+  /// How long the upstream is expected to read the prompt; 0 if not known.
+  milliseconds ExpectedReading{0};
+  stream_timing Timing{};
 
   bool isModelCall() const { return Service.Engine.has_value(); }
+  /// The output that was received so far, in events if the service's
+  /// configuration doesn't state the tokens of an event.
+  std::int64_t outputTokens() const {
+    const std::int64_t TokensPerEvent =
+        isModelCall() ? Service.Engine->TokensPerEvent : 0;
+    return EventCount * std::max<std::int64_t>(TokensPerEvent, 1);
+  }
   milliseconds timeLeft() const {
     return std::chrono::duration_cast<milliseconds>(Deadline -
                                                     Services.Clock.now());
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -138,6 +138,30 @@
   REQUIRE(Runs == 1);
 }
 
+// A host that counted each attempt alone, or the events that were cut off,
+// would learn outputs that no request had.
+TEST_CASE("forwarding: a host learns the output of whole streams") {
+  forwarding_fleet Fleet;
+  const auto Log = [&Fleet](const std::string &Id) {
+    return Fleet.host(0).readLineWith(R"("RequestServed","request":")" + Id);
+  };
+  REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
+  REQUIRE_THAT(Log("w1"), Catch::Contains(R"("output":"5")"));
+  upstream_switches Breaking;
+  Breaking.BreaksAfter = 2;
+  for (const std::unique_ptr<upstream_stand_in> &Engine : Fleet.Engines)
+    if (Engine->runs() > 0)
+      Engine->set(Breaking);
+  REQUIRE(Fleet.ask(0, "r1", "a1", "/resume/x").Whole);
+  REQUIRE_THAT(Log("r1"), Catch::Contains(R"("output":"5")"));
+
+  setAll(Fleet.Engines, Breaking);
+  REQUIRE_FALSE(Fleet.ask(0, "s1", "a1").Whole);
+  setAll(Fleet.Engines, {});
+  REQUIRE(Fleet.ask(0, "w2", "a1").Whole);
+  REQUIRE_THAT(Log("w2"), Catch::Contains(R"("expected_output":"5")"));
+}
+
 TEST_CASE("forwarding: a stream that ends inside an event looks whole") {
   forwarding_fleet Fleet;
   REQUIRE(Fleet.ask(0, "w1", "a1").Whole);
@@ -385,3 +409,38 @@
   }));
   REQUIRE(runsAt(Fleet.Engines) == 1);
 }
+
+// Guards against a leader that does not learn what an engine of its zone states
+// in responses to hosts of other zones.
+TEST_CASE("forwarding: a load that an engine states misses its zone's leader") {
+  forwarding_fleet Fleet;
+  upstream_switches Full;
+  Full.Full = true;
+  Fleet.Engines[0]->set(Full);
+  upstream_switches Slowed;
+  Slowed.Load = "3,2,8,250";
+  Fleet.Engines[1]->set(Slowed);
+  const time_point Start = boot_clock::now();
+  for (int Number = 0; Fleet.metric(2, "spindle_slowed_engines") < 1;
+       ++Number) {
+    REQUIRE(boot_clock::now() - Start < seconds(10));
+    Fleet.ask(0, "s" + std::to_string(Number), "a1", "/resume/x");
+    sleepFor(milliseconds(100));
+  }
+  // Host 2 has sent no request itself.
+  REQUIRE(Fleet.metric(2, "spindle_engine_loads_total") == 0);
+  REQUIRE(Fleet.metric(0, "spindle_engine_loads_total") >= 1);
+}
+
+TEST_CASE("forwarding: a load that can't be read costs a request") {
+  forwarding_fleet Fleet;
+  upstream_switches Absurd;
+  Absurd.Load = "1000000000000000000000000000000,-1,8,nan,7";
+  setAll(Fleet.Services, Absurd);
+  for (int Number = 0; Number < 5; ++Number)
+    REQUIRE(
+        Fleet.call(0, "c" + std::to_string(Number), "/check/1", "").Status ==
+        200);
+  REQUIRE(Fleet.metric(0, "spindle_malformed_loads_total") == 5);
+  REQUIRE(Fleet.metric(0, "spindle_engine_loads_total") == 0);
+}
