--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -51,6 +51,9 @@
   std::string LastEventId;
   /// Whether the head of a stream, and maybe events, were sent to the caller.
   bool StreamStarted = false;
+  /// Until an adapter slot is expected to be granted, as stated by the zone
+  /// that refused the request last; none if it stated no time.
+  std::optional<milliseconds> UntilSlot = std::nullopt;
   /// What the request was expected to cost before it was sent.
   request_cost ExpectedCost{};
   /// The events with data that were received, over all attempts.
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -5,6 +5,7 @@
 #include "LibGateway/gateway_services.h"
 #include "LibGateway/load_rate_limiter.h"
 #include "LibGateway/registration_applier.h"
+#include "LibHTTP/error_response.h"
 #include "LibHTTP/server_quiet.h"
 #include "LibLog/log.h"
 #include "LibPeer/host_link_server.h"
@@ -93,6 +94,8 @@
   release_table Releases;
   service_retry_budgets RetryBudgets;
   request_costs Costs;
+  service_retry_paces RetryPaces;
+  waiting_requests Waits;
   load_rate_limiter ModelLoads;
   zone_coordinator Coordinator;
   adapter_controller Controller;
@@ -131,6 +134,7 @@
           makeMirrorSettings(Settings.EvacuationDelay, VersionPollInterval)),
       Fleet(Clock, Settings.Zone), Quota(Clock),
       RetryBudgets(Clock, Settings.RetryLimits), Costs(Clock),
+      RetryPaces(Clock), Waits(Clock),
       Coordinator(
           {Settings.Name, Settings.Zone, Settings.HostLink, Incarnation, Self},
           {Clock, Ports.Platform, Link, Fleet, Quota, Members, polledMirrors(),
@@ -148,7 +152,8 @@
                Fleet,         Quota,
                Coordinator,   Holds,
                Releases,      RetryBudgets,
-               Costs,         {Settings.PlacementMinEngines}},
+               Costs,         {Settings.PlacementMinEngines},
+               RetryPaces,    Waits},
       Registrations(Clock, Upstreams, Ports.Codec, Fleet), Tasks(Runtime) {
   Configurations.onChange([this] { applyConfiguration(); });
   Upstreams.onChange([this] { Registrations.apply(); });
@@ -375,6 +380,7 @@
     if (pathOf(Exchange.request().Target) != "/metrics")
       throw spindle_error(result_code::NoRoute,
                           "this address serves only /metrics");
+    Waits.report(Metrics);
     Exchange.respond({HttpOk, {{"Content-Type", "text/plain; version=0.0.4"}}},
                      Metrics.toText());
   };
@@ -397,7 +403,10 @@
     logEvent(log_event::RequestRefused,
              {{"path", std::string(pathOf(Exchange.request().Target))},
               {"reason", Error.what()}});
-    writeErrorResponse(Exchange, Error);
+    // Callers may have less than a second left.
+    const http_response Response =
+        errorResponse(Error, retry_after_form::Fractions);
+    Exchange.respond(Response.Head, Response.Body);
   };
   CallerServer.emplace(Runtime, Settings.Callers, http_server_limits{}, Serve,
                        HandleError);
--- a/Libraries/LibGateway/gateway_services.h
+++ b/Libraries/LibGateway/gateway_services.h
@@ -9,6 +9,8 @@
 #include "LibGateway/release_table.h"
 #include "LibGateway/request_costs.h"
 #include "LibGateway/service_retry_budgets.h"
+#include "LibGateway/service_retry_paces.h"
+#include "LibGateway/waiting_requests.h"
 #include "LibGateway/zone_coordinator.h"
 #include "LibHTTP/http_client.h"
 #include "LibMetrics/metrics.h"
@@ -65,6 +67,8 @@
   service_retry_budgets &RetryBudgets;
   request_costs &Costs;
   placement_settings Placement;
+  service_retry_paces &RetryPaces;
+  waiting_requests &Waits;
 };
 
 } // namespace spindle
