LibScheduling, LibGateway: Let prompts wait at the zone's leader, in one order

Cause: where more prompts arrive than engines read, each was sent at once and waited at an engine in the order of arrival, so that all were late. Late requests were also drawn to the one engine that had the adapter, as a wait had little cost, and refused there. Change: a prompt is sent once its engine has little left to read. Those that wait go by whether they can be in time, urgency, customers' shares and due time; what would begin too late to be of use is refused at once with the expected time. An engine that would begin too late has no worth in the choice. Reading times teach the speed only where no part may be kept.

--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/adapter_holds.h"
 
 #include "LibCore/result_code.h"
+#include "LibCore/retry_after_error.h"
 #include "LibLog/log.h"
 
 #include <algorithm>
@@ -135,11 +136,11 @@
   Request.Description = *Query.Work->Description;
   Request.AdapterVersion = Query.Wanted.Version;
   Request.Query = Query.Work->Query;
-  Request.Query.Remaining = Query.OnTimeUntil - RequestedAt;
   Request.Avoid = Query.Work->Avoid;
   Request.Slot.OnTimeUntil = Query.OnTimeUntil;
   Request.Slot.UsefulUntil = Query.UsefulUntil;
   Request.Slot.Urgency = Query.Urgency;
+  Request.Slot.Customer = Query.Customer;
   const std::optional<placed_engine> Placed = Placer.place(Request, Until);
   if (!Placed)
     return std::nullopt;
@@ -190,7 +191,6 @@
   Request.Query.HighOutputTokens = Work.high_output_tokens();
   Request.Query.GapObjective = milliseconds(Work.gap_ms());
   Request.Query.Objective = milliseconds(Work.objective_ms());
-  Request.Query.Remaining = milliseconds(Message.on_time_ms());
   for (const std::uint64_t Engine : Work.avoid())
     Request.Avoid.push_back(upstream_id{Engine});
   return Request;
@@ -217,6 +217,7 @@
   Request.set_on_time_ms(millisecondsUntil(Query.OnTimeUntil, RequestedAt));
   Request.set_useful_ms(millisecondsUntil(Query.UsefulUntil, RequestedAt));
   Request.set_urgency(Query.Urgency);
+  Request.set_customer(Query.Customer.Value);
   Request.set_missing(consumeRefusal(Preferred, Query.Wanted.Name));
   host_link::HoldAdapterReply Reply;
   try {
@@ -239,6 +240,9 @@
     noteNoSlots(Query);
   if (Reply.waiting())
     return std::nullopt;
+  if (Reply.retry_after_ms() > 0)
+    throw retry_after_error(result_code::AdapterNotLoaded, Reply.message(),
+                            milliseconds(Reply.retry_after_ms()));
   throw spindle_error(result_code::AdapterNotLoaded, Reply.message());
 }
 
@@ -264,6 +268,7 @@
   Placement.Slot.OnTimeUntil = Now + milliseconds(Request.on_time_ms());
   Placement.Slot.UsefulUntil = Now + milliseconds(Request.useful_ms());
   Placement.Slot.Urgency = Request.urgency();
+  Placement.Slot.Customer = customer_id{Request.customer()};
   try {
     const std::optional<placed_engine> Placed =
         Placer.place(Placement, Now + milliseconds(Request.wait_ms()));
@@ -277,6 +282,9 @@
     Reply.set_version(Placed->Version);
     Reply.set_upstream(Engine->Name);
     Reply.set_reading_ms(Placed->UsualReading.count());
+  } catch (const retry_after_error &Error) {
+    Reply.set_message(Error.what());
+    Reply.set_retry_after_ms(Error.retryAfter().count());
   } catch (const spindle_error &Error) {
     Reply.set_message(Error.what());
   }
--- a/Libraries/LibGateway/adapter_holds.h
+++ b/Libraries/LibGateway/adapter_holds.h
@@ -37,6 +37,7 @@
   time_point UsefulUntil;
   /// A smaller value is more urgent.
   int Urgency = 0;
+  customer_id Customer{};
   /// If set, the leader chooses among all engines of the zone. Engines then
   /// serves only while the leader does not reply.
   std::optional<hold_work> Work;
--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -103,6 +103,8 @@
   Query.UsefulUntil =
       addMilliseconds(firstEventDeadline(Request), -Chosen.ServiceMilliseconds);
   Query.Urgency = urgencyOf(Request);
+  if (Request.Customer)
+    Query.Customer = customer_id::ofName(Request.Customer->Name);
   return Query;
 }
 
@@ -289,6 +291,9 @@
               {"cause", Error.what()}});
     if (Request.Cancellation->reason())
       throw;
+    if (const retry_after_error *const Refusal =
+            dynamic_cast<const retry_after_error *>(&Error))
+      Request.UntilSlot = Refusal->retryAfter();
     avoidAsked(Chosen);
     IsFinished = Target.Only || ++ZonesAsked >= MaxZonesAsked;
     if (IsFinished)
--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -12,6 +12,12 @@
 // The same while all slots are in use: the first that is free will do.
 static constexpr double MaxValueGapWithoutSlot = 0.3;
 static constexpr milliseconds RoomPollInterval{10};
+static constexpr milliseconds ReplanInterval{60};
+// Prompts wait here rather than at an engine, but for so much that the engine
+// always has one to read.
+static constexpr milliseconds MaxReadingBacklog{250};
+// The same for requests that are late already.
+static constexpr milliseconds MaxReadingBacklogIfLate{100};
 // The part of an engine's memory that holds the parts of earlier prompts.
 static constexpr double CachedPartsShare = 0.7;
 // A reading time says something of the engine's speed if the prompt waited for
@@ -91,13 +97,15 @@
 }
 
 /// How long an engine of the usual speed would read the prompt; 0 if it waits
-/// for others, so that its time would say little of the engine's speed.
+/// for others or a part may be kept, so that its time would say little of the
+/// engine's speed.
 static milliseconds usualReading(const engine_candidate &Engine,
                                  const placement_query &Query, time_point Now) {
   engine_candidate Usual = Engine;
   Usual.ReadingFactor = 1;
   const nanoseconds Reading = workOn(Usual, Query, placement_costs{}).Reading;
-  if (readingBacklog(*Engine.Work, Now) * MaxWaitDivisor > Reading)
+  if (Engine.CachedTokens > 0 ||
+      readingBacklog(*Engine.Work, Now) * MaxWaitDivisor > Reading)
     return milliseconds(0);
   return std::chrono::duration_cast<milliseconds>(Reading);
 }
@@ -126,6 +134,8 @@
   Need.AdapterUses = usesIn(Outlooks);
   Need.AdapterCopies = copiesIn(Outlooks);
   const time_point Now = Clock.now();
+  Need.Remaining = Request.Slot.OnTimeUntil - Now;
+  Need.Useful = Request.Slot.UsefulUntil - Now;
   const std::lock_guard<std::mutex> Lock(Mutex);
   std::vector<engine_candidate> Candidates;
   for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
@@ -149,6 +159,7 @@
   if (Ranked.empty())
     return std::nullopt;
   placement_plan Plan;
+  Plan.EngineCount = Candidates.size();
   Plan.Best = Ranked.front();
   Plan.IsAdapterReady =
       Candidates[Plan.Best.Index].Adapter == adapter_readiness::Ready;
@@ -163,20 +174,6 @@
   return Plan;
 }
 
-/// \throws retry_after_error if the first event would come too late to be of
-/// use on every engine.
-void work_placer::refuseIfUseless(const placement_request &Request,
-                                  const placement_plan &Plan) const {
-  const time_point FirstEvent = Clock.now() + Plan.Best.FirstEvent;
-  if (FirstEvent <= Request.Slot.UsefulUntil)
-    return;
-  throw retry_after_error(
-      result_code::AdapterNotLoaded,
-      "no engine would begin its answer while that is of use",
-      std::chrono::duration_cast<milliseconds>(FirstEvent -
-                                               Request.Slot.UsefulUntil));
-}
-
 /// Holds the adapter on one of the planned engines.
 std::optional<adapter_location>
 work_placer::holdAdapter(const placement_request &Request,
@@ -221,19 +218,119 @@
   return Placed;
 }
 
+/// A request's place among those that wait for engines; it leaves on
+/// destruction.
+class work_placer::queue_position {
+public:
+  queue_position(work_placer &Placer, const placement_request &Request)
+      : Placer(Placer), Request(Request) {}
+  ~queue_position() {
+    const std::lock_guard<std::mutex> Lock(Placer.Mutex);
+    leaveQueue(Placer.Queue, Ticket);
+  }
+  queue_position(const queue_position &) = delete;
+  queue_position &operator=(const queue_position &) = delete;
+
+  /// Whether the request may be sent as planned; if so, leaves the queue, else
+  /// enters it.
+  /// \throws retry_after_error if its turn would come too late to be of use.
+  bool mayProceed(const placement_plan &Plan);
+  /// Waits until it is probably the request's turn, for RoomPollInterval at
+  /// least and ReplanInterval at most. Blocks the fiber.
+  void wait();
+
+private:
+  bool isTurn(time_point Now) const;
+  void refuseIfUseless(const placement_plan &Plan, time_point Now) const;
+
+  work_placer &Placer;
+  const placement_request &Request;
+  waiting_prompt Prompt;
+  nanoseconds Loading{0};
+  /// 0 while the request does not wait.
+  std::uint64_t Ticket = 0;
+};
+
+/// Precondition: Mutex is held.
+bool work_placer::queue_position::isTurn(time_point Now) const {
+  const auto Found = Placer.Engines.find(Prompt.Engine);
+  if (Found == Placer.Engines.end())
+    return true;
+  const nanoseconds Limit =
+      isLate(Prompt, Now) ? MaxReadingBacklogIfLate : MaxReadingBacklog;
+  return readingBacklog(Found->second.Work, Now + Loading) <= Limit &&
+         goesFirst(Placer.Queue, Ticket, Prompt, Now);
+}
+
+/// Precondition: Mutex is held.
+void work_placer::queue_position::refuseIfUseless(const placement_plan &Plan,
+                                                  time_point Now) const {
+  const nanoseconds Ahead =
+      expectedWait(Placer.Queue, Ticket, Prompt, Plan.EngineCount, Now);
+  const time_point FirstEvent = Now + Ahead + Plan.Best.FirstEvent;
+  if (FirstEvent <= Request.Slot.UsefulUntil)
+    return;
+  throw retry_after_error(
+      result_code::AdapterNotLoaded,
+      "no engine would begin its answer while that is of use",
+      std::chrono::duration_cast<milliseconds>(FirstEvent -
+                                               Request.Slot.UsefulUntil));
+}
+
+bool work_placer::queue_position::mayProceed(const placement_plan &Plan) {
+  Prompt.Claim = {Request.Slot.Urgency, Request.Slot.Customer};
+  Prompt.Engine = Plan.Engines.front();
+  Prompt.Reading = Plan.Best.Work.Reading;
+  Prompt.OnTimeUntil = Request.Slot.OnTimeUntil;
+  Prompt.UsefulUntil = Request.Slot.UsefulUntil;
+  Loading = Plan.Best.Loading;
+  const time_point Now = Placer.Clock.now();
+  const std::lock_guard<std::mutex> Lock(Placer.Mutex);
+  refuseIfUseless(Plan, Now);
+  if (Ticket > 0)
+    updatePrompt(Placer.Queue, Ticket, Prompt);
+  if (isTurn(Now)) {
+    noteSent(Placer.Queue, Ticket);
+    leaveQueue(Placer.Queue, Ticket);
+    Ticket = 0;
+    return true;
+  }
+  if (Ticket == 0)
+    Ticket = enterQueue(Placer.Queue, Prompt);
+  return false;
+}
+
+void work_placer::queue_position::wait() {
+  const time_point Until = Placer.Clock.now() + ReplanInterval;
+  while (true) {
+    sleepFor(RoomPollInterval);
+    const time_point Now = Placer.Clock.now();
+    if (Now >= Until)
+      return;
+    const std::lock_guard<std::mutex> Lock(Placer.Mutex);
+    if (Ticket == 0 || isTurn(Now))
+      return;
+  }
+}
+
 std::optional<placed_engine>
 work_placer::place(const placement_request &Request, time_point Until) {
+  queue_position Position(*this, Request);
   while (true) {
-    if (const std::optional<placement_plan> Plan = plan(Request)) {
-      refuseIfUseless(Request, *Plan);
+    const std::optional<placement_plan> Plan = plan(Request);
+    if (Plan && Position.mayProceed(*Plan))
       return carryOut(Request, *Plan, Until);
-    }
     if (Clock.now() >= Until)
       return std::nullopt;
-    sleepFor(RoomPollInterval);
+    Position.wait();
   }
 }
 
+std::size_t work_placer::waitingRequests() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Queue.Waiting.size();
+}
+
 std::size_t work_placer::placedRequests() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   std::size_t Count = 0;
--- a/Libraries/LibGateway/work_placer.h
+++ b/Libraries/LibGateway/work_placer.h
@@ -7,6 +7,7 @@
 #include "LibGateway/gateway_configuration.h"
 #include "LibGateway/prompt_cache_estimate.h"
 #include "LibRouting/engine_placement.h"
+#include "LibScheduling/prompt_queue.h"
 
 #include <cstdint>
 #include <functional>
@@ -25,8 +26,7 @@
   request_description Description;
   /// The minimum version of the adapter.
   std::uint64_t AdapterVersion = 0;
-  /// The expected output; the adapter's uses and copies are filled in by the
-  /// placer.
+  /// The expected output and the objectives; the placer fills in the rest.
   placement_query Query;
   std::vector<upstream_id> Avoid;
   /// When the first event is due, until when it is of use, and how urgent it
@@ -68,6 +68,8 @@
   /// The number of requests on the zone's engines, as far as they were placed
   /// by this host.
   std::size_t placedRequests() const;
+  /// The number of requests that wait for an engine.
+  std::size_t waitingRequests() const;
 
 private:
   struct engine_state {
@@ -81,16 +83,17 @@
     std::vector<upstream_id> Engines;
     engine_choice Best;
     bool IsAdapterReady = false;
+    /// The engines that were compared.
+    std::size_t EngineCount = 0;
     /// See placed_engine.
     milliseconds UsualReading{0};
   };
   class reservation;
+  class queue_position;
 
   std::optional<placement_plan> plan(const placement_request &Request);
   engine_state &stateOf(const upstream_entry &Entry,
                         const engine_capacity &Capacity);
-  void refuseIfUseless(const placement_request &Request,
-                       const placement_plan &Plan) const;
   std::optional<adapter_location> holdAdapter(const placement_request &Request,
                                               const placement_plan &Plan,
                                               time_point Until);
@@ -105,6 +108,7 @@
   const capacity_port Capacity;
   mutable std::mutex Mutex;
   std::map<upstream_id, engine_state> Engines;
+  prompt_queue Queue;
 };
 
 } // namespace spindle
--- a/Libraries/LibRouting/engine_placement.cpp
+++ b/Libraries/LibRouting/engine_placement.cpp
@@ -122,12 +122,12 @@
   return Load / Reuse + Costs.CopyLoad * Eviction;
 }
 
-static double inTimeProbability(nanoseconds FirstEvent,
+/// The probability that the first event comes within \p Limit.
+static double probabilityWithin(nanoseconds Limit, nanoseconds FirstEvent,
                                 const placement_query &Query) {
   const double Error =
       std::max(1.0, toMilliseconds(Query.Objective) * EstimateErrorRatio);
-  return 1 /
-         (1 + std::exp(toMilliseconds(FirstEvent - Query.Remaining) / Error));
+  return 1 / (1 + std::exp(toMilliseconds(FirstEvent - Limit) / Error));
 }
 
 static engine_choice evaluate(const engine_candidate &Engine, std::size_t Index,
@@ -140,9 +140,13 @@
   Choice.FirstEvent =
       std::max(Choice.Loading, readingBacklog(*Engine.Work, Now)) +
       Choice.Work.Reading;
-  const double InTime = inTimeProbability(Choice.FirstEvent, Query) *
-                        (1 - ownPauseRisk(Engine, Choice.Work, Now));
-  const double Worth = Costs.LateWorth + (1 - Costs.LateWorth) * InTime;
+  const double InTime =
+      probabilityWithin(Query.Remaining, Choice.FirstEvent, Query) *
+      (1 - ownPauseRisk(Engine, Choice.Work, Now));
+  const double Served =
+      probabilityWithin(Query.Useful, Choice.FirstEvent, Query);
+  const double Worth =
+      Served * (Costs.LateWorth + (1 - Costs.LateWorth) * InTime);
   const double Harm =
       (1 - Costs.LateWorth) * harmToOthers(Engine, Choice.Work, Now);
   const std::chrono::duration<double> Wait = Choice.FirstEvent;
