LibGateway: Take a zone's usage to go on while its leader changes

Cause: the first report of a zone's new leader is a baseline, so what the zone's hosts admitted since the former leader's last report was never subtracted at other zones.

Change: that time counts with the usage of the report before, for 2 s at most.

--- a/Libraries/LibGateway/usage_ledger.cpp
+++ b/Libraries/LibGateway/usage_ledger.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/usage_ledger.h"
 
+#include <algorithm>
+
 namespace spindle {
 
 void addUsage(customer_usage &Sum, const customer_usage &More) {
@@ -7,6 +9,24 @@
     Sum[Customer] += Units;
 }
 
+// A zone without a leader for longer works with its own share of the rates.
+static constexpr milliseconds MaxGap{2'000};
+
+/// Usage since the account's last report if it went on as before.
+static customer_usage estimateGrowth(const usage_ledger::peer_account &Account,
+                                     time_point Now) {
+  customer_usage Growth;
+  if (Account.GrowthTime <= nanoseconds(0))
+    return Growth;
+  const nanoseconds Gap = std::min<nanoseconds>(Now - Account.HeardAt, MaxGap);
+  const double Factor = std::chrono::duration<double>(Gap) /
+                        std::chrono::duration<double>(Account.GrowthTime);
+  for (const auto &[Customer, Units] : Account.LastGrowth)
+    Growth[Customer] = static_cast<std::int64_t>(
+        Factor * static_cast<double>(std::max<std::int64_t>(0, Units)));
+  return Growth;
+}
+
 customer_usage noteUsageReport(usage_ledger &Ledger, const std::string &Peer,
                                const usage_report &Report, time_point Now) {
   const bool IsNew = !Ledger.Peers.contains(Peer);
@@ -16,8 +36,15 @@
   if (Restarted)
     Account.LastReported.clear();
   customer_usage Growth;
-  for (const auto &[Customer, Units] : Report.Uses)
-    Growth[Customer] = IsBaseline ? 0 : Units - Account.LastReported[Customer];
+  if (IsBaseline && !IsNew) {
+    Growth = estimateGrowth(Account, Now);
+  } else {
+    for (const auto &[Customer, Units] : Report.Uses)
+      Growth[Customer] =
+          IsBaseline ? 0 : Units - Account.LastReported[Customer];
+    Account.LastGrowth = Growth;
+    Account.GrowthTime = IsNew ? nanoseconds(0) : Now - Account.HeardAt;
+  }
   Account.Incarnation = Report.Incarnation;
   Account.LastReported = Report.Uses;
   Account.HeardAt = Now;
--- a/Libraries/LibGateway/usage_ledger.h
+++ b/Libraries/LibGateway/usage_ledger.h
@@ -17,6 +17,9 @@
   struct peer_account {
     std::uint64_t Incarnation = 0;
     customer_usage LastReported;
+    /// The increase that the last report gave, and over how long.
+    customer_usage LastGrowth;
+    nanoseconds GrowthTime{0};
     /// Sum over all incarnations of the peer.
     customer_usage Total;
     time_point HeardAt;
@@ -38,8 +41,12 @@
 
 /// Records a usage report and returns the increase since the previous one.
 /// Usage from before a peer's first report, or from before it became leader, is
-/// not counted: it is unknown or was reported by its predecessor. Not
-/// thread-safe.
+/// not counted: it is unknown or was reported by its predecessor.
+///
+/// Answers the load pattern in which a customer exceeds its rate while the
+/// leaders of zones restart: what a zone has used since its former leader's
+/// last report is in no report. It is taken to be as much as in the time
+/// before. Not thread-safe.
 customer_usage noteUsageReport(usage_ledger &Ledger, const std::string &Peer,
                                const usage_report &Report, time_point Now);
 /// Returns the total usage of all peers other than \p Except; the zones of
