LibHTTP: Bound what is held for a peer that reads slowly

Cause: a response that a caller doesn't read went into the kernel's send buffer, which grows with the connection: 3.8 MB for one caller on loopback.

--- a/Libraries/LibHTTP/beast_support.cpp
+++ b/Libraries/LibHTTP/beast_support.cpp
@@ -17,6 +17,9 @@
 static constexpr int KeepaliveProbes = 3;
 // A send that is not acknowledged for so long ends the connection.
 static constexpr int UserTimeoutMilliseconds = 15'000;
+// What the kernel takes beyond what the peer's window lets it send. Its buffer
+// would grow to megabytes for a peer that reads slowly.
+static constexpr int MaxUnsentBytes = 64 * 1024;
 
 socket_peek peek(tcp_stream &Stream) {
   char Byte = 0;
@@ -43,6 +46,7 @@
   setTcpOption(Socket, TCP_KEEPINTVL, KeepaliveIntervalSeconds);
   setTcpOption(Socket, TCP_KEEPCNT, KeepaliveProbes);
   setTcpOption(Socket, TCP_USER_TIMEOUT, UserTimeoutMilliseconds);
+  setTcpOption(Socket, TCP_NOTSENT_LOWAT, MaxUnsentBytes);
 }
 
 asio::ip::tcp::endpoint toAsio(const endpoint &Endpoint) {
--- a/Libraries/LibHTTP/beast_support.h
+++ b/Libraries/LibHTTP/beast_support.h
@@ -24,8 +24,9 @@
 
 /// Looks whether anything can be read, without reading it. Never blocks.
 socket_peek peek(tcp_stream &Stream);
-/// Sets no-delay and keepalive probes, which end a connection whose peer has
-/// silently lost track of it.
+/// Sets no-delay, keepalive probes, which end a connection whose peer has
+/// silently lost track of it, and a bound on what is held for a peer that reads
+/// slowly.
 void prepareSocket(tcp_stream &Stream);
 /// Precondition: \p Endpoint was read by parseEndpoint().
 boost::asio::ip::tcp::endpoint toAsio(const endpoint &Endpoint);
