--- a/Libraries/LibFleetModel/request_flow.cpp
+++ b/Libraries/LibFleetModel/request_flow.cpp
@@ -71,7 +71,7 @@
   return Query;
 }
 
-/// Sets what the request asks of the chosen zone's slot queue.
+/// Sets the request's entry for the slot queue of the chosen zone.
 void request_flow::requestSlot(model_request &Request,
                                const chosen_upstream &Chosen) const {
   const model_kind &Kind = kindOf(Request);
--- a/Libraries/LibFleetModel/request_source.h
+++ b/Libraries/LibFleetModel/request_source.h
@@ -13,8 +13,8 @@
 /// The model that all requests of a run are for.
 inline constexpr const char *ModelName = "base";
 
-/// Draws the requests of a run from seeded generators, as its load pattern
-/// says. Not thread-safe.
+/// Draws the requests of a run, by its load pattern, from a seeded generator.
+/// Not thread-safe.
 class request_source {
 public:
   /// \p Settings and \p Pattern must outlive the object; the run begins at
--- a/StandIns/platform_stand_in/object_store.cpp
+++ b/StandIns/platform_stand_in/object_store.cpp
@@ -72,7 +72,7 @@
     Objects[Key] = Object;
   History.push_back({Change, Object});
   if (History.size() > HistoryEvents) {
-    ForgottenVersion = History.front().Object.Version;
+    DroppedVersion = History.front().Object.Version;
     History.pop_front();
   }
   return {store_status::Done, Object};
@@ -81,7 +81,7 @@
 store_status
 object_store::changesSince(std::string_view Kind, std::uint64_t FromVersion,
                            std::vector<platform_event> &Events) const {
-  if (FromVersion < ForgottenVersion)
+  if (FromVersion < DroppedVersion)
     return store_status::TooOld;
   auto Next =
       std::upper_bound(History.begin(), History.end(), FromVersion,
@@ -96,7 +96,7 @@
 
 void object_store::dropHistory() {
   History.clear();
-  ForgottenVersion = LastVersion;
+  DroppedVersion = LastVersion;
 }
 
 } // namespace spindle
--- a/StandIns/platform_stand_in/object_store.h
+++ b/StandIns/platform_stand_in/object_store.h
@@ -61,7 +61,7 @@
   std::size_t HistoryEvents;
   std::uint64_t LastVersion = 0;
   /// Changes up to this version are no longer kept.
-  std::uint64_t ForgottenVersion = 0;
+  std::uint64_t DroppedVersion = 0;
   std::map<object_key, platform_object> Objects;
   std::deque<platform_event> History;
 };
