--- a/StandIns/engine_stand_in/engine_faults.cpp
+++ b/StandIns/engine_stand_in/engine_faults.cpp
@@ -1,18 +1,13 @@
 #include "engine_stand_in/engine_faults.h"
 
+#include "LibStandIn/counted_fault.h"
+
 #include <nlohmann/json.hpp>
 
 namespace spindle {
 
 using nlohmann::json;
 
-static bool takeOne(std::int64_t &Count) {
-  if (Count <= 0)
-    return false;
-  --Count;
-  return true;
-}
-
 request_faults drawFaults(engine_faults &Faults, std::string_view Prompt) {
   request_faults Drawn;
   Drawn.Late = Faults.Late;
--- a/StandIns/platform_stand_in/platform_faults.cpp
+++ b/StandIns/platform_stand_in/platform_faults.cpp
@@ -1,5 +1,7 @@
 #include "platform_stand_in/platform_faults.h"
 
+#include "LibStandIn/counted_fault.h"
+
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -27,10 +29,8 @@
 
 bool takeLoss(const platform_faults &Faults, std::int64_t &Count,
               std::string_view Kind) {
-  if (Count <= 0 || (!Faults.LoseKind.empty() && Faults.LoseKind != Kind))
-    return false;
-  --Count;
-  return true;
+  const bool Applies = Faults.LoseKind.empty() || Faults.LoseKind == Kind;
+  return Applies && takeOne(Count);
 }
 
 json toSwitches(const platform_faults &Faults) {
--- a/StandIns/service_stand_in/service_server.cpp
+++ b/StandIns/service_stand_in/service_server.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/digest.h"
 #include "LibRuntime/fiber_runtime.h"
+#include "LibStandIn/counted_fault.h"
 #include "LibStandIn/credential_log.h"
 #include "LibStandIn/json_exchange.h"
 #include "service_stand_in/call_record.h"
@@ -62,13 +63,6 @@
   std::atomic<std::uint32_t> Running{0};
 };
 
-static bool takeOne(std::int64_t &Count) {
-  if (Count <= 0)
-    return false;
-  --Count;
-  return true;
-}
-
 call_faults service_server::state::drawFaults() {
   const std::lock_guard<std::mutex> Lock(Mutex);
   call_faults Drawn;
