--- a/Libraries/LibHost/model_handler.cpp
+++ b/Libraries/LibHost/model_handler.cpp
@@ -126,15 +126,13 @@
 /// \throws spindle_error otherwise, with the actual state of the request.
 void retryOrThrow(request_context &Context, model_run &Run,
                   attempt_failure Failure, const spindle_error &Cause) {
-  const bool ResponseStarted = Context.Exchange.started();
-  noteFailedAttempt(Run.Progress, Failure, ResponseStarted);
-  const retry_decision Decision = Context.Services.Health.mayRetry(
-      Context.Caller.Customer, Run.Progress, Failure, Run.Deadline);
-  if (Decision.Action == retry_action::Retry && !ResponseStarted)
+  const std::optional<retry_decision> End =
+      endAfterFailure(Context, Run.Progress, Failure, Run.Deadline);
+  if (!End)
     return;
   const bool IsWrongAdapter = Cause.code() == result_code::WrongAdapterAnswered;
-  const spindle_error Error(IsWrongAdapter ? Cause.code() : Decision.Code,
-                            Decision.State, Cause.what());
+  const spindle_error Error(IsWrongAdapter ? Cause.code() : End->Code,
+                            End->State, Cause.what());
   endStreamWithError(Context, Error);
   throw spindle_error(Error);
 }
--- a/Libraries/LibHost/request_context.cpp
+++ b/Libraries/LibHost/request_context.cpp
@@ -11,6 +11,19 @@
                                    : "the caller has closed the connection");
 }
 
+std::optional<retry_decision> endAfterFailure(const request_context &Context,
+                                              call_progress &Progress,
+                                              attempt_failure Failure,
+                                              time_point Deadline) {
+  const bool ResponseStarted = Context.Exchange.started();
+  noteFailedAttempt(Progress, Failure, ResponseStarted);
+  const retry_decision Decision = Context.Services.Health.mayRetry(
+      Context.Caller.Customer, Progress, Failure, Deadline);
+  if (Decision.Action == retry_action::Retry && !ResponseStarted)
+    return std::nullopt;
+  return Decision;
+}
+
 rate_charge::rate_charge(rate_limiter &Limiter, customer_id Customer,
                          tokens Estimate, time_point Deadline)
     : Limiter(Limiter),
--- a/Libraries/LibHost/request_context.h
+++ b/Libraries/LibHost/request_context.h
@@ -16,6 +16,8 @@
 #include "LibMetrics/metrics.h"
 #include "LibScheduling/load_fairness.h"
 
+#include <optional>
+
 namespace spindle {
 
 /// The components of a host that the request handlers use. Each of them is
@@ -52,6 +54,13 @@
 /// \throws spindle_error with the reason if the request was cancelled.
 void throwIfCancelled(const request_context &Context);
 
+/// Adds a failed attempt to \p Progress. Returns nullopt if another attempt
+/// follows, else how the request ends. Thread-safe.
+std::optional<retry_decision> endAfterFailure(const request_context &Context,
+                                              call_progress &Progress,
+                                              attempt_failure Failure,
+                                              time_point Deadline);
+
 /// A reservation of tokens that is settled exactly once: by settle(), or by the
 /// destructor, as unused if no attempt may have run and as fully used
 /// otherwise. Used by a single fiber.
--- a/Libraries/LibHost/service_handler.cpp
+++ b/Libraries/LibHost/service_handler.cpp
@@ -91,13 +91,11 @@
 /// \throws spindle_error otherwise, with the state of the whole request.
 void retryOrThrow(request_context &Context, service_run &Run,
                   attempt_failure Failure, const spindle_error &Cause) {
-  const bool ResponseStarted = Context.Exchange.started();
-  noteFailedAttempt(Run.Progress, Failure, ResponseStarted);
-  const retry_decision Decision = Context.Services.Health.mayRetry(
-      Context.Caller.Customer, Run.Progress, Failure, Run.Deadline);
-  if (Decision.Action == retry_action::Retry && !ResponseStarted)
+  const std::optional<retry_decision> End =
+      endAfterFailure(Context, Run.Progress, Failure, Run.Deadline);
+  if (!End)
     return;
-  throw spindle_error(Decision.Code, Decision.State, Cause.what());
+  throw spindle_error(End->Code, End->State, Cause.what());
 }
 
 /// Makes one attempt to run an idempotent call. Returns true if a response was
