--- a/Tests/LibPlatform/test_http_platform.cpp
+++ b/Tests/LibPlatform/test_http_platform.cpp
@@ -1,6 +1,7 @@
 #include "LibCore/result_code.h"
 #include "LibPlatform/http_platform.h"
 #include "LibRuntime/completion.h"
+#include "Support/run_in_fiber.h"
 #include "platform_stand_in/platform_server.h"
 
 #include <catch2/catch.hpp>
@@ -29,15 +30,7 @@
 
   /// Runs \p Work in a fiber and returns its result code; 0 for success.
   result_code run(const std::function<void()> &Work) {
-    result_code Code{};
-    Runtime.runBlocking([&] {
-      try {
-        Work();
-      } catch (const spindle_error &Error) {
-        Code = Error.code();
-      }
-    });
-    return Code;
+    return runInFiber(Runtime, Work);
   }
 
   /// Sends to the stand-in's control endpoints.
--- a/Tests/StandIns/test_engine_server.cpp
+++ b/Tests/StandIns/test_engine_server.cpp
@@ -1,6 +1,7 @@
 #include "LibCore/result_code.h"
 #include "LibEngine/answer_verifier.h"
 #include "LibEngine/http_engine.h"
+#include "Support/run_in_fiber.h"
 #include "engine_stand_in/answer_text.h"
 #include "engine_stand_in/engine_server.h"
 
@@ -38,15 +39,7 @@
 
   /// Runs \p Work in a fiber and returns its result code; 0 for success.
   result_code run(const std::function<void()> &Work) {
-    result_code Code{};
-    Runtime.runBlocking([&] {
-      try {
-        Work();
-      } catch (const spindle_error &Error) {
-        Code = Error.code();
-      }
-    });
-    return Code;
+    return runInFiber(Runtime, Work);
   }
 
   result_code load(std::string_view Adapter, std::uint64_t Fence) {
