--- a/Tests/LibFleetModel/test_fleet_model.cpp
+++ b/Tests/LibFleetModel/test_fleet_model.cpp
@@ -63,7 +63,8 @@
   const model_result Result = run("repeats", "present");
   for (const kind_result &Kind : Result.Kinds) {
     REQUIRE(Kind.Requests > 0);
-    REQUIRE(Kind.InTime + Kind.Late + Kind.Refused + Kind.Failed == Kind.Requests);
+    REQUIRE(Kind.InTime + Kind.Late + Kind.Refused + Kind.Failed ==
+            Kind.Requests);
   }
 }
 
