LibGateway: Name the time of a report by what it is

HeardAt, HeardSince and hostsHeard are ReceivedAt, ReceivedSince and reportingHosts; the message's hosts_heard and heard_ms keep their names. TestLibGateway passes; the end-to-end tests were not run for this.

--- a/Libraries/LibGateway/peer_reports.cpp
+++ b/Libraries/LibGateway/peer_reports.cpp
@@ -4,7 +4,7 @@
 
 static bool matches(const report_filter &Filter, std::string_view Peer,
                     const peer_report &Report) {
-  if (Report.HeardAt < Filter.HeardSince || Peer == Filter.Except)
+  if (Report.ReceivedAt < Filter.ReceivedSince || Peer == Filter.Except)
     return false;
   return Filter.IncludeLeaders || !Report.IsLeader;
 }
@@ -29,7 +29,7 @@
 
 void dropReportsBefore(peer_reports &Reports, time_point Time) {
   std::erase_if(Reports.Peers, [Time](const auto &Entry) {
-    return Entry.second.HeardAt < Time;
+    return Entry.second.ReceivedAt < Time;
   });
 }
 
--- a/Libraries/LibGateway/peer_reports.h
+++ b/Libraries/LibGateway/peer_reports.h
@@ -15,7 +15,7 @@
 struct peer_report {
   std::vector<host_link::UpstreamLoad> Loads;
   std::vector<adapter_use> Uses;
-  time_point HeardAt;
+  time_point ReceivedAt;
   /// Whether the report covers the hosts of another zone.
   bool IsLeader = false;
 };
@@ -29,7 +29,7 @@
 
 /// Selects reports.
 struct report_filter {
-  time_point HeardSince;
+  time_point ReceivedSince;
   /// Whether the reports of other zones' leaders are included.
   bool IncludeLeaders = true;
   /// A peer whose report is excluded.
--- a/Libraries/LibGateway/usage_ledger.cpp
+++ b/Libraries/LibGateway/usage_ledger.cpp
@@ -20,7 +20,7 @@
     Growth[Customer] = IsBaseline ? 0 : Units - Account.LastReported[Customer];
   Account.Incarnation = Report.Incarnation;
   Account.LastReported = Report.Uses;
-  Account.HeardAt = Now;
+  Account.ReceivedAt = Now;
   Account.Hosts = Report.Hosts;
   Account.IsLeader = Report.IsLeader;
   addUsage(Account.Total, Growth);
@@ -36,11 +36,11 @@
   return Sum;
 }
 
-std::uint32_t hostsHeard(const usage_ledger &Ledger, bool IncludeLeaders,
-                         time_point Since) {
+std::uint32_t reportingHosts(const usage_ledger &Ledger, bool IncludeLeaders,
+                             time_point Since) {
   std::uint32_t Hosts = 0;
   for (const auto &[Peer, Account] : Ledger.Peers)
-    if (Account.HeardAt >= Since && (IncludeLeaders || !Account.IsLeader))
+    if (Account.ReceivedAt >= Since && (IncludeLeaders || !Account.IsLeader))
       Hosts += Account.Hosts;
   return Hosts;
 }
--- a/Libraries/LibGateway/usage_ledger.h
+++ b/Libraries/LibGateway/usage_ledger.h
@@ -19,7 +19,7 @@
     customer_usage LastReported;
     /// Sum over all incarnations of the peer.
     customer_usage Total;
-    time_point HeardAt;
+    time_point ReceivedAt;
     std::uint32_t Hosts = 1;
     bool IsLeader = false;
   };
@@ -48,8 +48,8 @@
                          bool IncludeLeaders);
 /// Returns the number of hosts covered by reports received since \p Since. Not
 /// thread-safe.
-std::uint32_t hostsHeard(const usage_ledger &Ledger, bool IncludeLeaders,
-                         time_point Since);
+std::uint32_t reportingHosts(const usage_ledger &Ledger, bool IncludeLeaders,
+                             time_point Since);
 void addUsage(customer_usage &Sum, const customer_usage &More);
 
 } // namespace spindle
--- a/Libraries/LibGateway/zone_coordinator.cpp
+++ b/Libraries/LibGateway/zone_coordinator.cpp
@@ -45,7 +45,7 @@
   Contacts.HasReportedSince = [this](std::string_view Host, time_point Since) {
     const std::lock_guard<std::mutex> Lock(Mutex);
     const auto Account = Ledger.Peers.find("host " + std::string(Host));
-    return Account != Ledger.Peers.end() && Account->second.HeardAt >= Since;
+    return Account != Ledger.Peers.end() && Account->second.ReceivedAt >= Since;
   };
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -153,7 +153,7 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     const time_point Since = Dependencies.Clock.now() - PeerExpiry;
     if (Leadership.isLeader())
-      Reporting = 1 + hostsHeard(Ledger, true, Since);
+      Reporting = 1 + reportingHosts(Ledger, true, Since);
     else if (!LeaderUnresponsive)
       Reporting = ReportingHosts;
   }
@@ -224,7 +224,7 @@
     Increase = noteUsageReport(Ledger, std::string(Peer), UsageReport, Now);
     peer_report &Report = Reports.Peers[std::string(Peer)];
     Report.Loads = {Reply.loads().begin(), Reply.loads().end()};
-    Report.HeardAt = Now;
+    Report.ReceivedAt = Now;
     Report.IsLeader = true;
   }
   Dependencies.Quota.noteRemoteUsage(Increase);
@@ -370,7 +370,7 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     const time_point Now = Dependencies.Clock.now();
     peer_report &Report = Reports.Peers[Peer];
-    Report.HeardAt = Now;
+    Report.ReceivedAt = Now;
     Report.IsLeader = Request.from_lead();
     Report.Uses.clear();
     for (const host_link::AdapterUse &Use : Request.adapters())
@@ -415,7 +415,7 @@
     for (const std::string &Zone : UnreachableZones)
       Reply.add_silent_zones(Zone);
     addUsage(Usage, peerUsage(Ledger, Peer, !FromLeader));
-    Reply.set_hosts_heard(1 + hostsHeard(Ledger, !FromLeader, Since));
+    Reply.set_hosts_heard(1 + reportingHosts(Ledger, !FromLeader, Since));
     const std::vector<host_link::UpstreamLoad> Reported =
         reportedLoads(Reports, {Since, !FromLeader, Peer});
     Loads.insert(Loads.end(), Reported.begin(), Reported.end());
--- a/Tests/LibGateway/test_customer_quota.cpp
+++ b/Tests/LibGateway/test_customer_quota.cpp
@@ -241,6 +241,6 @@
                           Start)[Customer] == 0);
   REQUIRE(peerUsage(Ledger, "", false)[Customer] == 350);
   REQUIRE(peerUsage(Ledger, "h", true)[Customer] == 20);
-  REQUIRE(hostsHeard(Ledger, true, Start) == 4);
-  REQUIRE(hostsHeard(Ledger, true, Start + seconds(1)) == 0);
+  REQUIRE(reportingHosts(Ledger, true, Start) == 4);
+  REQUIRE(reportingHosts(Ledger, true, Start + seconds(1)) == 0);
 }
