--- a/Libraries/LibGateway/usage_ledger.cpp
+++ b/Libraries/LibGateway/usage_ledger.cpp
@@ -18,7 +18,7 @@
   customer_usage Growth;
   if (Account.GrowthTime <= nanoseconds(0))
     return Growth;
-  const nanoseconds Gap = std::min<nanoseconds>(Now - Account.HeardAt, MaxGap);
+  const nanoseconds Gap = std::min<nanoseconds>(Now - Account.ReceivedAt, MaxGap);
   const double Factor = std::chrono::duration<double>(Gap) /
                         std::chrono::duration<double>(Account.GrowthTime);
   for (const auto &[Customer, Units] : Account.LastGrowth)
@@ -43,7 +43,7 @@
       Growth[Customer] =
           IsBaseline ? 0 : Units - Account.LastReported[Customer];
     Account.LastGrowth = Growth;
-    Account.GrowthTime = IsNew ? nanoseconds(0) : Now - Account.HeardAt;
+    Account.GrowthTime = IsNew ? nanoseconds(0) : Now - Account.ReceivedAt;
   }
   Account.Incarnation = Report.Incarnation;
   Account.LastReported = Report.Uses;
