--- a/Libraries/LibGateway/adapter_controller.cpp
+++ b/Libraries/LibGateway/adapter_controller.cpp
@@ -486,6 +486,7 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Queue = &Queues[First ? First->Service : std::string()];
+    Queue->SharesGrants = Queue->SharesGrants || SlotRequest.SharesGrants;
   }
   queue_position Position(*this, *Queue, Wanted.Name, SlotRequest);
   while (true) {
--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -348,6 +348,10 @@
     std::vector<host_location> Hosts = Coordinator.hostLocations();
     Metrics.gauge("spindle_failed_fibers", {},
                   static_cast<double>(failedFibers()));
+    Metrics.gauge("spindle_placed_requests", {},
+                  static_cast<double>(Placer.placedRequests()));
+    Metrics.gauge("spindle_waiting_prompts", {},
+                  static_cast<double>(Placer.waitingRequests()));
     Metrics.gauge("spindle_limited_upstreams", {},
                   static_cast<double>(Fleet.limitedUpstreams()));
     Metrics.gauge("spindle_slowed_engines", {},
--- a/Libraries/LibGateway/slot_queue.h
+++ b/Libraries/LibGateway/slot_queue.h
@@ -25,6 +25,8 @@
   int Urgency = 0;
   /// Whose request it is; none if customers are not distinguished.
   customer_id Customer{};
+  /// Whether customers share the grants of the queue that the request enters.
+  bool SharesGrants = false;
 };
 
 /// The requests of a zone that wait for an adapter because no adapter slot is
--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -187,6 +187,7 @@
             Controller.holdLoaded(Best, Wanted))
       return adapter_location{Best, {Wanted.Name, *Version}};
   slot_request Slot = Request.Slot;
+  Slot.SharesGrants = true;
   Slot.Engines = Plan.Engines;
   return Controller.hold(Wanted, Slot, Until);
 }
@@ -333,9 +334,12 @@
 
 std::size_t work_placer::placedRequests() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
+  const time_point Now = Clock.now();
   std::size_t Count = 0;
   for (const auto &[Id, State] : Engines)
-    Count += State.Work.Requests.size();
+    Count += static_cast<std::size_t>(std::count_if(
+        State.Work.Requests.begin(), State.Work.Requests.end(),
+        [Now](const placed_request &Each) { return Each.EndsAt > Now; }));
   return Count;
 }
 
