LibGateway: Refuse a customer's small requests less often than its large ones

Change: thinning weighs a request by its units relative to the mean of those that the host was offered, up to 1; the time until it is certain to be admitted follows. Floods of seven times the rate stay within the quota for five mixes of sizes, before and now. Customers within their rates with a burst of few requests are still thinned: at 0.8 of the rate 3 in 100 refused, 9 in 10 of them with room.

--- a/Libraries/LibGateway/usage_bucket.cpp
+++ b/Libraries/LibGateway/usage_bucket.cpp
@@ -9,6 +9,8 @@
 static constexpr double RoundingTolerance = 0.5;
 static constexpr milliseconds MaxWait{60'000};
 static constexpr milliseconds OverusePeriod{3'000};
+// The mean size of requests reaches back this many requests.
+static constexpr double OfferedReach = 50;
 
 static double capacityOf(const usage_bucket &Bucket) {
   return Bucket.Burst * Bucket.Share;
@@ -56,17 +58,28 @@
   return std::min(Units, capacityOf(Bucket)) - RoundingTolerance;
 }
 
-/// The level from which all requests are admitted.
-static double fullAdmissionLevel(const usage_bucket &Bucket, time_point Now) {
-  return Now < Bucket.OverusedUntil ? capacityOf(Bucket) : 0;
+/// The level from which all requests of \p Units are admitted.
+static double fullAdmissionLevel(const usage_bucket &Bucket, double Units,
+                                 time_point Now) {
+  if (Now >= Bucket.OverusedUntil)
+    return 0;
+  const double Part =
+      Bucket.MeanUnits > 0 ? std::min(1.0, Units / Bucket.MeanUnits) : 1;
+  return capacityOf(Bucket) * Part;
+}
+
+static void noteOffered(usage_bucket &Bucket, double Units) {
+  Bucket.Offered = std::min(Bucket.Offered + 1, OfferedReach);
+  Bucket.MeanUnits += (Units - Bucket.MeanUnits) / Bucket.Offered;
 }
 
 bool takeUnits(usage_bucket &Bucket, double Units, double Draw,
                time_point Now) {
   refill(Bucket, Now);
+  noteOffered(Bucket, Units);
   if (Bucket.Level < requiredLevel(Bucket, Units))
     return false;
-  if (Bucket.Level < Draw * fullAdmissionLevel(Bucket, Now))
+  if (Bucket.Level < Draw * fullAdmissionLevel(Bucket, Units, Now))
     return false;
   Bucket.Level -= Units;
   return true;
@@ -87,7 +100,7 @@
 milliseconds timeUntil(usage_bucket &Bucket, double Units, time_point Now) {
   refill(Bucket, Now);
   return timeToRefill(Bucket, std::max(requiredLevel(Bucket, Units),
-                                       fullAdmissionLevel(Bucket, Now)));
+                                       fullAdmissionLevel(Bucket, Units, Now)));
 }
 
 } // namespace spindle
--- a/Libraries/LibGateway/usage_bucket.h
+++ b/Libraries/LibGateway/usage_bucket.h
@@ -18,6 +18,10 @@
   /// Fraction of the fleet that this host receives reports from, in (0, 1].
   double Share = 1;
   double Level = 0;
+  /// Mean units of the requests that this host was offered, and their number up
+  /// to a limit.
+  double MeanUnits = 0;
+  double Offered = 0;
   time_point RefilledAt;
   /// Until when the hosts together admit too much before they report it.
   time_point OverusedUntil;
@@ -40,6 +44,9 @@
 /// many hosts: each would admit what the others have admitted already but not
 /// reported yet. Once that has happened, so that the level fell below 0, hosts
 /// admit for a while only a part of the requests, which grows with the level.
+/// Requests smaller than the mean are refused less often in proportion, as they
+/// contribute less to it: else a customer's small requests are refused for what
+/// its large ones use.
 /// \p Draw is a random number in [0, 1) that selects this part. Not
 /// thread-safe.
 bool takeUnits(usage_bucket &Bucket, double Units, double Draw, time_point Now);
