--- a/Libraries/LibFleetModel/model_settings.cpp
+++ b/Libraries/LibFleetModel/model_settings.cpp
@@ -16,30 +16,30 @@
                            4'096, "Requests that an engine runs at once."),
       integerField<record>("memoryTokens", &record::MemoryTokens, "tokens", 1,
                            100'000'000,
-                           "Tokens of running requests and kept prompts."),
+                           "Tokens of running requests and cached prompts."),
       numberField<record>("stepMilliseconds", &record::StepMilliseconds, "ms",
                           0.01, 1'000, "A step of an idle engine."),
       numberField<record>("perRequestMilliseconds",
                           &record::PerRequestMilliseconds, "ms", 0, 100,
-                          "What each running request adds to a step."),
+                          "Time that each running request adds to a step."),
       numberField<record>("readTokensPerMillisecond",
                           &record::ReadTokensPerMillisecond, "tokens/ms", 0.1,
-                          10'000, "How fast prompts are read."),
+                          10'000, "How fast prompts are prefilled."),
       integerField<record>("pieceTokens", &record::PieceTokens, "tokens", 1,
-                           1'000'000, "Tokens that are read in one step."),
+                           1'000'000, "Tokens that are prefilled in one step."),
       integerField<record>("adapterPlaces", &record::AdapterPlaces, "adapters",
                            1, 1'000, "Adapters that an engine holds."),
       durationField<record>("fetchMs", &record::FetchTime, 1, 600'000,
                             "A fetch from the weight store."),
       integerField<record>("fetchesAtFullSpeed", &record::FetchesAtFullSpeed,
                            "fetches", 1, 10'000,
-                           "More at once slow each other."),
+                           "More fetches at once slow each other."),
       integerField<record>("copies", &record::Copies, "adapters", 0, 100'000,
                            "Adapters that an engine keeps copies of."),
       durationField<record>("copyMs", &record::CopyTime, 0, 600'000,
                             "A load from such a copy."),
       numberField<record>("zoneMilliseconds", &record::ZoneMilliseconds, "ms",
-                          0, 1'000, "One way between zones."),
+                          0, 1'000, "The latency of a message between zones."),
   };
   return Table;
 }
@@ -50,9 +50,9 @@
       textField<record>("name", &record::Name, "The kind.", true),
       numberField<record>("perSecond", &record::PerSecond, "requests/s", 0,
                           100'000, "Arrivals."),
-      integerField<record>("sharedTokens", &record::SharedTokens, "tokens", 0,
-                           1'000'000,
-                           "The part that requests of an adapter share."),
+      integerField<record>(
+          "sharedTokens", &record::SharedTokens, "tokens", 0, 1'000'000,
+          "The first part, which an adapter's requests share."),
       integerField<record>("ownTokens", &record::OwnTokens, "tokens", 1,
                            1'000'000, "The rest of the prompt."),
       integerField<record>("events", &record::Events, "", 1, 100'000,
@@ -60,11 +60,11 @@
       integerField<record>("tokensPerEvent", &record::TokensPerEvent, "tokens",
                            1, 1'000, "Tokens in an event."),
       durationField<record>("objectiveMs", &record::Objective, 1, 600'000,
-                            "To the first event."),
+                            "Expected latency to the first event."),
       durationField<record>("gapMs", &record::Gap, 1, 600'000,
                             "The longest pause of an answer in time."),
       durationField<record>("deadlineMs", &record::Deadline, 1, 600'000,
-                            "When callers give up."),
+                            "When callers leave."),
       numberField<record>("worth", &record::Worth, "", 0, 1'000,
                           "An answer in time."),
       numberField<record>("lateWorth", &record::LateWorth, "", 0, 1'000,
@@ -72,7 +72,7 @@
       integerField<record>("urgency", &record::Urgency, "", 0, 9,
                            "0 is the most urgent."),
       integerField<record>("retries", &record::Retries, "", 0, 10,
-                           "Returns after a refusal."),
+                           "Retries after a refusal."),
   };
   return Table;
 }
@@ -89,9 +89,9 @@
       numberField<record>("hotShare", &record::HotShare, "", 0, 1,
                           "Requests for one adapter."),
       numberField<record>("coldShare", &record::ColdShare, "", 0, 1,
-                          "Requests for any adapter, each as often."),
+                          "Requests whose adapter is drawn uniformly."),
       numberField<record>("repeatShare", &record::RepeatShare, "", 0, 1,
-                          "Callers that come back at once, three times."),
+                          "Callers that retry at once, three times."),
       numberField<record>("enginesGone", &record::EnginesGone, "", 0, 1,
                           "Engines that are gone."),
       flagField<record>("zoneAlone", &record::ZoneAlone,
@@ -110,7 +110,7 @@
       numberField<record>("rateFactor", &record::RateFactor, "", 0, 1'000,
                           "Times the arrivals."),
       recordListField<record>("phases", &record::Phases, phaseFields(),
-                              "Parts that differ."),
+                              "Parts of the run with another load or fleet."),
   };
   return Table;
 }
@@ -125,9 +125,9 @@
       integerField<record>("adapters", &record::Adapters, "", 1, 1'000'000,
                            "Adapters of the one model."),
       numberField<record>("zipfExponent", &record::ZipfExponent, "", 0, 5,
-                          "How uneven their use is."),
+                          "How skewed their popularity is."),
       integerField<record>("seed", &record::Seed, "", 1, 1'000'000'000,
-                           "Of all that is drawn."),
+                           "The seed of all random choices."),
       recordListField<record>("patterns", &record::Patterns, patternFields(),
                               "The loads.", true),
   };
@@ -136,20 +136,12 @@
 
 model_settings parseModelSettings(std::string_view Text,
                                   std::string_view FileName) {
-  const nlohmann::json Json =
-      parseJsonText(Text, FileName, result_code::InvalidSettings);
-  std::vector<input_problem> Problems;
-  model_settings Settings =
-      readRecord(Json, settingsFields(), field_context{"", Problems});
-  const json_places Places = findPlaces(Text);
-  Problems.insert(Problems.end(), Places.Duplicates.begin(),
-                  Places.Duplicates.end());
-  if (Problems.empty() && Settings.Kinds.empty())
-    Problems.push_back({"kinds", "must name a kind"});
-  if (!Problems.empty())
-    throw spindle_error(result_code::InvalidSettings,
-                        describeProblems(Problems, FileName, Text, Places));
-  return Settings;
+  return readSettingsFile(
+      Text, FileName, settingsFields(),
+      [](const model_settings &Settings, std::vector<input_problem> &Problems) {
+        if (Problems.empty() && Settings.Kinds.empty())
+          Problems.push_back({"kinds", "must name a kind"});
+      });
 }
 
 std::string describeModelSettings() {
--- a/Libraries/LibGateway/adapter_holds.h
+++ b/Libraries/LibGateway/adapter_holds.h
@@ -37,6 +37,7 @@
   time_point UsefulUntil;
   /// A smaller value is more urgent.
   int Urgency = 0;
+  customer_id Customer{};
   /// If set, the leader chooses among all engines of the zone. Engines then
   /// serves only while the leader does not reply.
   std::optional<hold_work> Work;
@@ -46,8 +47,8 @@
 struct held_engine {
   upstream_pointer Engine;
   std::uint64_t Version = 0;
-  /// How long the engine is expected to read the prompt; 0 if not known.
-  milliseconds Reading{0};
+  /// See placed_engine.
+  milliseconds UsualReading{0};
 };
 
 /// Acquires and caches holds. A hold guarantees for HoldTerm that an engine
--- a/Libraries/LibRouting/engine_placement.cpp
+++ b/Libraries/LibRouting/engine_placement.cpp
@@ -99,6 +99,7 @@
   case adapter_readiness::NeedsEviction:
     return Load + Costs.CopyLoadTime;
   case adapter_readiness::NoSlot:
+  case adapter_readiness::Unavailable:
     return Load + Costs.SlotWait;
   }
   return Load;
@@ -121,12 +122,12 @@
   return Load / Reuse + Costs.CopyLoad * Eviction;
 }
 
-static double inTimeProbability(nanoseconds FirstEvent,
+/// The probability that the first event comes within \p Limit.
+static double probabilityWithin(nanoseconds Limit, nanoseconds FirstEvent,
                                 const placement_query &Query) {
   const double Error =
       std::max(1.0, toMilliseconds(Query.Objective) * EstimateErrorRatio);
-  return 1 /
-         (1 + std::exp(toMilliseconds(FirstEvent - Query.Remaining) / Error));
+  return 1 / (1 + std::exp(toMilliseconds(FirstEvent - Limit) / Error));
 }
 
 static engine_choice evaluate(const engine_candidate &Engine, std::size_t Index,
@@ -139,9 +140,13 @@
   Choice.FirstEvent =
       std::max(Choice.Loading, readingBacklog(*Engine.Work, Now)) +
       Choice.Work.Reading;
-  const double InTime = inTimeProbability(Choice.FirstEvent, Query) *
-                        (1 - ownPauseRisk(Engine, Choice.Work, Now));
-  const double Worth = Costs.LateWorth + (1 - Costs.LateWorth) * InTime;
+  const double InTime =
+      probabilityWithin(Query.Remaining, Choice.FirstEvent, Query) *
+      (1 - ownPauseRisk(Engine, Choice.Work, Now));
+  const double Served =
+      probabilityWithin(Query.Useful, Choice.FirstEvent, Query);
+  const double Worth =
+      Served * (Costs.LateWorth + (1 - Costs.LateWorth) * InTime);
   const double Harm =
       (1 - Costs.LateWorth) * harmToOthers(Engine, Choice.Work, Now);
   const std::chrono::duration<double> Wait = Choice.FirstEvent;
@@ -150,6 +155,10 @@
   return Choice;
 }
 
+static bool isUsable(const engine_candidate &Engine) {
+  return Engine.Health > 0 && Engine.Adapter != adapter_readiness::Unavailable;
+}
+
 std::vector<engine_choice>
 rankEngines(std::span<const engine_candidate> Engines,
             const placement_query &Query, const placement_costs &Costs,
@@ -157,7 +166,7 @@
   std::vector<engine_choice> Ranked;
   Ranked.reserve(Engines.size());
   for (std::size_t Index = 0; Index < Engines.size(); ++Index)
-    if (Engines[Index].Health > 0 && hasRoom(Engines[Index], Query))
+    if (isUsable(Engines[Index]) && hasRoom(Engines[Index], Query))
       Ranked.push_back(evaluate(Engines[Index], Index, Query, Costs, Now));
   std::stable_sort(Ranked.begin(), Ranked.end(),
                    [](const engine_choice &Left, const engine_choice &Right) {
--- a/Libraries/LibRouting/engine_placement.h
+++ b/Libraries/LibRouting/engine_placement.h
@@ -22,6 +22,8 @@
   NeedsEviction,
   /// All slots are in use.
   NoSlot,
+  /// The engine accepts no orders now.
+  Unavailable,
 };
 
 /// An engine on which a request may be placed.
@@ -58,6 +60,8 @@
   /// The latency objective for the first event, and the time until it.
   nanoseconds Objective{0};
   nanoseconds Remaining{0};
+  /// How long until the first event is of no use.
+  nanoseconds Useful{0};
   /// How often the adapter is asked for, as a decayed number of uses, and on
   /// how many engines it is loaded or loading.
   double AdapterUses = 0;
--- a/Tests/EndToEnd/test_forwarding.cpp
+++ b/Tests/EndToEnd/test_forwarding.cpp
@@ -30,7 +30,7 @@
     Upstream->set(Switches);
 }
 
-/// Asks host 0 for a stream of 1.5 s and runs \p During while it is sent.
+/// Requests a stream of 1.5 s from host 0 and runs \p During while it is sent.
 forwarded_answer askForSlowStream(forwarding_fleet &Fleet,
                                   const std::function<void()> &During) {
   upstream_switches Slow;
@@ -221,7 +221,7 @@
   sleepFor(seconds(2));
   REQUIRE(Fleet.ask(1, "s2", "a1").Body == WholeStream);
   REQUIRE(Fleet.ask(2, "s3", "a5").Body == WholeStream);
-  // A host that starts meanwhile learns all from the others.
+  // A host that starts meanwhile receives all from the others.
   Fleet.killHost(1);
   Fleet.startHost(1);
   REQUIRE(holdsWithin(seconds(5), [&] { return Fleet.ready(1); }));
@@ -392,14 +392,14 @@
 }
 
 TEST_CASE("forwarding: an upstream is left soon after the caller has left") {
-  // What the users' rules allow.
+  // The latest time that the rules allow.
   constexpr milliseconds Allowed{500};
   forwarding_fleet Fleet;
   upstream_switches Slow;
   Slow.EventPause = milliseconds(3'000);
   setAll(Fleet.Engines, Slow);
   // No event has come when the caller leaves, so that only the closed
-  // connection tells of it.
+  // connection shows it.
   Fleet.askAndLeave(0, "s1", "a1", milliseconds(700));
   REQUIRE(holdsWithin(Allowed, [&] {
     int Abandoned = 0;
--- a/Tests/StandIns/test_engine_server.cpp
+++ b/Tests/StandIns/test_engine_server.cpp
@@ -1,6 +1,7 @@
 #include "LibCore/result_code.h"
 #include "LibEngine/answer_verifier.h"
 #include "LibEngine/http_engine.h"
+#include "Support/run_in_fiber.h"
 #include "engine_stand_in/answer_text.h"
 #include "engine_stand_in/engine_server.h"
 
@@ -25,7 +26,7 @@
 
 namespace {
 
-/// The engine stand-in and the product's port to it over loopback.
+/// The engine stand-in and the hosts' port to it over loopback.
 struct loopback_engine {
   explicit loopback_engine(
       const engine_server_settings &Settings = fastSettings())
@@ -38,15 +39,7 @@
 
   /// Runs \p Work in a fiber and returns its result code; 0 for success.
   result_code run(const std::function<void()> &Work) {
-    result_code Code{};
-    Runtime.runBlocking([&] {
-      try {
-        Work();
-      } catch (const spindle_error &Error) {
-        Code = Error.code();
-      }
-    });
-    return Code;
+    return runInFiber(Runtime, Work);
   }
 
   result_code load(std::string_view Adapter, std::uint64_t Fence) {
@@ -83,7 +76,7 @@
     control("PUT", "/control", Switches.dump());
   }
 
-  /// Asks for a stream of \p Tokens tokens, as a host does, and checks it.
+  /// Requests a stream of \p Tokens tokens, as a host does, and checks it.
   result_code stream(const std::string &Prompt, std::uint32_t Tokens,
                      connection_use Use = connection_use::PooledIdempotent) {
     return run([&] { readStream(Prompt, Tokens, Use); });
--- a/Utilities/spindlemodel/main.cpp
+++ b/Utilities/spindlemodel/main.cpp
@@ -1,12 +1,11 @@
-// Measures how engines are chosen, and places for adapters given, under the
-// load patterns of a settings file, against simpler policies.
+// Compares how engines are chosen and adapter slots assigned with simpler
+// policies, under the load patterns of a settings file.
 #include "LibCore/result_code.h"
 #include "LibFleetModel/model_report.h"
+#include "LibLoad/text_file.h"
 
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <popt.h>
 
@@ -16,7 +15,7 @@
 
 constexpr int ExitUsage = 2;
 
-/// What the command line gave; the pointers belong to popt.
+/// The options of the command line; the pointers belong to popt.
 struct command_line {
   const char *Settings = nullptr;
   const char *Pattern = nullptr;
@@ -28,23 +27,7 @@
   int Describe = 0;
 };
 
-std::string readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  if (!File)
-    throw spindle_error(result_code::InvalidSettings, "cannot read " + Path);
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
-void writeFile(const std::string &Path, const std::string &Text) {
-  std::ofstream File(Path);
-  File << Text;
-  if (!File)
-    throw spindle_error(result_code::Internal, "cannot write " + Path);
-}
-
-bool isWanted(const char *Only, const std::string &Name) {
+bool isSelected(const char *Only, const std::string &Name) {
   return Only == nullptr || Name == Only;
 }
 
@@ -55,7 +38,7 @@
   std::vector<model_report> Reports;
   const std::uint64_t FirstSeed = Settings.Seed;
   for (const model_policy &Policy : modelPolicies()) {
-    if (!isWanted(Options.Policy, Policy.Name))
+    if (!isSelected(Options.Policy, Policy.Name))
       continue;
     for (int Seed = 0; Seed < Options.Seeds; ++Seed) {
       Settings.Seed = FirstSeed + static_cast<std::uint64_t>(Seed);
@@ -68,16 +51,16 @@
 
 void runAll(const command_line &Options) {
   const model_settings Settings =
-      parseModelSettings(readFile(Options.Settings), Options.Settings);
+      parseModelSettings(readTextFile(Options.Settings), Options.Settings);
   std::vector<model_report> All;
   for (const model_pattern &Pattern : Settings.Patterns) {
-    if (!isWanted(Options.Pattern, Pattern.Name))
+    if (!isSelected(Options.Pattern, Pattern.Name))
       continue;
     const std::vector<model_report> Reports =
         runPattern(Settings, Pattern, Options);
     if (Options.Plots != nullptr)
-      writeFile(std::string(Options.Plots) + Pattern.Name + ".svg",
-                drawReports(Reports, Pattern.Meaning));
+      writeTextFile(std::string(Options.Plots) + Pattern.Name + ".svg",
+                    drawReports(Reports, Pattern.Meaning));
     All.insert(All.end(), Reports.begin(), Reports.end());
   }
   if (All.empty())
@@ -85,7 +68,7 @@
                         "no such pattern or policy");
   std::cout << (Options.ShowKinds != 0 ? writeKindTable(All) : writeTable(All));
   if (Options.Json != nullptr)
-    writeFile(Options.Json, writeJson(All));
+    writeTextFile(Options.Json, writeJson(All));
 }
 
 } // namespace
