LibGateway: Report pauses of accepting, and bound operators' connections

The gauge spindle_accept_pauses shows a process at its limit of descriptors. Servers of metrics and readiness take at most 64 connections each, so that they don't use up what callers leave. Only compiled (-fsyntax-only), not run.

--- a/Libraries/LibGateway/gateway_host.cpp
+++ b/Libraries/LibGateway/gateway_host.cpp
@@ -31,6 +31,8 @@
 // deployments have at most this many zones.
 constexpr double AssumedLeaderCount = 4;
 constexpr milliseconds DrainPollInterval{50};
+// Metrics and readiness share the descriptors that callers leave.
+constexpr std::size_t MaxOperatorConnections = 64;
 // A drain ends only after no request has run for this long.
 constexpr milliseconds QuietPeriod{200};
 // The part of the drain limit that is reserved for the exit of the process.
@@ -327,6 +329,8 @@
     std::vector<host_location> Hosts = Coordinator.hostLocations();
     Metrics.gauge("spindle_failed_fibers", {},
                   static_cast<double>(failedFibers()));
+    Metrics.gauge("spindle_accept_pauses", {},
+                  static_cast<double>(CallerServer->acceptPauses()));
     Metrics.gauge("spindle_limited_upstreams", {},
                   static_cast<double>(Fleet.limitedUpstreams()));
     RetryBudgets.setHosts(std::max<std::size_t>(1, Hosts.size()));
@@ -360,10 +364,12 @@
     Exchange.respond({HttpOk, {{"Content-Type", "text/plain; version=0.0.4"}}},
                      Metrics.toText());
   };
-  MetricsServer.emplace(Runtime, Settings.Metrics, http_server_limits{},
-                        ServeMetrics, writeErrorResponse);
+  http_server_limits OperatorLimits;
+  OperatorLimits.Connections = MaxOperatorConnections;
+  MetricsServer.emplace(Runtime, Settings.Metrics, OperatorLimits, ServeMetrics,
+                        writeErrorResponse);
   ReadyServer.emplace(
-      Runtime, Settings.Ready, http_server_limits{},
+      Runtime, Settings.Ready, OperatorLimits,
       [this](http_exchange &Exchange) { serveReady(Exchange); },
       writeErrorResponse);
   const http_handler Serve = [this](http_exchange &Exchange) {
