--- a/Libraries/LibGateway/adapter_controller.cpp
+++ b/Libraries/LibGateway/adapter_controller.cpp
@@ -360,9 +360,9 @@
   void enter();
   void leave();
   const slot_queue &queue() const { return Queue; }
-  void noteGranted() const {
+  void noteGranted(upstream_id Engine) const {
     if (Ticket)
-      noteGrant(Queue, Controller.Clock.now());
+      noteGrant(Queue, Adapter, Engine, Controller.Clock.now());
   }
 
 private:
@@ -458,7 +458,7 @@
     Position.leave();
     break;
   case placement_step::Load:
-    Position.noteGranted();
+    Position.noteGranted(Engines[Decision.Engine]->Entry->Id);
     Position.leave();
     startLoad(Engines[Decision.Engine], Wanted);
     break;
--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -131,7 +131,7 @@
   const upstream_entry &Preferred = *Query.Engines.front();
   if (consumeRefusal(Preferred, Query.Wanted.Name))
     Controller.noteMissing(Preferred.Id, Query.Wanted.Name);
-  placement_request Request;
+  work_request Request;
   Request.Service = Query.Work->Service;
   Request.Description = *Query.Work->Description;
   Request.AdapterVersion = Query.Wanted.Version;
@@ -175,10 +175,9 @@
     Message.add_avoid(Engine.Value);
 }
 
-static placement_request
-readWork(const host_link::HoldAdapterRequest &Message) {
+static work_request readWork(const host_link::HoldAdapterRequest &Message) {
   const host_link::RequestWork &Work = Message.work();
-  placement_request Request;
+  work_request Request;
   Request.Service = Work.service();
   Request.Description.Model = Message.model();
   Request.Description.Adapter = Message.adapter();
@@ -264,7 +263,7 @@
 adapter_holds::handlePlacement(const host_link::HoldAdapterRequest &Request) {
   host_link::HoldAdapterReply Reply;
   const time_point Now = Clock.now();
-  placement_request Placement = readWork(Request);
+  work_request Placement = readWork(Request);
   Placement.Slot.OnTimeUntil = Now + milliseconds(Request.on_time_ms());
   Placement.Slot.UsefulUntil = Now + milliseconds(Request.useful_ms());
   Placement.Slot.Urgency = Request.urgency();
--- a/Libraries/LibGateway/usage_ledger.cpp
+++ b/Libraries/LibGateway/usage_ledger.cpp
@@ -18,7 +18,8 @@
   customer_usage Growth;
   if (Account.GrowthTime <= nanoseconds(0))
     return Growth;
-  const nanoseconds Gap = std::min<nanoseconds>(Now - Account.ReceivedAt, MaxGap);
+  const nanoseconds Gap =
+      std::min<nanoseconds>(Now - Account.ReceivedAt, MaxGap);
   const double Factor = std::chrono::duration<double>(Gap) /
                         std::chrono::duration<double>(Account.GrowthTime);
   for (const auto &[Customer, Units] : Account.LastGrowth)
--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -110,73 +110,90 @@
   return std::chrono::duration_cast<milliseconds>(Reading);
 }
 
-std::optional<work_placer::placement_plan>
-work_placer::plan(const placement_request &Request) {
+work_placer::zone_view
+work_placer::viewZone(const work_request &Request) const {
   upstream_query Query;
   Query.Service = Request.Service;
   Query.Model = &Request.Description;
   Query.Avoid = Request.Avoid;
-  const std::vector<placeable_engine> Placeable = Fleet.placeable(Query, Zone);
+  zone_view View;
+  View.Engines = Fleet.placeable(Query, Zone);
   const std::optional<engine_capacity> Size = Capacity(Request.Service);
-  if (Placeable.empty() || !Size)
+  if (View.Engines.empty() || !Size)
     throw spindle_error(result_code::NoUpstream,
                         "no engine of the zone may be sent the request");
+  View.Size = *Size;
+  if (Request.Description.Adapter.empty())
+    return View;
   std::vector<upstream_pointer> Entries;
-  for (const placeable_engine &Engine : Placeable)
+  Entries.reserve(View.Engines.size());
+  for (const placeable_engine &Engine : View.Engines)
     Entries.push_back(Engine.Entry);
-  const bool NamesAdapter = !Request.Description.Adapter.empty();
-  std::vector<adapter_outlook> Outlooks;
-  if (NamesAdapter)
-    Outlooks = Controller.outlooks(
-        Entries, {{Request.Description.Model, Request.Description.Adapter},
-                  Request.AdapterVersion});
-  placement_query Need = Request.Query;
-  Need.AdapterUses = usesIn(Outlooks);
-  Need.AdapterCopies = copiesIn(Outlooks);
+  View.Outlooks = Controller.outlooks(
+      Entries, {{Request.Description.Model, Request.Description.Adapter},
+                Request.AdapterVersion});
+  return View;
+}
+
+/// Precondition: Mutex is held.
+engine_candidate work_placer::candidate(const work_request &Request,
+                                        const zone_view &View,
+                                        std::size_t Index, time_point Now) {
+  const placeable_engine &Engine = View.Engines[Index];
+  const engine_state &State = stateOf(*Engine.Entry, View.Size);
+  engine_candidate Candidate;
+  Candidate.Work = &State.Work;
+  Candidate.Health = Engine.Health;
+  Candidate.BatchSlots = Engine.Entry->Slots;
+  Candidate.MemoryTokens = View.Size.CacheTokens;
+  if (!View.Outlooks.empty()) {
+    const adapter_outlook &Outlook = View.Outlooks[Index];
+    Candidate.Adapter = Outlook.Slots.Readiness;
+    Candidate.LikelyHasCopy = Outlook.LikelyHasCopy;
+    Candidate.VictimUses = Outlook.Slots.VictimUses;
+  }
+  if (Candidate.Adapter == adapter_readiness::Ready)
+    Candidate.CachedTokens = State.Prompts.cachedTokens(Request.Description);
+  applyFacts(Candidate, Engine.Facts, Request.Query, Now);
+  return Candidate;
+}
+
+std::optional<work_placer::placement_plan>
+work_placer::plan(const work_request &Request) {
+  const zone_view View = viewZone(Request);
   const time_point Now = Clock.now();
-  Need.Remaining = Request.Slot.OnTimeUntil - Now;
-  Need.Useful = Request.Slot.UsefulUntil - Now;
+  placement_query Query = Request.Query;
+  Query.Remaining = Request.Slot.OnTimeUntil - Now;
+  Query.Useful = Request.Slot.UsefulUntil - Now;
+  Query.AdapterUses = usesIn(View.Outlooks);
+  Query.AdapterCopies = copiesIn(View.Outlooks);
   const std::lock_guard<std::mutex> Lock(Mutex);
   std::vector<engine_candidate> Candidates;
-  for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
-    const engine_state &State = stateOf(*Entries[Index], *Size);
-    engine_candidate &Candidate = Candidates.emplace_back();
-    Candidate.Work = &State.Work;
-    Candidate.Health = Placeable[Index].Health;
-    Candidate.BatchSlots = Entries[Index]->Slots;
-    Candidate.MemoryTokens = Size->CacheTokens;
-    if (NamesAdapter) {
-      Candidate.Adapter = Outlooks[Index].Slots.Readiness;
-      Candidate.LikelyHasCopy = Outlooks[Index].LikelyHasCopy;
-      Candidate.VictimUses = Outlooks[Index].Slots.VictimUses;
-    }
-    if (Candidate.Adapter == adapter_readiness::Ready)
-      Candidate.CachedTokens = State.Prompts.cachedTokens(Request.Description);
-    applyFacts(Candidate, Placeable[Index].Facts, Need, Now);
-  }
+  Candidates.reserve(View.Engines.size());
+  for (std::size_t Index = 0; Index < View.Engines.size(); ++Index)
+    Candidates.push_back(candidate(Request, View, Index, Now));
   const std::vector<engine_choice> Ranked =
-      rankEngines(Candidates, Need, placement_costs{}, Now);
+      rankEngines(Candidates, Query, placement_costs{}, Now);
   if (Ranked.empty())
     return std::nullopt;
   placement_plan Plan;
-  Plan.EngineCount = Candidates.size();
   Plan.Best = Ranked.front();
-  Plan.IsAdapterReady =
-      Candidates[Plan.Best.Index].Adapter == adapter_readiness::Ready;
-  Plan.UsualReading = usualReading(Candidates[Plan.Best.Index], Need, Now);
-  const double Gap =
-      Candidates[Plan.Best.Index].Adapter == adapter_readiness::NoSlot
-          ? MaxValueGapWithoutSlot
-          : MaxValueGap;
+  Plan.EngineCount = Candidates.size();
+  const engine_candidate &Best = Candidates[Plan.Best.Index];
+  Plan.IsAdapterReady = Best.Adapter == adapter_readiness::Ready;
+  Plan.UsualReading = usualReading(Best, Query, Now);
+  const double Gap = Best.Adapter == adapter_readiness::NoSlot
+                         ? MaxValueGapWithoutSlot
+                         : MaxValueGap;
   for (const engine_choice &Choice : Ranked)
     if (Choice.Value >= Plan.Best.Value - Gap)
-      Plan.Engines.push_back(Entries[Choice.Index]->Id);
+      Plan.Engines.push_back(View.Engines[Choice.Index].Entry->Id);
   return Plan;
 }
 
 /// Holds the adapter on one of the planned engines.
 std::optional<adapter_location>
-work_placer::holdAdapter(const placement_request &Request,
+work_placer::holdAdapter(const work_request &Request,
                          const placement_plan &Plan, time_point Until) {
   const versioned_adapter Wanted{
       {Request.Description.Model, Request.Description.Adapter},
@@ -192,9 +209,9 @@
   return Controller.hold(Wanted, Slot, Until);
 }
 
-std::optional<placed_engine>
-work_placer::carryOut(const placement_request &Request,
-                      const placement_plan &Plan, time_point Until) {
+std::optional<placed_engine> work_placer::carryOut(const work_request &Request,
+                                                   const placement_plan &Plan,
+                                                   time_point Until) {
   const upstream_id Best = Plan.Engines.front();
   reservation Reserved(*this, Best, Plan.Best.Work,
                        Clock.now() + Plan.Best.Loading);
@@ -223,7 +240,7 @@
 /// destruction.
 class work_placer::queue_position {
 public:
-  queue_position(work_placer &Placer, const placement_request &Request)
+  queue_position(work_placer &Placer, const work_request &Request)
       : Placer(Placer), Request(Request) {}
   ~queue_position() {
     const std::lock_guard<std::mutex> Lock(Placer.Mutex);
@@ -245,7 +262,7 @@
   void refuseIfUseless(const placement_plan &Plan, time_point Now) const;
 
   work_placer &Placer;
-  const placement_request &Request;
+  const work_request &Request;
   waiting_prompt Prompt;
   nanoseconds Loading{0};
   /// 0 while the request does not wait.
@@ -314,8 +331,8 @@
   }
 }
 
-std::optional<placed_engine>
-work_placer::place(const placement_request &Request, time_point Until) {
+std::optional<placed_engine> work_placer::place(const work_request &Request,
+                                                time_point Until) {
   queue_position Position(*this, Request);
   while (true) {
     const std::optional<placement_plan> Plan = plan(Request);
--- a/Libraries/LibGateway/work_placer.h
+++ b/Libraries/LibGateway/work_placer.h
@@ -20,7 +20,7 @@
 namespace spindle {
 
 /// A request that needs an engine of a zone.
-struct placement_request {
+struct work_request {
   std::string Service;
   /// The model, the adapter and the parts of the prompt.
   request_description Description;
@@ -63,7 +63,7 @@
   /// fiber.
   /// \throws spindle_error NoUpstream, NotOwner, or AdapterNotLoaded if no
   /// engine will serve the request in time to be of use.
-  std::optional<placed_engine> place(const placement_request &Request,
+  std::optional<placed_engine> place(const work_request &Request,
                                      time_point Until);
   /// The number of requests on the zone's engines, as far as they were placed
   /// by this host.
@@ -74,9 +74,16 @@
 private:
   struct engine_state {
     std::int64_t StartedAt = 0;
-    engine_work Work;
+    placed_work Work;
     prompt_cache_estimate Prompts;
   };
+  /// The engines of the zone that a request may use, and what it takes to serve
+  /// its adapter on each; no outlooks if it names none.
+  struct zone_view {
+    std::vector<placeable_engine> Engines;
+    std::vector<adapter_outlook> Outlooks;
+    engine_capacity Size;
+  };
   /// The engines on which the request may run, the best first, with what it
   /// asks of that one.
   struct placement_plan {
@@ -91,13 +98,16 @@
   class reservation;
   class queue_position;
 
-  std::optional<placement_plan> plan(const placement_request &Request);
+  zone_view viewZone(const work_request &Request) const;
+  engine_candidate candidate(const work_request &Request, const zone_view &View,
+                             std::size_t Index, time_point Now);
+  std::optional<placement_plan> plan(const work_request &Request);
   engine_state &stateOf(const upstream_entry &Entry,
                         const engine_capacity &Capacity);
-  std::optional<adapter_location> holdAdapter(const placement_request &Request,
+  std::optional<adapter_location> holdAdapter(const work_request &Request,
                                               const placement_plan &Plan,
                                               time_point Until);
-  std::optional<placed_engine> carryOut(const placement_request &Request,
+  std::optional<placed_engine> carryOut(const work_request &Request,
                                         const placement_plan &Plan,
                                         time_point Until);
 
--- a/Libraries/LibRouting/engine_placement.cpp
+++ b/Libraries/LibRouting/engine_placement.cpp
@@ -42,7 +42,7 @@
 }
 
 bool hasRoom(const engine_candidate &Engine, const placement_query &Query) {
-  const engine_work &Work = *Engine.Work;
+  const placed_work &Work = *Engine.Work;
   if (Work.Requests.size() >= std::max(1U, Engine.BatchSlots))
     return false;
   if (Engine.MemoryTokens <= 0)
--- a/Libraries/LibRouting/engine_placement.h
+++ b/Libraries/LibRouting/engine_placement.h
@@ -2,7 +2,7 @@
 #define PARSLEYSPINDLE_LIBROUTING_ENGINE_PLACEMENT_H
 
 #include "LibCore/runtime_clock.h"
-#include "LibRouting/engine_work.h"
+#include "LibRouting/placed_work.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -29,7 +29,7 @@
 /// An engine on which a request may be placed.
 struct engine_candidate {
   /// Never null.
-  const engine_work *Work = nullptr;
+  const placed_work *Work = nullptr;
   adapter_readiness Adapter = adapter_readiness::Ready;
   /// Whether the engine probably has a copy of the adapter in its memory, from
   /// which it loads in no time.
--- a/Libraries/LibRouting/engine_work.cpp
+++ b/Libraries/LibRouting/placed_work.cpp
@@ -1,4 +1,4 @@
-#include "LibRouting/engine_work.h"
+#include "LibRouting/placed_work.h"
 
 #include <algorithm>
 #include <cmath>
@@ -12,13 +12,13 @@
   return std::chrono::duration<double, std::milli>(Time).count();
 }
 
-static double decayedReads(const engine_work &Engine, time_point Now) {
+static double decayedReads(const placed_work &Engine, time_point Now) {
   const std::chrono::duration<double> Elapsed =
       std::max(nanoseconds(0), nanoseconds(Now - Engine.DecayedAt));
   return Engine.SquaredReads * std::exp(-Elapsed / ReadDecayTime);
 }
 
-static void addSquaredRead(engine_work &Engine, double Change, time_point Now) {
+static void addSquaredRead(placed_work &Engine, double Change, time_point Now) {
   Engine.SquaredReads = std::max(0.0, decayedReads(Engine, Now) + Change);
   Engine.DecayedAt = std::max(Engine.DecayedAt, Now);
 }
@@ -28,7 +28,7 @@
   return Milliseconds * Milliseconds;
 }
 
-std::uint64_t addWork(engine_work &Engine, const request_work &Work,
+std::uint64_t addWork(placed_work &Engine, const request_work &Work,
                       time_point Arrival) {
   const time_point ReadUntil =
       std::max(Engine.ReadingUntil, Arrival) + Work.Reading;
@@ -40,7 +40,7 @@
 }
 
 /// Lets the prompts after a cancelled one be read so much sooner.
-static void advanceReading(engine_work &Engine, time_point ReadUntil,
+static void advanceReading(placed_work &Engine, time_point ReadUntil,
                            nanoseconds Time, time_point Now) {
   for (placed_request &Request : Engine.Requests) {
     if (Request.ReadUntil <= ReadUntil)
@@ -51,7 +51,7 @@
   Engine.ReadingUntil = std::max(Now, Engine.ReadingUntil - Time);
 }
 
-void cancelWork(engine_work &Engine, std::uint64_t Ticket, time_point Now) {
+void cancelWork(placed_work &Engine, std::uint64_t Ticket, time_point Now) {
   const auto Found = std::find_if(
       Engine.Requests.begin(), Engine.Requests.end(),
       [Ticket](const placed_request &Each) { return Each.Ticket == Ticket; });
@@ -65,24 +65,24 @@
   advanceReading(Engine, Cancelled.ReadUntil, Unread, Now);
 }
 
-void dropEnded(engine_work &Engine, time_point Now) {
+void dropEnded(placed_work &Engine, time_point Now) {
   std::erase_if(Engine.Requests, [Now](const placed_request &Request) {
     return Request.EndsAt <= Now;
   });
 }
 
-nanoseconds readingBacklog(const engine_work &Engine, time_point Now) {
+nanoseconds readingBacklog(const placed_work &Engine, time_point Now) {
   return std::max(nanoseconds(0), nanoseconds(Engine.ReadingUntil - Now));
 }
 
-std::int64_t memoryInUse(const engine_work &Engine) {
+std::int64_t memoryInUse(const placed_work &Engine) {
   std::int64_t Tokens = 0;
   for (const placed_request &Request : Engine.Requests)
     Tokens += Request.Work.MemoryTokens;
   return Tokens;
 }
 
-double squaredReadingRate(const engine_work &Engine, time_point Now) {
+double squaredReadingRate(const placed_work &Engine, time_point Now) {
   return decayedReads(Engine, Now) / ReadDecayTime.count();
 }
 
--- a/Libraries/LibRouting/engine_work.h
+++ b/Libraries/LibRouting/placed_work.h
@@ -1,5 +1,5 @@
-#ifndef PARSLEYSPINDLE_LIBROUTING_ENGINE_WORK_H
-#define PARSLEYSPINDLE_LIBROUTING_ENGINE_WORK_H
+#ifndef PARSLEYSPINDLE_LIBROUTING_PLACED_WORK_H
+#define PARSLEYSPINDLE_LIBROUTING_PLACED_WORK_H
 
 #include "LibCore/runtime_clock.h"
 
@@ -33,7 +33,7 @@
 /// it. An engine reads prompts one after the other and generates the output of
 /// all that are read together. Modify it only through the functions below; none
 /// of them is thread-safe.
-struct engine_work {
+struct placed_work {
   std::vector<placed_request> Requests;
   std::uint64_t LastTicket = 0;
   /// When the prompts of all requests are read.
@@ -46,24 +46,24 @@
 
 /// Adds a request that reaches the engine at \p Arrival, and returns its
 /// ticket.
-std::uint64_t addWork(engine_work &Engine, const request_work &Work,
+std::uint64_t addWork(placed_work &Engine, const request_work &Work,
                       time_point Arrival);
 /// Removes a request that was not sent. Does nothing if it has ended.
-void cancelWork(engine_work &Engine, std::uint64_t Ticket, time_point Now);
+void cancelWork(placed_work &Engine, std::uint64_t Ticket, time_point Now);
 /// Removes the requests whose expected end has passed.
-void dropEnded(engine_work &Engine, time_point Now);
+void dropEnded(placed_work &Engine, time_point Now);
 /// How long a prompt that arrives at \p Now waits for those before it.
-nanoseconds readingBacklog(const engine_work &Engine, time_point Now);
+nanoseconds readingBacklog(const placed_work &Engine, time_point Now);
 /// The memory that the engine's requests occupy at their ends, in tokens.
-std::int64_t memoryInUse(const engine_work &Engine);
+std::int64_t memoryInUse(const placed_work &Engine);
 /// The squared reading time that the engine was given per second lately, in
 /// square milliseconds. Long prompts count more than in proportion, as a pause
 /// grows with the prompt that causes it.
-double squaredReadingRate(const engine_work &Engine, time_point Now);
+double squaredReadingRate(const placed_work &Engine, time_point Now);
 /// The probability that a stream pauses for longer than \p GapObjective while
 /// the engine reads for \p Reading at a stretch. 0 without an objective.
 double pauseRisk(nanoseconds Reading, nanoseconds GapObjective);
 
 } // namespace spindle
 
-#endif // PARSLEYSPINDLE_LIBROUTING_ENGINE_WORK_H
+#endif // PARSLEYSPINDLE_LIBROUTING_PLACED_WORK_H
--- a/Tests/LibRouting/test_engine_placement.cpp
+++ b/Tests/LibRouting/test_engine_placement.cpp
@@ -27,7 +27,7 @@
   return Query;
 }
 
-std::vector<engine_candidate> candidates(std::span<const engine_work> Works) {
+std::vector<engine_candidate> candidates(std::span<const placed_work> Works) {
   std::vector<engine_candidate> Engines(Works.size());
   for (std::size_t Index = 0; Index < Works.size(); ++Index) {
     Engines[Index].Work = &Works[Index];
@@ -40,7 +40,7 @@
 /// How requests are placed in a replay.
 enum class way { ByWork, LeastRequests };
 
-std::size_t choose(way Way, std::span<const engine_work> Works,
+std::size_t choose(way Way, std::span<const placed_work> Works,
                    const placement_query &Query, time_point Now) {
   if (Way == way::ByWork)
     return rankEngines(candidates(Works), Query, placement_costs{}, Now)
@@ -56,7 +56,7 @@
 /// Replays long prompts beside short streams, and returns the part of the short
 /// streams beside which the engine reads for longer than they may pause.
 double latePart(way Way) {
-  std::array<engine_work, EngineCount> Works;
+  std::array<placed_work, EngineCount> Works;
   std::mt19937 Random(5);
   std::uniform_int_distribution<int> Pause(0, 24);
   int Streams = 0;
@@ -64,11 +64,11 @@
   time_point Now = Start;
   for (int Number = 0; Number < 4'000; ++Number) {
     Now += milliseconds(Pause(Random));
-    for (engine_work &Work : Works)
+    for (placed_work &Work : Works)
       dropEnded(Work, Now);
     const bool IsLong = Number % 2 == 0;
     const placement_query Query = IsLong ? query(9'000, 50) : query(800, 300);
-    engine_work &Work = Works[choose(Way, Works, Query, Now)];
+    placed_work &Work = Works[choose(Way, Works, Query, Now)];
     engine_candidate Engine;
     Engine.Work = &Work;
     const request_work Asked = workOn(Engine, Query, placement_costs{});
@@ -104,7 +104,7 @@
 // Guards against an engine that crashes because it holds more than its memory.
 TEST_CASE("no engine is given more than its memory or its batch holds") {
   rc::check([](const std::vector<std::uint16_t> &Prompts) {
-    std::array<engine_work, 3> Works;
+    std::array<placed_work, 3> Works;
     for (const std::uint16_t Prompt : Prompts) {
       const placement_query Query = query(Prompt, 200);
       const std::vector<engine_choice> Ranked =
@@ -112,7 +112,7 @@
       if (Ranked.empty())
         continue;
       addWork(Works[Ranked.front().Index], Ranked.front().Work, Start);
-      for (const engine_work &Work : Works) {
+      for (const placed_work &Work : Works) {
         RC_ASSERT(memoryInUse(Work) <= EngineMemory);
         RC_ASSERT(Work.Requests.size() <= 32U);
       }
@@ -121,7 +121,7 @@
 }
 
 TEST_CASE("a large request fits an engine that has nothing to do") {
-  std::array<engine_work, 1> Works;
+  std::array<placed_work, 1> Works;
   REQUIRE(rankEngines(candidates(Works), query(EngineMemory - 400, 200),
                       placement_costs{}, Start)
               .size() == 1);
@@ -133,7 +133,7 @@
 // Guards against requests that all wait for the one engine that has their
 // adapter until they are of no use.
 TEST_CASE("an adapter is loaded elsewhere if its engine would begin too late") {
-  std::array<engine_work, 2> Works;
+  std::array<placed_work, 2> Works;
   for (int Number = 0; Number < 20; ++Number)
     addWork(Works[0], {milliseconds(240), milliseconds(300), 9'000, {}}, Start);
   std::vector<engine_candidate> Engines = candidates(Works);
@@ -148,7 +148,7 @@
 
 // Guards against slow engines that get as many long prompts as fast ones.
 TEST_CASE("a long prompt goes to a faster engine, a short stream to either") {
-  std::array<engine_work, 2> Works;
+  std::array<placed_work, 2> Works;
   std::vector<engine_candidate> Engines = candidates(Works);
   Engines[0].ReadingFactor = 3;
   Engines[0].WritingFactor = 3;
--- a/Tests/LibRouting/test_engine_work.cpp
+++ b/Tests/LibRouting/test_placed_work.cpp
@@ -1,4 +1,4 @@
-#include "LibRouting/engine_work.h"
+#include "LibRouting/placed_work.h"
 
 #include <vector>
 
@@ -21,7 +21,7 @@
 // Guards against a backlog that is counted twice or not at all, which sends
 // prompts to engines that are busy.
 TEST_CASE("prompts are read one after the other") {
-  engine_work Engine;
+  placed_work Engine;
   addWork(Engine, work(200), Start);
   addWork(Engine, work(100), Start + milliseconds(50));
   REQUIRE(readingBacklog(Engine, Start + milliseconds(50)) ==
@@ -33,7 +33,7 @@
 
 // Guards against requests that were never sent and hold their place.
 TEST_CASE("a cancelled request leaves its place to those behind it") {
-  engine_work Engine;
+  placed_work Engine;
   const std::uint64_t First = addWork(Engine, work(200), Start);
   addWork(Engine, work(100), Start);
   cancelWork(Engine, First, Start);
@@ -46,7 +46,7 @@
 TEST_CASE(
     "whatever is added and cancelled, the sums are those of what is left") {
   rc::check([](const std::vector<std::uint8_t> &Steps) {
-    engine_work Engine;
+    placed_work Engine;
     std::vector<std::uint64_t> Tickets;
     time_point Now = Start;
     for (const std::uint8_t Step : Steps) {
