LibGateway, LibScheduling: Hold back only prompts that would be late, and copies while slots are short

Waiting for an engine with little to read kept prompts back that would have been in time; most refusals came after seconds in which further copies of adapters that had one took the slots that others waited for; unknown waits made engines look slow; a host's own view of a silent zone ruled out all its engines. Change: only prompts that would be late wait for a low backlog; an adapter with a copy gets no further ones while others wait for slots; time factors count up to 2; only hosts' worst engines are excluded; refusals state their times.

--- a/Libraries/LibGateway/adapter_controller.cpp
+++ b/Libraries/LibGateway/adapter_controller.cpp
@@ -526,6 +526,16 @@
   return Outlooks;
 }
 
+bool adapter_controller::othersWaitForSlots(const std::string &Service,
+                                            const adapter_name &Adapter) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Queues.find(Service);
+  if (Found == Queues.end())
+    return false;
+  return Found->second.Waiting.size() >
+         (Found->second.Waiting.contains(Adapter) ? 1U : 0U);
+}
+
 std::optional<std::uint64_t>
 adapter_controller::holdLoaded(upstream_id Engine,
                                const versioned_adapter &Wanted) {
--- a/Libraries/LibGateway/adapter_controller.h
+++ b/Libraries/LibGateway/adapter_controller.h
@@ -84,6 +84,10 @@
   std::vector<adapter_outlook>
   outlooks(std::span<const upstream_pointer> Entries,
            const versioned_adapter &Wanted);
+  /// Whether adapters other than \p Adapter wait for a slot of the service's
+  /// engines.
+  bool othersWaitForSlots(const std::string &Service,
+                          const adapter_name &Adapter) const;
   /// Keeps the adapter loaded on the engine for HoldTerm if it is, and returns
   /// its version; also while the engine answers no orders.
   std::optional<std::uint64_t> holdLoaded(upstream_id Engine,
--- a/Libraries/LibGateway/fleet_table.cpp
+++ b/Libraries/LibGateway/fleet_table.cpp
@@ -349,7 +349,7 @@
 
 std::vector<upstream_id> fleet_table::unusable(const upstream_query &Query,
                                                std::string_view Zone) const {
-  static constexpr double MinHealth = 0.5;
+  static constexpr double MinHealth = 0.2;
   const std::lock_guard<std::mutex> Lock(Mutex);
   std::vector<upstream_id> Engines;
   for (const auto &[Id, Known] : Upstreams) {
--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -11,13 +11,14 @@
 static constexpr double MaxValueGap = 0.05;
 // The same while all slots are in use: the first that is free will do.
 static constexpr double MaxValueGapWithoutSlot = 0.3;
+// Waits that are not known of, such as for requests of hosts that could not
+// reach the leader, look like slowness; they must not shut an engine out.
+static constexpr double MaxTimeFactor = 2;
 static constexpr milliseconds RoomPollInterval{10};
 static constexpr milliseconds ReplanInterval{60};
-// Prompts wait here rather than at an engine, but for so much that the engine
-// always has one to read.
-static constexpr milliseconds MaxReadingBacklog{250};
-// The same for requests that are late already.
-static constexpr milliseconds MaxReadingBacklogIfLate{100};
+// A prompt that would be late at its engine waits here until the engine has at
+// most this left to read.
+static constexpr milliseconds MaxBacklogIfLate{250};
 // The part of an engine's memory that holds the parts of earlier prompts.
 static constexpr double CachedPartsShare = 0.7;
 // A reading time says something of the engine's speed if the prompt waited for
@@ -92,8 +93,10 @@
 static void applyFacts(engine_candidate &Candidate, const engine_facts &Facts,
                        const placement_query &Query, time_point Now) {
   const request_work Usual = workOn(Candidate, Query, placement_costs{});
-  Candidate.ReadingFactor = expectedTimeFactor(Facts, Usual.Reading, Now);
-  Candidate.WritingFactor = expectedTimeFactor(Facts, Usual.Writing, Now);
+  Candidate.ReadingFactor =
+      std::min(MaxTimeFactor, expectedTimeFactor(Facts, Usual.Reading, Now));
+  Candidate.WritingFactor =
+      std::min(MaxTimeFactor, expectedTimeFactor(Facts, Usual.Writing, Now));
 }
 
 /// How long an engine of the usual speed would read the prompt; 0 if it waits
@@ -110,6 +113,18 @@
   return std::chrono::duration_cast<milliseconds>(Reading);
 }
 
+/// While adapters without a copy wait for slots, one that has a copy gets no
+/// further ones. Load pattern: more adapters are asked for than there are
+/// slots.
+static void keepToCopies(std::span<adapter_outlook> Outlooks) {
+  if (copiesIn(Outlooks) == 0)
+    return;
+  for (adapter_outlook &Outlook : Outlooks)
+    if (Outlook.Slots.Readiness != adapter_readiness::Ready &&
+        Outlook.Slots.Readiness != adapter_readiness::Loading)
+      Outlook.Slots.Readiness = adapter_readiness::Unavailable;
+}
+
 work_placer::zone_view
 work_placer::viewZone(const work_request &Request) const {
   upstream_query Query;
@@ -129,9 +144,12 @@
   Entries.reserve(View.Engines.size());
   for (const placeable_engine &Engine : View.Engines)
     Entries.push_back(Engine.Entry);
-  View.Outlooks = Controller.outlooks(
-      Entries, {{Request.Description.Model, Request.Description.Adapter},
-                Request.AdapterVersion});
+  const adapter_name Adapter{Request.Description.Model,
+                             Request.Description.Adapter};
+  View.Outlooks =
+      Controller.outlooks(Entries, {Adapter, Request.AdapterVersion});
+  if (Controller.othersWaitForSlots(Request.Service, Adapter))
+    keepToCopies(View.Outlooks);
   return View;
 }
 
@@ -274,12 +292,16 @@
   const auto Found = Placer.Engines.find(Prompt.Engine);
   if (Found == Placer.Engines.end())
     return true;
-  const nanoseconds Limit =
-      isLate(Prompt, Now) ? MaxReadingBacklogIfLate : MaxReadingBacklog;
+  const nanoseconds InTime = Prompt.OnTimeUntil - Now - Prompt.Reading;
+  const nanoseconds Limit = std::max<nanoseconds>(InTime, MaxBacklogIfLate);
   return readingBacklog(Found->second.Work, Now + Loading) <= Limit &&
          goesFirst(Placer.Queue, Ticket, Prompt, Now);
 }
 
+static std::int64_t toMilliseconds(nanoseconds Time) {
+  return std::chrono::duration_cast<milliseconds>(Time).count();
+}
+
 /// Precondition: Mutex is held.
 void work_placer::queue_position::refuseIfUseless(const placement_plan &Plan,
                                                   time_point Now) const {
@@ -290,7 +312,14 @@
     return;
   throw retry_after_error(
       result_code::AdapterNotLoaded,
-      "no engine would begin its answer while that is of use",
+      "no engine would begin its answer while that is of use: " +
+          std::to_string(toMilliseconds(Ahead)) + " ms ahead here, " +
+          std::to_string(toMilliseconds(Plan.Best.FirstEvent)) +
+          " ms there, of which " +
+          std::to_string(toMilliseconds(Plan.Best.Loading)) +
+          " ms for the adapter and " +
+          std::to_string(toMilliseconds(Plan.Best.Work.Reading)) +
+          " ms for its own prompt",
       std::chrono::duration_cast<milliseconds>(FirstEvent -
                                                Request.Slot.UsefulUntil));
 }
--- a/Libraries/LibScheduling/prompt_queue.cpp
+++ b/Libraries/LibScheduling/prompt_queue.cpp
@@ -61,15 +61,10 @@
                          time_point Now) {
   const auto Own = orderOf(Queue, Ticket, Prompt, Now);
   nanoseconds Total{0};
-  nanoseconds OnEngine{0};
-  for (const auto &[Each, Other] : Queue.Waiting) {
-    if (Each == Ticket || orderOf(Queue, Each, Other, Now) > Own)
-      continue;
-    Total += Other.Reading;
-    if (Other.Engine == Prompt.Engine)
-      OnEngine += Other.Reading;
-  }
-  return std::max(OnEngine, Total / static_cast<std::int64_t>(Engines));
+  for (const auto &[Each, Other] : Queue.Waiting)
+    if (Each != Ticket && orderOf(Queue, Each, Other, Now) < Own)
+      Total += Other.Reading;
+  return Total / static_cast<std::int64_t>(Engines);
 }
 
 } // namespace spindle
--- a/Libraries/LibScheduling/prompt_queue.h
+++ b/Libraries/LibScheduling/prompt_queue.h
@@ -52,9 +52,8 @@
 /// \p Prompt. \p Ticket is its own, or 0 if it does not wait yet.
 bool goesFirst(const prompt_queue &Queue, std::uint64_t Ticket,
                const waiting_prompt &Prompt, time_point Now);
-/// How long it takes until the prompts that go before \p Prompt are read: those
-/// that wait for its engine, or an even part of all if that takes longer.
-/// Precondition: \p Engines is not 0.
+/// How long it takes until \p Engines engines have read the prompts that go
+/// before \p Prompt. Precondition: \p Engines is not 0.
 nanoseconds expectedWait(const prompt_queue &Queue, std::uint64_t Ticket,
                          const waiting_prompt &Prompt, std::size_t Engines,
                          time_point Now);
