LibGateway: Reserve an engine's room in one step, and keep no work of engines that left

Cause: three faults of the placer. Room was compared in one step and taken in another, so requests placed by several threads took it twice, and a request whose adapter came to be held on another engine took its place without a comparison; an engine that holds more than its memory crashes. An engine that began anew gave tickets a second time, so that a request that timed out ended the work of another. Work of engines that had left was kept forever. Change: a reservation compares and takes room under one lock, else the request is planned again; tickets are unique for the placer; engines that the fleet no longer has are dropped each second.

--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -13,6 +13,7 @@
 static constexpr double MaxValueGapWithoutSlot = 0.3;
 static constexpr milliseconds RoomPollInterval{10};
 static constexpr milliseconds ReplanInterval{60};
+static constexpr milliseconds DropLeftInterval{1'000};
 // Prompts wait here rather than at an engine, but for so much that the engine
 // always has one to read.
 static constexpr milliseconds MaxReadingBacklog{250};
@@ -34,26 +35,44 @@
 /// request is sent.
 class work_placer::reservation {
 public:
-  reservation(work_placer &Placer, upstream_id Engine, const request_work &Work,
+  /// Takes the place if the engine still has room: others may have been placed
+  /// since \p Engine was planned.
+  reservation(work_placer &Placer, const planned_engine &Engine,
+              const placement_query &Query, const request_work &Work,
               time_point Arrival)
-      : Placer(Placer), Engine(Engine) {
+      : Placer(Placer), Engine(Engine.Id) {
     const std::lock_guard<std::mutex> Lock(Placer.Mutex);
-    Ticket = addWork(Placer.Engines[Engine].Work, Work, Arrival);
+    const auto Found = Placer.Engines.find(Engine.Id);
+    if (Found == Placer.Engines.end())
+      return;
+    placed_work &Placed = Found->second.Work;
+    engine_candidate Room = Engine.Candidate;
+    Room.Work = &Placed;
+    if (!hasRoom(Room, Query))
+      return;
+    // Tickets are not used twice, also not by an engine that begins anew.
+    Placed.LastTicket = Placer.LastTicket;
+    Ticket = addWork(Placed, Work, Arrival);
+    Placer.LastTicket = Ticket;
   }
   ~reservation() {
-    if (IsKept)
+    if (IsKept || !isTaken())
       return;
     const std::lock_guard<std::mutex> Lock(Placer.Mutex);
-    cancelWork(Placer.Engines[Engine].Work, Ticket, Placer.Clock.now());
+    const auto Found = Placer.Engines.find(Engine);
+    if (Found != Placer.Engines.end())
+      cancelWork(Found->second.Work, Ticket, Placer.Clock.now());
   }
   reservation(const reservation &) = delete;
   reservation &operator=(const reservation &) = delete;
 
+  bool isTaken() const { return Ticket > 0; }
   void keep() { IsKept = true; }
 
 private:
   work_placer &Placer;
   const upstream_id Engine;
+  /// 0 if the engine had no room.
   std::uint64_t Ticket = 0;
   bool IsKept = false;
 };
@@ -72,6 +91,16 @@
   return State;
 }
 
+/// Drops the engines that have left. Precondition: Mutex is held.
+void work_placer::dropLeft(time_point Now) {
+  if (Now < DropLeftAt)
+    return;
+  DropLeftAt = Now + DropLeftInterval;
+  std::erase_if(Engines, [this](const auto &Entry) {
+    return Fleet.find(Entry.first) == nullptr;
+  });
+}
+
 static std::uint32_t copiesIn(std::span<const adapter_outlook> Outlooks) {
   return static_cast<std::uint32_t>(std::count_if(
       Outlooks.begin(), Outlooks.end(), [](const adapter_outlook &Outlook) {
@@ -168,6 +197,7 @@
   Query.AdapterUses = usesIn(View.Outlooks);
   Query.AdapterCopies = copiesIn(View.Outlooks);
   const std::lock_guard<std::mutex> Lock(Mutex);
+  dropLeft(Now);
   std::vector<engine_candidate> Candidates;
   Candidates.reserve(View.Engines.size());
   for (std::size_t Index = 0; Index < View.Engines.size(); ++Index)
@@ -187,7 +217,8 @@
                          : MaxValueGap;
   for (const engine_choice &Choice : Ranked)
     if (Choice.Value >= Plan.Best.Value - Gap)
-      Plan.Engines.push_back(View.Engines[Choice.Index].Entry->Id);
+      Plan.Engines.push_back(
+          {View.Engines[Choice.Index].Entry->Id, Candidates[Choice.Index]});
   return Plan;
 }
 
@@ -198,25 +229,44 @@
   const versioned_adapter Wanted{
       {Request.Description.Model, Request.Description.Adapter},
       Request.AdapterVersion};
-  const upstream_id Best = Plan.Engines.front();
+  const upstream_id Best = Plan.Engines.front().Id;
   if (Plan.IsAdapterReady)
     if (const std::optional<std::uint64_t> Version =
             Controller.holdLoaded(Best, Wanted))
       return adapter_location{Best, {Wanted.Name, *Version}};
   slot_request Slot = Request.Slot;
   Slot.SharesGrants = true;
-  Slot.Engines = Plan.Engines;
+  for (const planned_engine &Engine : Plan.Engines)
+    Slot.Engines.push_back(Engine.Id);
   return Controller.hold(Wanted, Slot, Until);
 }
 
+/// Takes the place on another engine than the best, which came to hold the
+/// adapter first. Returns whether it has room.
+bool work_placer::placeInstead(const work_request &Request,
+                               const placement_plan &Plan, upstream_id Engine) {
+  const auto Planned = std::find_if(
+      Plan.Engines.begin(), Plan.Engines.end(),
+      [Engine](const planned_engine &Each) { return Each.Id == Engine; });
+  if (Planned == Plan.Engines.end())
+    return false;
+  reservation Reserved(*this, *Planned, Request.Query, Plan.Best.Work,
+                       Clock.now());
+  Reserved.keep();
+  return Reserved.isTaken();
+}
+
+/// Returns none if the adapter is not held in time, or if the room is gone.
 std::optional<placed_engine> work_placer::carryOut(const work_request &Request,
                                                    const placement_plan &Plan,
                                                    time_point Until) {
-  const upstream_id Best = Plan.Engines.front();
-  reservation Reserved(*this, Best, Plan.Best.Work,
+  const planned_engine &Best = Plan.Engines.front();
+  reservation Reserved(*this, Best, Request.Query, Plan.Best.Work,
                        Clock.now() + Plan.Best.Loading);
+  if (!Reserved.isTaken())
+    return std::nullopt;
   placed_engine Placed;
-  Placed.Engine = Best;
+  Placed.Engine = Best.Id;
   if (!Request.Description.Adapter.empty()) {
     const std::optional<adapter_location> Location =
         holdAdapter(Request, Plan, Until);
@@ -225,14 +275,16 @@
     Placed.Engine = Location->Engine;
     Placed.Version = Location->Adapter.Version;
   }
-  if (Placed.Engine == Best)
+  if (Placed.Engine == Best.Id)
     Reserved.keep();
-  else
-    reservation(*this, Placed.Engine, Plan.Best.Work, Clock.now()).keep();
-  if (Placed.Engine == Best && Plan.Best.Loading == nanoseconds(0))
+  else if (!placeInstead(Request, Plan, Placed.Engine))
+    return std::nullopt;
+  if (Placed.Engine == Best.Id && Plan.Best.Loading == nanoseconds(0))
     Placed.UsualReading = Plan.UsualReading;
   const std::lock_guard<std::mutex> Lock(Mutex);
-  Engines[Placed.Engine].Prompts.note(Request.Description);
+  const auto Found = Engines.find(Placed.Engine);
+  if (Found != Engines.end())
+    Found->second.Prompts.note(Request.Description);
   return Placed;
 }
 
@@ -297,7 +349,7 @@
 
 bool work_placer::queue_position::mayProceed(const placement_plan &Plan) {
   Prompt.Claim = {Request.Slot.Urgency, Request.Slot.Customer};
-  Prompt.Engine = Plan.Engines.front();
+  Prompt.Engine = Plan.Engines.front().Id;
   Prompt.Reading = Plan.Best.Work.Reading;
   Prompt.OnTimeUntil = Request.Slot.OnTimeUntil;
   Prompt.UsefulUntil = Request.Slot.UsefulUntil;
@@ -337,7 +389,8 @@
   while (true) {
     const std::optional<placement_plan> Plan = plan(Request);
     if (Plan && Position.mayProceed(*Plan))
-      return carryOut(Request, *Plan, Until);
+      if (std::optional<placed_engine> Placed = carryOut(Request, *Plan, Until))
+        return Placed;
     if (Clock.now() >= Until)
       return std::nullopt;
     Position.wait();
--- a/Libraries/LibGateway/work_placer.h
+++ b/Libraries/LibGateway/work_placer.h
@@ -84,10 +84,16 @@
     std::vector<adapter_outlook> Outlooks;
     engine_capacity Size;
   };
+  /// An engine as it was when the request was planned. The candidate's work may
+  /// be gone since.
+  struct planned_engine {
+    upstream_id Id;
+    engine_candidate Candidate;
+  };
   /// The engines on which the request may run, the best first, with what it
   /// asks of that one.
   struct placement_plan {
-    std::vector<upstream_id> Engines;
+    std::vector<planned_engine> Engines;
     engine_choice Best;
     bool IsAdapterReady = false;
     /// The engines that were compared.
@@ -107,6 +113,9 @@
   std::optional<adapter_location> holdAdapter(const work_request &Request,
                                               const placement_plan &Plan,
                                               time_point Until);
+  void dropLeft(time_point Now);
+  bool placeInstead(const work_request &Request, const placement_plan &Plan,
+                    upstream_id Engine);
   std::optional<placed_engine> carryOut(const work_request &Request,
                                         const placement_plan &Plan,
                                         time_point Until);
@@ -118,6 +127,9 @@
   const capacity_port Capacity;
   mutable std::mutex Mutex;
   std::map<upstream_id, engine_state> Engines;
+  std::uint64_t LastTicket = 0;
+  /// When engines that have left are dropped next.
+  time_point DropLeftAt;
   prompt_queue Queue;
 };
 
