LibGateway, LibRouting: Bound the figures that a request for an engine states

Cause: token counts, objectives and times in a peer's message were used as stated. A count near the ends of the range made every value no number, after which the leader read the first of no engines and crashed; a large output kept an engine's memory for hours; times overflowed. A request could wait for room past the time at which it was of use. Change: placement_message reads such messages and brings figures into range, boundTokens() also for the host's own requests; engines without a finite value are not ranked; the placer waits no longer than the request is of use. work_request has a file of its own.

--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -141,6 +141,7 @@
   Request.Slot.UsefulUntil = Query.UsefulUntil;
   Request.Slot.Urgency = Query.Urgency;
   Request.Slot.Customer = Query.Customer;
+  boundTokens(Request);
   const std::optional<placed_engine> Placed = Placer.place(Request, Until);
   if (!Placed)
     return std::nullopt;
@@ -155,46 +156,6 @@
   return std::chrono::duration_cast<milliseconds>(Time - Now).count();
 }
 
-static std::int64_t toMilliseconds(nanoseconds Time) {
-  return std::chrono::duration_cast<milliseconds>(Time).count();
-}
-
-static void writeWork(const hold_work &Work, host_link::RequestWork &Message) {
-  Message.set_service(std::string(Work.Service));
-  Message.set_prompt_tokens(Work.Query.PromptTokens);
-  Message.set_output_tokens(Work.Query.OutputTokens);
-  Message.set_high_output_tokens(Work.Query.HighOutputTokens);
-  Message.set_gap_ms(toMilliseconds(Work.Query.GapObjective));
-  Message.set_objective_ms(toMilliseconds(Work.Query.Objective));
-  for (const prompt_part &Part : Work.Description->Prompt) {
-    host_link::PromptPart &Written = *Message.add_parts();
-    Written.set_id(Part.Id);
-    Written.set_tokens(Part.Tokens);
-  }
-  for (const upstream_id Engine : Work.Avoid)
-    Message.add_avoid(Engine.Value);
-}
-
-static work_request readWork(const host_link::HoldAdapterRequest &Message) {
-  const host_link::RequestWork &Work = Message.work();
-  work_request Request;
-  Request.Service = Work.service();
-  Request.Description.Model = Message.model();
-  Request.Description.Adapter = Message.adapter();
-  Request.Description.PromptTokens = Work.prompt_tokens();
-  for (const host_link::PromptPart &Part : Work.parts())
-    Request.Description.Prompt.push_back({Part.id(), Part.tokens()});
-  Request.AdapterVersion = Message.version();
-  Request.Query.PromptTokens = Work.prompt_tokens();
-  Request.Query.OutputTokens = Work.output_tokens();
-  Request.Query.HighOutputTokens = Work.high_output_tokens();
-  Request.Query.GapObjective = milliseconds(Work.gap_ms());
-  Request.Query.Objective = milliseconds(Work.objective_ms());
-  for (const std::uint64_t Engine : Work.avoid())
-    Request.Avoid.push_back(upstream_id{Engine});
-  return Request;
-}
-
 std::optional<held_engine>
 adapter_holds::requestFromLeader(const hold_query &Query,
                                  const endpoint &Leader, time_point Until) {
@@ -263,14 +224,10 @@
 adapter_holds::handlePlacement(const host_link::HoldAdapterRequest &Request) {
   host_link::HoldAdapterReply Reply;
   const time_point Now = Clock.now();
-  work_request Placement = readWork(Request);
-  Placement.Slot.OnTimeUntil = Now + milliseconds(Request.on_time_ms());
-  Placement.Slot.UsefulUntil = Now + milliseconds(Request.useful_ms());
-  Placement.Slot.Urgency = Request.urgency();
-  Placement.Slot.Customer = customer_id{Request.customer()};
+  const work_request Placement = readWork(Request, Now);
   try {
     const std::optional<placed_engine> Placed =
-        Placer.place(Placement, Now + milliseconds(Request.wait_ms()));
+        Placer.place(Placement, readTime(Request.wait_ms(), Now));
     const upstream_pointer Engine =
         Placed ? Fleet.find(Placed->Engine) : nullptr;
     Reply.set_held(Engine != nullptr);
@@ -307,12 +264,12 @@
     SlotRequest.Engines.push_back(upstream_id::ofName(Name));
     Names[SlotRequest.Engines.back()] = Name;
   }
-  SlotRequest.OnTimeUntil = Now + milliseconds(Request.on_time_ms());
-  SlotRequest.UsefulUntil = Now + milliseconds(Request.useful_ms());
+  SlotRequest.OnTimeUntil = readTime(Request.on_time_ms(), Now);
+  SlotRequest.UsefulUntil = readTime(Request.useful_ms(), Now);
   SlotRequest.Urgency = Request.urgency();
   try {
-    const std::optional<adapter_location> Location = Controller.hold(
-        Wanted, SlotRequest, Now + milliseconds(Request.wait_ms()));
+    const std::optional<adapter_location> Location =
+        Controller.hold(Wanted, SlotRequest, readTime(Request.wait_ms(), Now));
     Reply.set_held(Location.has_value());
     Reply.set_waiting(!Location);
     if (!Location)
--- a/Libraries/LibGateway/adapter_holds.h
+++ b/Libraries/LibGateway/adapter_holds.h
@@ -4,6 +4,7 @@
 #include "LibCore/runtime_clock.h"
 #include "LibGateway/adapter_controller.h"
 #include "LibGateway/fleet_table.h"
+#include "LibGateway/placement_message.h"
 #include "LibGateway/work_placer.h"
 #include "LibGateway/zone_coordinator.h"
 #include "LibPeer/host_link_client.h"
@@ -16,16 +17,6 @@
 
 namespace spindle {
 
-/// What a request asks of the engine that the zone's leader chooses for it.
-struct hold_work {
-  std::string_view Service;
-  /// Never null.
-  const request_description *Description = nullptr;
-  placement_query Query;
-  /// Engines of the zone that this host may not use.
-  std::vector<upstream_id> Avoid;
-};
-
 /// The adapter that a request needs on one of a zone's engines, and until when.
 struct hold_query {
   /// The engines on which the adapter may be loaded, in order of preference.
--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -385,6 +385,7 @@
 
 std::optional<placed_engine> work_placer::place(const work_request &Request,
                                                 time_point Until) {
+  Until = std::min(Until, Request.Slot.UsefulUntil);
   queue_position Position(*this, Request);
   while (true) {
     const std::optional<placement_plan> Plan = plan(Request);
--- a/Libraries/LibGateway/work_placer.h
+++ b/Libraries/LibGateway/work_placer.h
@@ -6,6 +6,7 @@
 #include "LibGateway/fleet_table.h"
 #include "LibGateway/gateway_configuration.h"
 #include "LibGateway/prompt_cache_estimate.h"
+#include "LibGateway/work_request.h"
 #include "LibRouting/engine_placement.h"
 #include "LibScheduling/prompt_queue.h"
 
@@ -19,21 +20,6 @@
 
 namespace spindle {
 
-/// A request that needs an engine of a zone.
-struct work_request {
-  std::string Service;
-  /// The model, the adapter and the parts of the prompt.
-  request_description Description;
-  /// The minimum version of the adapter.
-  std::uint64_t AdapterVersion = 0;
-  /// The expected output and the objectives; the placer fills in the rest.
-  placement_query Query;
-  std::vector<upstream_id> Avoid;
-  /// When the first event is due, until when it is of use, and how urgent it
-  /// is. The placer fills in the engines.
-  slot_request Slot;
-};
-
 struct placed_engine {
   upstream_id Engine;
   /// The version of the adapter there; 0 if the request names none.
@@ -59,8 +45,8 @@
               capacity_port Capacity);
 
   /// Chooses an engine of the zone and has it hold the adapter. Waits until
-  /// \p Until for room or the adapter; returns none on timeout. Blocks the
-  /// fiber.
+  /// \p Until for room or the adapter, but not past the time at which the
+  /// request is of no use; returns none on timeout. Blocks the fiber.
   /// \throws spindle_error NoUpstream, NotOwner, or AdapterNotLoaded if no
   /// engine will serve the request in time to be of use.
   std::optional<placed_engine> place(const work_request &Request,
--- a/Libraries/LibRouting/engine_placement.cpp
+++ b/Libraries/LibRouting/engine_placement.cpp
@@ -165,9 +165,15 @@
             time_point Now) {
   std::vector<engine_choice> Ranked;
   Ranked.reserve(Engines.size());
-  for (std::size_t Index = 0; Index < Engines.size(); ++Index)
-    if (isUsable(Engines[Index]) && hasRoom(Engines[Index], Query))
-      Ranked.push_back(evaluate(Engines[Index], Index, Query, Costs, Now));
+  for (std::size_t Index = 0; Index < Engines.size(); ++Index) {
+    if (!isUsable(Engines[Index]) || !hasRoom(Engines[Index], Query))
+      continue;
+    const engine_choice Choice =
+        evaluate(Engines[Index], Index, Query, Costs, Now);
+    // Values that are no numbers have no order.
+    if (std::isfinite(Choice.Value))
+      Ranked.push_back(Choice);
+  }
   std::stable_sort(Ranked.begin(), Ranked.end(),
                    [](const engine_choice &Left, const engine_choice &Right) {
                      return Left.Value > Right.Value;
