LibGateway, LibRouting: Refuse at once what no engine of the zone has room for in time

Cause: while the engines' memory was full, a request was planned again until it was of no use, though the placer has the expected ends of all that it placed: the caller got its refusal at the deadline with a default Retry-After, and no other zone was asked in time. A prompt larger than any engine's memory waited likewise. Change: timeUntilRoom() gives the time until an engine has room; if all are too late the request is refused with that time, and without one if none ever has. Effect on loads not measured.

--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -187,6 +187,27 @@
   return Candidate;
 }
 
+/// Throws if no engine is expected to have room while the first event is of
+/// use. Load pattern: the engines' memory is full of long outputs; the request
+/// is of more use in another zone, or later.
+static void refuseIfNoRoom(std::span<const engine_candidate> Engines,
+                           const placement_query &Query, time_point Now) {
+  std::optional<nanoseconds> Soonest;
+  for (const engine_candidate &Engine : Engines) {
+    const std::optional<nanoseconds> Wait = timeUntilRoom(Engine, Query, Now);
+    if (Wait && (!Soonest || *Wait < *Soonest))
+      Soonest = Wait;
+  }
+  if (!Soonest)
+    throw spindle_error(result_code::AdapterNotLoaded,
+                        "no engine has the memory for the request");
+  if (*Soonest > Query.Useful)
+    throw retry_after_error(
+        result_code::AdapterNotLoaded,
+        "no engine will have room for the request while that is of use",
+        std::chrono::ceil<milliseconds>(*Soonest));
+}
+
 std::optional<work_placer::placement_plan>
 work_placer::plan(const work_request &Request) {
   const zone_view View = viewZone(Request);
@@ -204,8 +225,10 @@
     Candidates.push_back(candidate(Request, View, Index, Now));
   const std::vector<engine_choice> Ranked =
       rankEngines(Candidates, Query, placement_costs{}, Now);
-  if (Ranked.empty())
+  if (Ranked.empty()) {
+    refuseIfNoRoom(Candidates, Query, Now);
     return std::nullopt;
+  }
   placement_plan Plan;
   Plan.Best = Ranked.front();
   Plan.EngineCount = Candidates.size();
--- a/Libraries/LibRouting/engine_placement.cpp
+++ b/Libraries/LibRouting/engine_placement.cpp
@@ -56,6 +56,26 @@
   return static_cast<double>(memoryInUse(Work) + Needed) <= Usable;
 }
 
+std::optional<nanoseconds> timeUntilRoom(const engine_candidate &Engine,
+                                         const placement_query &Query,
+                                         time_point Now) {
+  placed_work Rest = *Engine.Work;
+  std::sort(Rest.Requests.begin(), Rest.Requests.end(),
+            [](const placed_request &Left, const placed_request &Right) {
+              return Left.EndsAt > Right.EndsAt;
+            });
+  engine_candidate Later = Engine;
+  Later.Work = &Rest;
+  time_point RoomAt = Now;
+  while (!hasRoom(Later, Query)) {
+    if (Rest.Requests.empty())
+      return std::nullopt;
+    RoomAt = std::max(RoomAt, Rest.Requests.back().EndsAt);
+    Rest.Requests.pop_back();
+  }
+  return RoomAt - Now;
+}
+
 double ownPauseRisk(const engine_candidate &Engine, const request_work &Work,
                     time_point Now) {
   if (Work.GapObjective <= nanoseconds(0))
--- a/Libraries/LibRouting/engine_placement.h
+++ b/Libraries/LibRouting/engine_placement.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -110,6 +111,11 @@
 /// Whether the engine has a batch slot and the memory for the request. An
 /// engine that holds more than its memory crashes.
 bool hasRoom(const engine_candidate &Engine, const placement_query &Query);
+/// How long until the engine is expected to have room as hasRoom() has it, if
+/// no other request takes it; none if it never has. 0 if it has room now.
+std::optional<nanoseconds> timeUntilRoom(const engine_candidate &Engine,
+                                         const placement_query &Query,
+                                         time_point Now);
 /// The probability that the request's stream pauses too long because of the
 /// prompts that the engine reads beside it.
 double ownPauseRisk(const engine_candidate &Engine, const request_work &Work,
--- a/Tests/LibGateway/placer_fixture.h
+++ b/Tests/LibGateway/placer_fixture.h
@@ -44,10 +44,15 @@
     Fleet.applyUpstreams(Entries);
   }
 
+  /// Runs \p Work in a fiber; a refusal ends it.
   void spawn(std::function<void()> Work) {
     ++Running;
     Runtime.spawn([this, Work = std::move(Work)] {
-      Work();
+      try {
+        Work();
+      } catch (const spindle_error &) {
+        ++Refused;
+      }
       --Running;
     });
   }
@@ -129,6 +134,8 @@
   std::vector<std::unique_ptr<fake_engine>> Engines;
   fleet_table Fleet{Clock, "a"};
   std::atomic<int> Running{0};
+  /// The spawned fibers that a refusal ended.
+  std::atomic<int> Refused{0};
   adapter_controller Controller{Clock, Fleet, ports()};
   engine_capacity Size{2, BatchSlots, MemoryTokens, 1, 0, {}, 0};
   work_placer Placer{Clock, Fleet, Controller, "a",
