Tests/LibGateway: Check the bound on memory with any prompts and adapters

Cause: the test of threads had one size of request and no adapters, so no request was placed on another engine than planned. Change: a property with prompts of any size, half of them with adapters. Result: falsified after 20 tests with the comparison of room in a reservation taken out, passes with it (, 13 s).

--- a/Tests/LibGateway/test_work_placer.cpp
+++ b/Tests/LibGateway/test_work_placer.cpp
@@ -5,6 +5,12 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <limits>
+#include <map>
+#include <mutex>
+#include <numeric>
+#include <vector>
+
 using namespace spindle;
 
 // An output that does not end during a test.
@@ -39,18 +45,47 @@
   REQUIRE(Test.Placer.placedRequests() == 1);
 }
 
-TEST_CASE("requests placed by several threads fit in the engines' memory") {
-  for (int Round = 0; Round < 60; ++Round) {
-    placer_fixture Test(2, 4);
-    for (int Number = 0; Number < 24; ++Number)
-      Test.spawn([&Test] {
-        Test.Placer.place(Test.request(10, LongOutput),
-                          Test.Clock.now() + milliseconds(5));
-      });
-    while (Test.Running.load() > 0)
-      sleepFor(milliseconds(1));
-    REQUIRE(Test.Placer.placedRequests() <= 4);
+/// Places requests of these prompts at once, each second one with an adapter of
+/// its own. Returns the tokens of those placed, by engine.
+static std::map<upstream_id, std::vector<std::int64_t>>
+placeAtOnce(placer_fixture &Test, const std::vector<std::int64_t> &Prompts) {
+  std::mutex Mutex;
+  std::map<upstream_id, std::vector<std::int64_t>> Tokens;
+  int Number = 0;
+  for (const std::int64_t Prompt : Prompts) {
+    const std::string Adapter =
+        ++Number % 2 == 0 ? "a" + std::to_string(Number % 6) : "";
+    const work_request Request = Test.request(Prompt, LongOutput, Adapter);
+    Test.spawn([&Test, &Mutex, &Tokens, Request] {
+      const std::optional<placed_engine> Placed =
+          Test.Placer.place(Request, Test.Clock.now() + milliseconds(40));
+      if (!Placed)
+        return;
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      Tokens[Placed->Engine].push_back(Request.Query.PromptTokens + LongOutput);
+    });
   }
+  while (Test.Running.load() > 0)
+    sleepFor(milliseconds(1));
+  return Tokens;
+}
+
+TEST_CASE("requests placed by several threads fit in the engines' memory") {
+  rc::prop("whichever engine comes to hold the adapter", [] {
+    const auto Prompts = *rc::gen::container<std::vector<std::int64_t>>(
+        12, rc::gen::inRange<std::int64_t>(1, 1'500));
+    placer_fixture Test(3, 4);
+    fake_engine_faults Quick;
+    Quick.LoadTime = milliseconds(5);
+    for (const std::unique_ptr<fake_engine> &Engine : Test.Engines)
+      Engine->setFaults(Quick);
+    for (const auto &[Engine, Tokens] : placeAtOnce(Test, Prompts)) {
+      const std::int64_t Sum =
+          std::accumulate(Tokens.begin(), Tokens.end(), std::int64_t{0});
+      RC_ASSERT(Tokens.size() == 1 ||
+                Sum <= placer_fixture::MemoryTokens * 9 / 10);
+    }
+  });
 }
 
 /// Any figure, often one at the ends of the range.
