--- a/Tests/EndToEnd/forwarding_fleet.cpp
+++ b/Tests/EndToEnd/forwarding_fleet.cpp
@@ -20,11 +20,16 @@
 
 static std::string zoneOf(std::size_t Host) { return Host < 2 ? "a" : "b"; }
 
-forwarding_fleet::forwarding_fleet() {
+forwarding_fleet::forwarding_fleet(const forwarding_fleet_options &Options)
+    : Options(Options) {
   for (const char *const Zone : {"a", "b"}) {
     const std::string Suffix = Zone;
     Engines.push_back(std::make_unique<upstream_stand_in>(
         Runtime, "engine-" + Suffix, "models", Suffix, "m"));
+    for (std::size_t More = 1; More < Options.EnginesPerZone; ++More)
+      Engines.push_back(std::make_unique<upstream_stand_in>(
+          Runtime, "engine-" + Suffix + std::to_string(More), "models", Suffix,
+          "m"));
     Services.push_back(std::make_unique<upstream_stand_in>(
         Runtime, "shop-" + Suffix, "shop", Suffix, ""));
   }
@@ -129,6 +134,9 @@
                           {"callTimeoutMs", 700}};
   Settings["log"] = {{"json", true}};
   Settings["timeouts"] = {{"drainMs", 7'500}, {"drainDelayMs", 300}};
+  if (Options.PlacementMinEngines > 0)
+    Settings["routing"] = {
+        {"placementMinEngines", Options.PlacementMinEngines}};
   std::ofstream(Hosts[Host].SettingsFile) << Settings.dump(2);
 }
 
--- a/Tests/EndToEnd/forwarding_fleet.h
+++ b/Tests/EndToEnd/forwarding_fleet.h
@@ -22,12 +22,18 @@
   bool Whole = false;
 };
 
+struct forwarding_fleet_options {
+  std::size_t EnginesPerZone = 1;
+  /// The setting of that name; 0 leaves it out.
+  std::size_t PlacementMinEngines = 0;
+};
+
 /// Real hosts with the forwarding interface before stand-ins of the store and
-/// of upstreams: two hosts in zone a, one in zone b; a model engine in each
+/// of upstreams: two hosts in zone a, one in zone b; model engines in each
 /// zone; two plain services.
 class forwarding_fleet {
 public:
-  forwarding_fleet();
+  explicit forwarding_fleet(const forwarding_fleet_options &Options = {});
   ~forwarding_fleet();
   forwarding_fleet(const forwarding_fleet &) = delete;
   forwarding_fleet &operator=(const forwarding_fleet &) = delete;
@@ -77,6 +83,7 @@
   forwarded_answer send(std::size_t Host, const http_request_head &Head,
                         const std::string &Body);
 
+  const forwarding_fleet_options Options;
   const temporary_folder Folder;
   http_client Client;
   std::vector<running_host> Hosts;
