--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -78,17 +78,17 @@
 };
 
 /// Precondition: Mutex is held.
-work_placer::engine_state &
-work_placer::stateOf(const upstream_entry &Entry,
-                     const engine_capacity &Capacity) {
-  engine_state &State = Engines[Entry.Id];
-  if (State.StartedAt != Entry.StartedAt)
-    State = engine_state{};
-  State.StartedAt = Entry.StartedAt;
-  State.Prompts.setCapacity(static_cast<std::int64_t>(
+work_placer::engine_record &
+work_placer::recordOf(const upstream_entry &Entry,
+                      const engine_capacity &Capacity) {
+  engine_record &Record = Engines[Entry.Id];
+  if (Record.StartedAt != Entry.StartedAt)
+    Record = engine_record{};
+  Record.StartedAt = Entry.StartedAt;
+  Record.Prompts.setCapacity(static_cast<std::int64_t>(
       static_cast<double>(Capacity.CacheTokens) * CachedPartsShare));
-  dropEnded(State.Work, Clock.now());
-  return State;
+  dropEnded(Record.Work, Clock.now());
+  return Record;
 }
 
 /// Drops the engines that have left. Precondition: Mutex is held.
@@ -169,9 +169,9 @@
                                         const zone_view &View,
                                         std::size_t Index, time_point Now) {
   const placeable_engine &Engine = View.Engines[Index];
-  const engine_state &State = stateOf(*Engine.Entry, View.Size);
+  const engine_record &Record = recordOf(*Engine.Entry, View.Size);
   engine_candidate Candidate;
-  Candidate.Work = &State.Work;
+  Candidate.Work = &Record.Work;
   Candidate.Health = Engine.Health;
   Candidate.BatchSlots = Engine.Entry->Slots;
   Candidate.MemoryTokens = View.Size.CacheTokens;
@@ -182,7 +182,7 @@
     Candidate.VictimUses = Outlook.Slots.VictimUses;
   }
   if (Candidate.Adapter == adapter_readiness::Ready)
-    Candidate.CachedTokens = State.Prompts.cachedTokens(Request.Description);
+    Candidate.CachedTokens = Record.Prompts.cachedTokens(Request.Description);
   applyFacts(Candidate, Engine.Facts, Request.Query, Now);
   return Candidate;
 }
@@ -430,9 +430,9 @@
   const std::lock_guard<std::mutex> Lock(Mutex);
   const time_point Now = Clock.now();
   std::size_t Count = 0;
-  for (const auto &[Id, State] : Engines)
+  for (const auto &[Id, Record] : Engines)
     Count += static_cast<std::size_t>(std::count_if(
-        State.Work.Requests.begin(), State.Work.Requests.end(),
+        Record.Work.Requests.begin(), Record.Work.Requests.end(),
         [Now](const placed_request &Each) { return Each.EndsAt > Now; }));
   return Count;
 }
--- a/Libraries/LibGateway/work_placer.h
+++ b/Libraries/LibGateway/work_placer.h
@@ -58,7 +58,8 @@
   std::size_t waitingRequests() const;
 
 private:
-  struct engine_state {
+  /// What the placer has placed on one engine since the engine's start.
+  struct engine_record {
     std::int64_t StartedAt = 0;
     placed_work Work;
     prompt_cache_estimate Prompts;
@@ -94,8 +95,8 @@
   engine_candidate candidate(const work_request &Request, const zone_view &View,
                              std::size_t Index, time_point Now);
   std::optional<placement_plan> plan(const work_request &Request);
-  engine_state &stateOf(const upstream_entry &Entry,
-                        const engine_capacity &Capacity);
+  engine_record &recordOf(const upstream_entry &Entry,
+                          const engine_capacity &Capacity);
   std::optional<adapter_location> holdAdapter(const work_request &Request,
                                               const placement_plan &Plan,
                                               time_point Until);
@@ -112,7 +113,8 @@
   const std::string Zone;
   const capacity_port Capacity;
   mutable std::mutex Mutex;
-  std::map<upstream_id, engine_state> Engines;
+  std::map<upstream_id, engine_record> Engines;
+  /// The last ticket of any engine.
   std::uint64_t LastTicket = 0;
   /// When engines that have left are dropped next.
   time_point DropLeftAt;
