LibRouting, LibGateway: Count no time as reading in which an engine waits for an adapter

Cause: a request that is sent once its adapter is loaded moved the end of the engine's reading past the load, so that the engine counted as busy while it was idle: 0.28 s for a fetch, up to 0.68 s if all slots are in use. Prompts whose adapters were loaded waited at the leader or went elsewhere, and the idle time stayed after such a request was cancelled. Change: an engine's backlog is the sum of what is left to read of its requests, without the time until they arrive. Effect on loads not measured.

--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -39,7 +39,7 @@
   /// since \p Engine was planned.
   reservation(work_placer &Placer, const planned_engine &Engine,
               const placement_query &Query, const request_work &Work,
-              time_point Arrival)
+              nanoseconds Delay)
       : Placer(Placer), Engine(Engine.Id) {
     const std::lock_guard<std::mutex> Lock(Placer.Mutex);
     const auto Found = Placer.Engines.find(Engine.Id);
@@ -52,7 +52,7 @@
       return;
     // Tickets are not used twice, also not by an engine that begins anew.
     Placed.LastTicket = Placer.LastTicket;
-    Ticket = addWork(Placed, Work, Arrival);
+    Ticket = addWork(Placed, Work, Placer.Clock.now(), Delay);
     Placer.LastTicket = Ticket;
   }
   ~reservation() {
@@ -274,7 +274,7 @@
   if (Planned == Plan.Engines.end())
     return false;
   reservation Reserved(*this, *Planned, Request.Query, Plan.Best.Work,
-                       Clock.now());
+                       nanoseconds(0));
   Reserved.keep();
   return Reserved.isTaken();
 }
@@ -285,7 +285,7 @@
                                                    time_point Until) {
   const planned_engine &Best = Plan.Engines.front();
   reservation Reserved(*this, Best, Request.Query, Plan.Best.Work,
-                       Clock.now() + Plan.Best.Loading);
+                       Plan.Best.Loading);
   if (!Reserved.isTaken())
     return std::nullopt;
   placed_engine Placed;
--- a/Libraries/LibRouting/placed_work.cpp
+++ b/Libraries/LibRouting/placed_work.cpp
@@ -28,11 +28,17 @@
   return Milliseconds * Milliseconds;
 }
 
+/// How long the engine still reads the request's prompt.
+static nanoseconds unreadAt(const placed_request &Request, time_point Now) {
+  return std::clamp<nanoseconds>(Request.ReadUntil - Now, nanoseconds(0),
+                                 Request.Work.Reading);
+}
+
 std::uint64_t addWork(placed_work &Engine, const request_work &Work,
-                      time_point Arrival) {
+                      time_point Now, nanoseconds Delay) {
+  const time_point Arrival = Now + Delay;
   const time_point ReadUntil =
-      std::max(Engine.ReadingUntil, Arrival) + Work.Reading;
-  Engine.ReadingUntil = ReadUntil;
+      std::max(Now + readingBacklog(Engine, Now), Arrival) + Work.Reading;
   addSquaredRead(Engine, squaredRead(Work), Arrival);
   Engine.Requests.push_back(
       {++Engine.LastTicket, ReadUntil, ReadUntil + Work.Writing, Work});
@@ -41,14 +47,13 @@
 
 /// Lets the prompts after a cancelled one be read so much sooner.
 static void advanceReading(placed_work &Engine, time_point ReadUntil,
-                           nanoseconds Time, time_point Now) {
+                           nanoseconds Time) {
   for (placed_request &Request : Engine.Requests) {
     if (Request.ReadUntil <= ReadUntil)
       continue;
     Request.ReadUntil -= Time;
     Request.EndsAt -= Time;
   }
-  Engine.ReadingUntil = std::max(Now, Engine.ReadingUntil - Time);
 }
 
 void cancelWork(placed_work &Engine, std::uint64_t Ticket, time_point Now) {
@@ -60,9 +65,8 @@
   const placed_request Cancelled = *Found;
   Engine.Requests.erase(Found);
   addSquaredRead(Engine, -squaredRead(Cancelled.Work), Now);
-  const nanoseconds Unread = std::clamp<nanoseconds>(
-      Cancelled.ReadUntil - Now, nanoseconds(0), Cancelled.Work.Reading);
-  advanceReading(Engine, Cancelled.ReadUntil, Unread, Now);
+  const nanoseconds Unread = unreadAt(Cancelled, Now);
+  advanceReading(Engine, Cancelled.ReadUntil, Unread);
 }
 
 void dropEnded(placed_work &Engine, time_point Now) {
@@ -72,7 +76,10 @@
 }
 
 nanoseconds readingBacklog(const placed_work &Engine, time_point Now) {
-  return std::max(nanoseconds(0), nanoseconds(Engine.ReadingUntil - Now));
+  nanoseconds Backlog{0};
+  for (const placed_request &Request : Engine.Requests)
+    Backlog += unreadAt(Request, Now);
+  return Backlog;
 }
 
 std::int64_t memoryInUse(const placed_work &Engine) {
--- a/Libraries/LibRouting/placed_work.h
+++ b/Libraries/LibRouting/placed_work.h
@@ -36,23 +36,23 @@
 struct placed_work {
   std::vector<placed_request> Requests;
   std::uint64_t LastTicket = 0;
-  /// When the prompts of all requests are read.
-  time_point ReadingUntil;
   /// The sum of the squared reading times of recent prompts in square
   /// milliseconds, decayed since DecayedAt.
   double SquaredReads = 0;
   time_point DecayedAt;
 };
 
-/// Adds a request that reaches the engine at \p Arrival, and returns its
-/// ticket.
+/// Adds a request that reaches the engine \p Delay after \p Now, and returns
+/// its ticket. Until then the engine reads other prompts.
 std::uint64_t addWork(placed_work &Engine, const request_work &Work,
-                      time_point Arrival);
+                      time_point Now, nanoseconds Delay = nanoseconds(0));
 /// Removes a request that was not sent. Does nothing if it has ended.
 void cancelWork(placed_work &Engine, std::uint64_t Ticket, time_point Now);
 /// Removes the requests whose expected end has passed.
 void dropEnded(placed_work &Engine, time_point Now);
-/// How long a prompt that arrives at \p Now waits for those before it.
+/// How long a prompt that arrives at \p Now waits at most for those placed
+/// before it: the time that these are still read, without the time until they
+/// arrive.
 nanoseconds readingBacklog(const placed_work &Engine, time_point Now);
 /// The memory that the engine's requests occupy at their ends, in tokens.
 std::int64_t memoryInUse(const placed_work &Engine);
--- a/Tests/LibGateway/test_work_placer.cpp
+++ b/Tests/LibGateway/test_work_placer.cpp
@@ -244,3 +244,18 @@
   while (Test.Running.load() > 0)
     sleepFor(milliseconds(5));
 }
+
+TEST_CASE("an engine that loads an adapter reads other prompts meanwhile") {
+  placer_fixture Test(1);
+  fake_engine_faults Slow;
+  Slow.LoadTime = milliseconds(1'000);
+  Test.Engines[0]->setFaults(Slow);
+  for (const char *const Adapter : {"a1", "a2"})
+    Test.spawn([&Test, Adapter] {
+      Test.Placer.place(Test.request(100, 10, Adapter),
+                        Test.Clock.now() + milliseconds(800));
+    });
+  sleepFor(milliseconds(40));
+  REQUIRE(Test.Placer.placedRequests() > 0);
+  REQUIRE(Test.place(Test.request(100, 10), milliseconds(0)));
+}
