--- a/Libraries/LibGateway/work_placer.h
+++ b/Libraries/LibGateway/work_placer.h
@@ -6,6 +6,7 @@
 #include "LibGateway/fleet_table.h"
 #include "LibGateway/gateway_configuration.h"
 #include "LibGateway/prompt_cache_estimate.h"
+#include "LibGateway/work_request.h"
 #include "LibRouting/engine_placement.h"
 #include "LibScheduling/prompt_queue.h"
 
@@ -19,21 +20,6 @@
 
 namespace spindle {
 
-/// A request that needs an engine of a zone.
-struct work_request {
-  std::string Service;
-  /// The model, the adapter and the parts of the prompt.
-  request_description Description;
-  /// The minimum version of the adapter.
-  std::uint64_t AdapterVersion = 0;
-  /// The expected output and the objectives; the placer fills in the rest.
-  placement_query Query;
-  std::vector<upstream_id> Avoid;
-  /// When the first event is due, until when it is of use, and how urgent it
-  /// is. The placer fills in the engines.
-  slot_request Slot;
-};
-
 struct placed_engine {
   upstream_id Engine;
   /// The version of the adapter there; 0 if the request names none.
@@ -59,8 +45,8 @@
               capacity_port Capacity);
 
   /// Chooses an engine of the zone and has it hold the adapter. Waits until
-  /// \p Until for room or the adapter; returns none on timeout. Blocks the
-  /// fiber.
+  /// \p Until for room or the adapter, but not past the time at which the
+  /// request is of no use; returns none on timeout. Blocks the fiber.
   /// \throws spindle_error NoUpstream, NotOwner, or AdapterNotLoaded if no
   /// engine will serve the request in time to be of use.
   std::optional<placed_engine> place(const work_request &Request,
@@ -72,7 +58,8 @@
   std::size_t waitingRequests() const;
 
 private:
-  struct engine_state {
+  /// What the placer has placed on one engine since the engine's start.
+  struct engine_record {
     std::int64_t StartedAt = 0;
     placed_work Work;
     prompt_cache_estimate Prompts;
@@ -84,10 +71,16 @@
     std::vector<adapter_outlook> Outlooks;
     engine_capacity Size;
   };
+  /// An engine as it was when the request was planned. The candidate's work may
+  /// be gone since.
+  struct planned_engine {
+    upstream_id Id;
+    engine_candidate Candidate;
+  };
   /// The engines on which the request may run, the best first, with what it
   /// asks of that one.
   struct placement_plan {
-    std::vector<upstream_id> Engines;
+    std::vector<planned_engine> Engines;
     engine_choice Best;
     bool IsAdapterReady = false;
     /// The engines that were compared.
@@ -102,11 +95,14 @@
   engine_candidate candidate(const work_request &Request, const zone_view &View,
                              std::size_t Index, time_point Now);
   std::optional<placement_plan> plan(const work_request &Request);
-  engine_state &stateOf(const upstream_entry &Entry,
-                        const engine_capacity &Capacity);
+  engine_record &recordOf(const upstream_entry &Entry,
+                          const engine_capacity &Capacity);
   std::optional<adapter_location> holdAdapter(const work_request &Request,
                                               const placement_plan &Plan,
                                               time_point Until);
+  void dropLeft(time_point Now);
+  bool placeInstead(const work_request &Request, const placement_plan &Plan,
+                    upstream_id Engine);
   std::optional<placed_engine> carryOut(const work_request &Request,
                                         const placement_plan &Plan,
                                         time_point Until);
@@ -117,7 +113,11 @@
   const std::string Zone;
   const capacity_port Capacity;
   mutable std::mutex Mutex;
-  std::map<upstream_id, engine_state> Engines;
+  std::map<upstream_id, engine_record> Engines;
+  /// The last ticket of any engine.
+  std::uint64_t LastTicket = 0;
+  /// When engines that have left are dropped next.
+  time_point DropLeftAt;
   prompt_queue Queue;
 };
 
