spindlectl, LibGateway: Check a configuration before it is sent

A configuration that hosts can read may hold entries that never match and limits that contradict; operators saw that in failed requests alone. 'spindlectl check FILE [--against FILE]' reads it with the hosts' reader, shows findings with severity, place and field, and sorted differences, without a platform. Exit codes: 0, 1 (findings), 2 (can't be checked). The version in force comes from a file, not from the store.

--- a/Utilities/spindlectl/commands.h
+++ b/Utilities/spindlectl/commands.h
@@ -10,9 +10,9 @@
 namespace spindle {
 
 /// Runs the command that \p Words name, such as {"keys", "withdraw", "k1"}.
-/// \p File is the value of --output or --key-file. Errors are written to the
-/// context's error stream and become exit codes. One command at a time uses a
-/// context.
+/// \p File is the value of --output, --key-file or --against. Errors are
+/// written to the context's error stream and become exit codes. One command at
+/// a time uses a context.
 exit_code runCommand(operator_context &Context,
                      const std::vector<std::string> &Words,
                      const std::string &File);
@@ -33,6 +33,11 @@
 exit_code withdrawKey(operator_context &Context, const std::string &Name);
 /// Requests that a host drains and waits until it does.
 exit_code drainHost(operator_context &Context, const std::string &Host);
+/// Checks a configuration of the forwarding interface as its hosts read it, and
+/// compares it with the one in \p InForceFile unless that is empty. Needs no
+/// platform. Refused if there are findings, BadInput if it can't be checked.
+exit_code checkFile(operator_context &Context, const std::string &File,
+                    const std::string &InForceFile);
 /// Shows the newest changes.
 exit_code showAudit(operator_context &Context);
 
--- a/Utilities/spindlectl/exit_code.h
+++ b/Utilities/spindlectl/exit_code.h
@@ -6,7 +6,7 @@
 /// The exit codes of spindlectl.
 enum class exit_code : int {
   Done = 0,
-  /// The platform or the operator refused.
+  /// The platform or the operator refused, or a check has findings.
   Refused = 1,
   /// The command line or a file is wrong.
   BadInput = 2,
--- a/Utilities/spindlectl/main.cpp
+++ b/Utilities/spindlectl/main.cpp
@@ -90,6 +90,7 @@
   char *Namespace = nullptr;
   char *Output = nullptr;
   char *KeyFile = nullptr;
+  char *Against = nullptr;
   char *Operator = nullptr;
   int Json = 0;
   int Yes = 0;
@@ -111,6 +112,8 @@
        "PLAN"},
       {"key-file", 0, POPT_ARG_STRING, &Values.KeyFile, 0,
        "the key that keys grant takes", "FILE"},
+      {"against", 0, POPT_ARG_STRING, &Values.Against, 0,
+       "the configuration that check compares with", "FILE"},
       {"operator", 0, POPT_ARG_STRING, &Values.Operator, 0,
        "the name in the audit trail", "NAME"},
       {"wait", 'w', POPT_ARG_INT, &Values.Wait, 0,
@@ -148,17 +151,26 @@
   return Values.Version != 0 || Values.Reference != 0;
 }
 
+bool needsPlatform(const std::vector<std::string> &Words) {
+  return Words.empty() || Words.front() != "check";
+}
+
 command_line parseCommandLine(const popt_context &Context,
                               const popt_values &Values) {
   command_line Line;
   while (const char *Word = poptGetArg(Context.get()))
     Line.Words.emplace_back(Word);
-  Line.Platform = parseServers(takeText(Values.Platform));
+  const std::string Servers = takeText(Values.Platform);
+  if (needsPlatform(Line.Words))
+    Line.Platform = parseServers(Servers);
   if (Values.Namespace != nullptr)
     Line.Namespace = takeText(Values.Namespace);
   const std::string PlanFile = takeText(Values.Output);
   Line.File = takeText(Values.KeyFile);
   Line.File = Line.File.empty() ? PlanFile : Line.File;
+  const std::string Against = takeText(Values.Against);
+  if (!needsPlatform(Line.Words))
+    Line.File = Against;
   Line.Operator = takeText(Values.Operator);
   if (Line.Operator.empty())
     Line.Operator = defaultOperator();
@@ -175,8 +187,9 @@
   http_platform_settings Platform;
   Platform.Servers = Line.Platform;
   Platform.Namespace = Line.Namespace;
-  operator_context Context{Clock, makeHttpPlatform(Client, Platform), std::cout,
-                           std::cerr};
+  operator_context Context{Clock, platform_port{}, std::cout, std::cerr};
+  if (needsPlatform(Line.Words))
+    Context.Platform = makeHttpPlatform(Client, Platform);
   Context.Confirm =
       Line.Yes ? [](const std::string &) { return true; } : askOperator;
   Context.Sleep = [](milliseconds Pause) { sleepFor(Pause); };
--- a/Utilities/spindlectl/run_command.cpp
+++ b/Utilities/spindlectl/run_command.cpp
@@ -13,7 +13,7 @@
       "commands: plan FILE [-o PLAN], apply PLAN, status, "
       "get [intent|zones|customers|keys|adapters|upstreams|routes|policy], "
       "keys grant CUSTOMER NAME [--key-file FILE], keys withdraw NAME, "
-      "keys list, drain HOST, audit");
+      "keys list, drain HOST, audit, check FILE [--against FILE]");
 }
 
 static exit_code runKeys(operator_context &Context,
@@ -46,6 +46,8 @@
     return runKeys(Context, Words, File);
   if (Command == "drain" && Words.size() == 2)
     return drainHost(Context, Words[1]);
+  if (Command == "check" && Words.size() == 2)
+    return checkFile(Context, Words[1], File);
   if (Command == "audit" && Words.size() == 1)
     return showAudit(Context);
   rejectUsage();
