spindlectl: Compare a checked configuration with the version in force

Hosts ignore a configuration whose version is not above the one in force, without an error. A store that can't be read, or holds none, ends with 2.

--- a/Libraries/LibGateway/configuration_check.cpp
+++ b/Libraries/LibGateway/configuration_check.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/configuration_check.h"
 
+#include "LibGateway/configuration_difference.h"
 #include "LibHTTP/http_message.h"
 
 #include <algorithm>
@@ -221,4 +222,16 @@
   return std::move(List.Findings);
 }
 
+std::vector<configuration_finding>
+checkSuccession(const gateway_configuration &InForce,
+                const gateway_configuration &Next) {
+  finding_list List;
+  if (Next.Version <= InForce.Version &&
+      !compareConfigurations(InForce, Next).empty())
+    List.error(field::Version, "hosts ignore it: version " +
+                                   std::to_string(InForce.Version) +
+                                   " is in force");
+  return std::move(List.Findings);
+}
+
 } // namespace spindle
--- a/Libraries/LibGateway/configuration_check.h
+++ b/Libraries/LibGateway/configuration_check.h
@@ -29,6 +29,12 @@
 std::vector<configuration_finding>
 checkConfiguration(const gateway_configuration &Configuration);
 
+/// Finds why hosts would not take \p Next while \p InForce is in force: they
+/// ignore a version that is not above it. Thread-safe.
+std::vector<configuration_finding>
+checkSuccession(const gateway_configuration &InForce,
+                const gateway_configuration &Next);
+
 } // namespace spindle
 
 #endif // PARSLEYSPINDLE_LIBGATEWAY_CONFIGURATION_CHECK_H
--- a/Tests/EndToEnd/test_check_command.cpp
+++ b/Tests/EndToEnd/test_check_command.cpp
@@ -1,6 +1,8 @@
 // A script sends a configuration because the exit code of its check did not
 // tell findings from a file that can't be checked, or asked for a platform.
 
+#include "LibForwarding/object_store_stand_in.h"
+#include "LibRuntime/fiber_runtime.h"
 #include "child_process.h"
 #include "temporary_folder.h"
 
@@ -36,14 +38,46 @@
     return runProgram("spindlectl", Arguments);
   };
   CHECK(Check({GoodFile}).ExitCode == 0);
-  CHECK(Check({GoodFile, "--against", BadFile}).ExitCode == 0);
+  CHECK(Check({GoodFile, "--against", GoodFile}).ExitCode == 0);
+  CHECK(Check({GoodFile, "--against", BadFile}).ExitCode == 1);
   const program_result Findings = Check({BadFile, "--against", GoodFile});
   CHECK(Findings.ExitCode == 1);
   CHECK_THAT(Findings.Output,
              Catch::Contains("error: routes[0] \"r\" service: ") &&
                  Catch::Contains("changed: configuration version: 1 -> 2"));
+  const nlohmann::json Shown = nlohmann::json::parse(
+      Check({BadFile, "--against", GoodFile, "--json"}).Output);
+  CHECK(Shown.at("findings").size() == 3);
+  CHECK(Shown.at("differences").size() == 2);
   CHECK(Check({TornFile}).ExitCode == 1);
   CHECK(Check({GoodFile, "--against", TornFile}).ExitCode == 2);
   CHECK(Check({Folder.path() / "none"}).ExitCode == 2);
   CHECK(Check({}).ExitCode == 2);
 }
+
+TEST_CASE("spindlectl check takes a store that it can't read for one that "
+          "holds the same") {
+  const temporary_folder Folder;
+  const std::string File = write(Folder, "good", Good);
+  fiber_runtime Runtime{1};
+  object_store_stand_in Store{Runtime};
+  const auto Check = [&] {
+    return runProgram("spindlectl",
+                      {"--platform", toText(Store.address()), "check", File});
+  };
+  CHECK(Check().ExitCode == 2);
+  nlohmann::json InForce = nlohmann::json::parse(Good);
+  InForce["version"] = 0;
+  Store.put("config", "main", InForce);
+  const program_result Newer = Check();
+  CHECK(Newer.ExitCode == 0);
+  CHECK_THAT(Newer.Output,
+             Catch::Contains("changed: configuration version: 0 -> 1"));
+  InForce["version"] = 2;
+  Store.put("config", "main", InForce);
+  const program_result Older = Check();
+  CHECK(Older.ExitCode == 1);
+  CHECK_THAT(Older.Output, Catch::Contains("error: configuration version: "));
+  Store.setDown(true);
+  CHECK(Check().ExitCode == 2);
+}
--- a/Tests/Platform/test_configuration_check.cpp
+++ b/Tests/Platform/test_configuration_check.cpp
@@ -200,3 +200,19 @@
                               readConfiguration(Turned.dump()))
             .empty());
 }
+
+TEST_CASE("a version that hosts ignore has no finding") {
+  const gateway_configuration InForce = readConfiguration(sample().dump());
+  const auto Count = [&](const std::string &Version, const std::string &Burst) {
+    json Next = json::parse(replaced("/tenants/0/burst", Burst));
+    Next["version"] = json::parse(Version);
+    return checkSuccession(InForce, readConfiguration(Next.dump())).size();
+  };
+  CHECK(Count("8", "700") == 0);
+  CHECK(Count("7", "600") == 0);
+  CHECK(Count("7", "700") == 1);
+  CHECK(Count("6", "600") == 1);
+  CHECK(describe(checkSuccession(
+            InForce, readConfiguration(replaced("/version", "6")))[0]) ==
+        "error: configuration version: hosts ignore it: version 7 is in force");
+}
--- a/Utilities/spindlectl/check_command.cpp
+++ b/Utilities/spindlectl/check_command.cpp
@@ -41,6 +41,8 @@
       Report.Findings.push_back(describe(Finding));
     if (InForce == nullptr)
       return Report;
+    for (const configuration_finding &Finding : checkSuccession(*InForce, Next))
+      Report.Findings.push_back(describe(Finding));
     for (const configuration_difference &Difference :
          compareConfigurations(*InForce, Next))
       Report.Differences.push_back(describe(Difference));
@@ -52,22 +54,27 @@
   return Report;
 }
 
-static gateway_configuration readInForce(operator_context &Context,
-                                         const std::string &File) {
-  const std::string Text = Context.ReadFile(File);
+/// None if there is nothing to compare with.
+static std::optional<gateway_configuration>
+readInForce(operator_context &Context, const std::string &File) {
+  if (File.empty() && !Context.ReadInForce)
+    return std::nullopt;
+  const std::string Text =
+      File.empty() ? Context.ReadInForce() : Context.ReadFile(File);
   try {
     return readConfiguration(Text);
   } catch (const spindle_error &Error) {
-    throw spindle_error(Error.code(), File + ": " + Error.what());
+    throw spindle_error(Error.code(),
+                        (File.empty() ? "the version in force" : File) + ": " +
+                            Error.what());
   }
 }
 
 exit_code checkFile(operator_context &Context, const std::string &File,
                     const std::string &InForceFile) {
   try {
-    std::optional<gateway_configuration> InForce;
-    if (!InForceFile.empty())
-      InForce = readInForce(Context, InForceFile);
+    const std::optional<gateway_configuration> InForce =
+        readInForce(Context, InForceFile);
     const std::string Text = Context.ReadFile(File);
     const check_report Report = inspect(Text, InForce ? &*InForce : nullptr);
     show(Context, Report);
--- a/Utilities/spindlectl/commands.h
+++ b/Utilities/spindlectl/commands.h
@@ -34,8 +34,9 @@
 /// Requests that a host drains and waits until it does.
 exit_code drainHost(operator_context &Context, const std::string &Host);
 /// Checks a configuration of the forwarding interface as its hosts read it, and
-/// compares it with the one in \p InForceFile unless that is empty. Needs no
-/// platform. Refused if there are findings, BadInput if it can't be checked.
+/// compares it with the one in \p InForceFile, or the store's if that is empty
+/// and the context can read it. Refused if there are findings, BadInput if it
+/// can't be checked.
 exit_code checkFile(operator_context &Context, const std::string &File,
                     const std::string &InForceFile);
 /// Shows the newest changes.
--- a/Utilities/spindlectl/main.cpp
+++ b/Utilities/spindlectl/main.cpp
@@ -4,6 +4,7 @@
 #include "LibLog/log.h"
 #include "LibPlatform/http_platform.h"
 #include "LibRuntime/fiber_runtime.h"
+#include "platform/platform_ports.h"
 #include "spindlectl/commands.h"
 
 #include <cstdlib>
@@ -161,7 +162,7 @@
   while (const char *Word = poptGetArg(Context.get()))
     Line.Words.emplace_back(Word);
   const std::string Servers = takeText(Values.Platform);
-  if (needsPlatform(Line.Words))
+  if (needsPlatform(Line.Words) || !Servers.empty())
     Line.Platform = parseServers(Servers);
   if (Values.Namespace != nullptr)
     Line.Namespace = takeText(Values.Namespace);
@@ -180,6 +181,18 @@
   return Line;
 }
 
+/// Reads the configuration of the forwarding interface from its store.
+std::string readStored(http_client &Client, const endpoint &Store) {
+  static constexpr milliseconds CallTimeout{2'000};
+  const gateway_ports Ports = makePlatformPorts(Client, Store, CallTimeout);
+  const std::optional<platform_object> Object = Ports.Platform.Get(
+      Ports.Codec.ConfigurationKind, Ports.Codec.ConfigurationName);
+  if (!Object)
+    throw spindle_error(result_code::PlatformNotFound,
+                        "the store has no configuration");
+  return Object->Body;
+}
+
 exit_code run(const command_line &Line) {
   const runtime_clock Clock;
   fiber_runtime Runtime(1);
@@ -190,6 +203,10 @@
   operator_context Context{Clock, platform_port{}, std::cout, std::cerr};
   if (needsPlatform(Line.Words))
     Context.Platform = makeHttpPlatform(Client, Platform);
+  else if (!Line.Platform.empty())
+    Context.ReadInForce = [&Client, &Line] {
+      return readStored(Client, Line.Platform.front());
+    };
   Context.Confirm =
       Line.Yes ? [](const std::string &) { return true; } : askOperator;
   Context.Sleep = [](milliseconds Pause) { sleepFor(Pause); };
--- a/Utilities/spindlectl/operator_context.h
+++ b/Utilities/spindlectl/operator_context.h
@@ -22,6 +22,10 @@
   std::function<void(milliseconds)> Sleep = {};
   /// \throws spindle_error InvalidIntent if the file can't be read.
   std::function<std::string(const std::string &Path)> ReadFile = {};
+  /// Returns the configuration of the forwarding interface from its store; not
+  /// set if no store is named.
+  /// \throws spindle_error if it can't be read.
+  std::function<std::string()> ReadInForce = {};
   std::function<void(const std::string &Path, const std::string &Text)>
       WriteFile = {};
   /// Returns as many random bytes in hexadecimal.
