--- a/Utilities/spindlectl/main.cpp
+++ b/Utilities/spindlectl/main.cpp
@@ -4,6 +4,7 @@
 #include "LibLog/log.h"
 #include "LibPlatform/http_platform.h"
 #include "LibRuntime/fiber_runtime.h"
+#include "platform/platform_ports.h"
 #include "spindlectl/commands.h"
 
 #include <cstdlib>
@@ -90,6 +91,7 @@
   char *Namespace = nullptr;
   char *Output = nullptr;
   char *KeyFile = nullptr;
+  char *Against = nullptr;
   char *Operator = nullptr;
   int Json = 0;
   int Yes = 0;
@@ -111,6 +113,8 @@
        "PLAN"},
       {"key-file", 0, POPT_ARG_STRING, &Values.KeyFile, 0,
        "the key that keys grant takes", "FILE"},
+      {"against", 0, POPT_ARG_STRING, &Values.Against, 0,
+       "the configuration that check compares with", "FILE"},
       {"operator", 0, POPT_ARG_STRING, &Values.Operator, 0,
        "the name in the audit trail", "NAME"},
       {"wait", 'w', POPT_ARG_INT, &Values.Wait, 0,
@@ -148,17 +152,26 @@
   return Values.Version != 0 || Values.Reference != 0;
 }
 
+bool needsPlatform(const std::vector<std::string> &Words) {
+  return Words.empty() || Words.front() != "check";
+}
+
 command_line parseCommandLine(const popt_context &Context,
                               const popt_values &Values) {
   command_line Line;
   while (const char *Word = poptGetArg(Context.get()))
     Line.Words.emplace_back(Word);
-  Line.Platform = parseServers(takeText(Values.Platform));
+  const std::string Servers = takeText(Values.Platform);
+  if (needsPlatform(Line.Words) || !Servers.empty())
+    Line.Platform = parseServers(Servers);
   if (Values.Namespace != nullptr)
     Line.Namespace = takeText(Values.Namespace);
   const std::string PlanFile = takeText(Values.Output);
   Line.File = takeText(Values.KeyFile);
   Line.File = Line.File.empty() ? PlanFile : Line.File;
+  const std::string Against = takeText(Values.Against);
+  if (!needsPlatform(Line.Words))
+    Line.File = Against;
   Line.Operator = takeText(Values.Operator);
   if (Line.Operator.empty())
     Line.Operator = defaultOperator();
@@ -168,6 +181,18 @@
   return Line;
 }
 
+/// Reads the configuration of the forwarding interface from its store.
+std::string readStored(http_client &Client, const endpoint &Store) {
+  static constexpr milliseconds CallTimeout{2'000};
+  const gateway_ports Ports = makePlatformPorts(Client, Store, CallTimeout);
+  const std::optional<platform_object> Object = Ports.Platform.Get(
+      Ports.Codec.ConfigurationKind, Ports.Codec.ConfigurationName);
+  if (!Object)
+    throw spindle_error(result_code::PlatformNotFound,
+                        "the store has no configuration");
+  return Object->Body;
+}
+
 exit_code run(const command_line &Line) {
   const runtime_clock Clock;
   fiber_runtime Runtime(1);
@@ -175,8 +200,13 @@
   http_platform_settings Platform;
   Platform.Servers = Line.Platform;
   Platform.Namespace = Line.Namespace;
-  operator_context Context{Clock, makeHttpPlatform(Client, Platform), std::cout,
-                           std::cerr};
+  operator_context Context{Clock, platform_port{}, std::cout, std::cerr};
+  if (needsPlatform(Line.Words))
+    Context.Platform = makeHttpPlatform(Client, Platform);
+  else if (!Line.Platform.empty())
+    Context.ReadInForce = [&Client, &Line] {
+      return readStored(Client, Line.Platform.front());
+    };
   Context.Confirm =
       Line.Yes ? [](const std::string &) { return true; } : askOperator;
   Context.Sleep = [](milliseconds Pause) { sleepFor(Pause); };
