LibGateway: Use an own engine if the leader's choice is not known here

Cause: a host that had not received an engine yet took the leader's reply as 'still waiting' and asked again without a pause; each reply counted as work of the engine, which then had no room. Change: the host uses an engine of its own choice, as while the leader does not reply. Result: the new test failed before and passes.

--- a/Libraries/LibGateway/adapter_holds.cpp
+++ b/Libraries/LibGateway/adapter_holds.cpp
@@ -192,6 +192,9 @@
     std::optional<held_engine> Held =
         recordHold(Query, upstream_id::ofName(Reply.upstream()),
                    Reply.version(), RequestedAt);
+    // The leader may have an engine that this host has not received yet.
+    if (!Held && Query.Work)
+      return useRegisteredAdapter(Query);
     if (Held)
       Held->UsualReading = milliseconds(Reply.reading_ms());
     return Held;
--- a/Tests/LibGateway/test_zone_coordinator.cpp
+++ b/Tests/LibGateway/test_zone_coordinator.cpp
@@ -1,4 +1,5 @@
 #include "LibCore/result_code.h"
+#include "LibGateway/adapter_holds.h"
 #include "LibGateway/zone_coordinator.h"
 #include "LibPeer/host_link_server.h"
 #include "Support/fake_platform.h"
@@ -596,3 +597,43 @@
     REQUIRE(Recent >= 44);
   }
 }
+
+// Guards against a host that asks again at once, as often as it can, while the
+// leader has an engine that this host has not received yet; the leader counts
+// each reply as work of that engine.
+TEST_CASE("a host whose leader chose an engine that it does not have uses one "
+          "that it has") {
+  two_hosts Test;
+  run(Test.Fleet, {Test.One.get(), Test.Two.get()}, seconds(3));
+  coordinator_host &Other =
+      Test.One->Coordinator.isLeader() ? *Test.Two : *Test.One;
+  upstream_entry Entry;
+  Entry.Name = "known";
+  Entry.Id = upstream_id::ofName(Entry.Name);
+  Entry.Service = "models";
+  Entry.Zone = "a";
+  Entry.Models = {"m"};
+  Other.Upstreams.applyUpstreams({std::make_shared<upstream_entry>(Entry)});
+  adapter_controller Controller(Test.Fleet.Clock, Other.Upstreams, {});
+  work_placer Placer(Test.Fleet.Clock, Other.Upstreams, Controller, "a", {});
+  host_link_port Peers;
+  Peers.HoldAdapter = [](const endpoint &,
+                         const host_link::HoldAdapterRequest &, milliseconds) {
+    host_link::HoldAdapterReply Reply;
+    Reply.set_held(true);
+    Reply.set_upstream("new");
+    return Reply;
+  };
+  adapter_holds Holds(Test.Fleet.Clock, Other.Upstreams, Other.Coordinator,
+                      Controller, Placer, Peers, {});
+  request_description Description;
+  Description.Model = "m";
+  hold_query Query;
+  Query.Engines = {Other.Upstreams.find(Entry.Id)};
+  Query.Wanted.Name.Model = "m";
+  Query.Work = hold_work{"models", &Description, {}, {}};
+  const std::optional<held_engine> Held =
+      Holds.hold(Query, Test.Fleet.Clock.now() + milliseconds(400));
+  REQUIRE(Held);
+  REQUIRE(Held->Engine->Id == Entry.Id);
+}
