--- a/Tests/LibGateway/test_fleet_facts.cpp
+++ b/Tests/LibGateway/test_fleet_facts.cpp
@@ -141,6 +141,7 @@
 TEST_CASE("a report has too many facts, or some engine never gets its turn") {
   facts_fixture Test;
   std::vector<upstream_pointer> Engines;
+  Engines.reserve(300);
   for (int Number = 0; Number < 300; ++Number)
     Engines.push_back(engine("e" + std::to_string(Number), "a"));
   Test.Host.applyUpstreams(Engines);
