--- a/Libraries/LibRouting/engine_facts.cpp
+++ b/Libraries/LibRouting/engine_facts.cpp
@@ -24,12 +24,12 @@
 /// A slowdown above this counts as not stated.
 constexpr double MaxStatedSlowdown = 100;
 constexpr std::uint32_t MaxWaiting = 10'000;
-/// How long a stated slowdown lasts, and how long its reading is of use: it has
-/// lasted for an unknown time when it is read.
+/// The mean time that a slowdown lasts, and that its statement is of use. The
+/// latter is shorter, as a stated slowdown has lasted for an unknown time.
 constexpr std::chrono::duration<double> SlowdownPersistence{0.4};
 constexpr std::chrono::duration<double> ReadingPersistence{0.1};
 constexpr milliseconds WaitingValidity{1'000};
-/// A figure without news for this long begins to decay towards 1.
+/// A figure that was not renewed for this long begins to decay towards 1.
 constexpr seconds FactorValidity{10};
 constexpr std::chrono::duration<double> FactorDecay{5};
 
@@ -67,7 +67,8 @@
   return std::exp(-Elapsed) * -std::expm1(-Length) / Length;
 }
 
-/// The weight of what is new after \p Elapsed in an average over \p Memory.
+/// The weight of a value that follows the one before after \p Elapsed, in an
+/// average over \p Memory.
 double weightOfTime(nanoseconds Elapsed, std::chrono::duration<double> Memory) {
   return -std::expm1(-std::max(nanoseconds(0), Elapsed) / Memory);
 }
--- a/Libraries/LibRouting/engine_facts.h
+++ b/Libraries/LibRouting/engine_facts.h
@@ -8,7 +8,8 @@
 
 namespace spindle {
 
-/// What an engine states of its load in a response.
+/// The load that an engine states in a response. The time that it takes to read
+/// a prompt is called reading time.
 struct engine_reading {
   std::uint32_t Running = 0;
   std::uint32_t Waiting = 0;
@@ -20,23 +21,25 @@
   bool operator==(const engine_reading &) const = default;
 };
 
-/// What is known of one engine's speed and load, each figure with its age.
+/// The facts of one engine: its speed and load, each with its age.
 struct engine_facts {
   std::optional<engine_reading> Reading;
   time_point ReadAt;
-  /// How long prompts lately took to be read, as a multiple of what the pace
-  /// that is common to all engines gives. It changes slowly.
+  /// How long prompts lately took to be read, as a multiple of the time at the
+  /// common pace, which is that of an engine of the usual speed. Changes
+  /// slowly.
   double TimeFactor = 1;
   /// When TimeFactor last changed; none if it is only assumed.
   std::optional<time_point> TimeFactorAt;
   /// The average of the slowdowns that the engine stated. TimeFactor contains
-  /// it, so that only its excess counts for work that begins now.
+  /// it, so that only the excess of a stated slowdown over this average counts
+  /// for work that begins now.
   double UsualSlowdown = 1;
 };
 
-/// Prompts whose reading time a host has seen since its last report.
+/// The reading times that a host has recorded since its last report.
 struct read_time_samples {
-  /// The sum of the ratios of the seen to the expected time.
+  /// The sum of the ratios of the actual to the expected time.
   double RatioSum = 0;
   std::uint32_t Count = 0;
 };
--- a/Libraries/LibRouting/engine_placement.cpp
+++ b/Libraries/LibRouting/engine_placement.cpp
@@ -7,7 +7,7 @@
 
 // Typical error of a time estimate, as a fraction of the objective.
 static constexpr double EstimateErrorRatio = 0.15;
-// The part of an engine's memory that requests may occupy: estimates of the
+// The part of an engine's memory that requests may occupy, as estimates of the
 // output have errors.
 static constexpr double UsableMemoryRatio = 0.9;
 // A copy of an adapter serves the requests of about this part of the decayed
@@ -82,6 +82,8 @@
     return 0;
   const double Gap = toMilliseconds(Work.GapObjective);
   const std::chrono::duration<double> Writing = Work.Writing;
+  // The expected number of pauses that are too long: each prompt counts as in
+  // pauseRisk().
   const double Expected =
       squaredReadingRate(*Engine.Work, Now) * Writing.count() / (Gap * Gap);
   return 1 - std::exp(-Expected);
@@ -125,7 +127,8 @@
   return Load;
 }
 
-/// The cost of a load falls to the requests that the copy will serve.
+/// The cost of a load, divided among the requests that the copy will serve, and
+/// of the eviction that it needs.
 static double loadCost(const engine_candidate &Engine,
                        const placement_query &Query,
                        const placement_costs &Costs) {
@@ -142,7 +145,8 @@
   return Load / Reuse + Costs.CopyLoad * Eviction;
 }
 
-/// The probability that the first event comes within \p Limit.
+/// The probability that the first event comes within \p Limit: a logistic
+/// function of the time that is left, as estimates have errors.
 static double probabilityWithin(nanoseconds Limit, nanoseconds FirstEvent,
                                 const placement_query &Query) {
   const double Error =
--- a/Libraries/LibRouting/engine_placement.h
+++ b/Libraries/LibRouting/engine_placement.h
@@ -61,7 +61,7 @@
   /// The latency objective for the first event, and the time until it.
   nanoseconds Objective{0};
   nanoseconds Remaining{0};
-  /// How long until the first event is of no use.
+  /// The time until a first event is no longer of use.
   nanoseconds Useful{0};
   /// How often the adapter is asked for, as a decayed number of uses, and on
   /// how many engines it is loaded or loading.
--- a/Libraries/LibRouting/placed_work.cpp
+++ b/Libraries/LibRouting/placed_work.cpp
@@ -5,7 +5,7 @@
 
 namespace spindle {
 
-// Demand shifts within some seconds.
+// Over how long reading times count; demand shifts within some seconds.
 static constexpr std::chrono::duration<double> ReadDecayTime{3.0};
 
 static double toMilliseconds(nanoseconds Time) {
@@ -45,7 +45,7 @@
   return Engine.LastTicket;
 }
 
-/// Lets the prompts after a cancelled one be read so much sooner.
+/// Moves the requests whose prompts follow a cancelled one ahead by \p Time.
 static void advanceReading(placed_work &Engine, time_point ReadUntil,
                            nanoseconds Time) {
   for (placed_request &Request : Engine.Requests) {
--- a/Libraries/LibRouting/placed_work.h
+++ b/Libraries/LibRouting/placed_work.h
@@ -23,6 +23,7 @@
 
 /// A request on an engine, with the times at which it is expected to proceed.
 struct placed_request {
+  /// Names the request on its engine; above 0.
   std::uint64_t Ticket = 0;
   time_point ReadUntil;
   time_point EndsAt;
@@ -30,9 +31,9 @@
 };
 
 /// What an engine still has to do of the requests that one host has placed on
-/// it. An engine reads prompts one after the other and generates the output of
-/// all that are read together. Modify it only through the functions below; none
-/// of them is thread-safe.
+/// it. An engine reads prompts one after the other, and generates the outputs
+/// of all requests whose prompts are read at the same time. Modify it only
+/// through the functions below; none of them is thread-safe.
 struct placed_work {
   std::vector<placed_request> Requests;
   std::uint64_t LastTicket = 0;
