LibScheduling: Name the queue's priority and the divisor of accepted waits for what they are

Change: hasPriority() in the prompt queue (its one use in work_placer with it), AcceptedWaitDivisor, and comments. No behaviour changes; the two tests use the new names and are otherwise as before. Nothing measured.

--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -370,7 +370,7 @@
   const nanoseconds InTime = Prompt.OnTimeUntil - Now - Prompt.Reading;
   const nanoseconds Limit = std::max<nanoseconds>(InTime, MaxBacklogIfLate);
   return readingBacklog(Found->second.Work, Now + Loading) <= Limit &&
-         goesFirst(Placer.Queue, Ticket, Prompt, Now);
+         hasPriority(Placer.Queue, Ticket, Prompt, Now);
 }
 
 static std::int64_t toMilliseconds(nanoseconds Time) {
--- a/Libraries/LibScheduling/cost_model.cpp
+++ b/Libraries/LibScheduling/cost_model.cpp
@@ -17,11 +17,12 @@
 /// The variance, in square octaves, of a hint or of a service of which nothing
 /// is known: a factor of two.
 constexpr double PriorVariance = 1;
-/// How many values the prior knowledge of a variance weighs as much as.
+/// The weight of the more general variance, in values of a history.
 constexpr double PriorValues = 4;
-/// No history is taken for more exact than this, in square octaves.
+/// The least variance of a history, in square octaves.
 constexpr double MinVariance = 0.01;
-/// The variance of a median of n normal values is this part of theirs by n.
+/// The variance of the median of n normal values, as a multiple of their
+/// variance divided by n.
 constexpr double MedianVariancePart = 1.57;
 /// The ninth decile of the standard normal distribution.
 constexpr double NormalHigh = 1.28;
@@ -34,9 +35,9 @@
 /// The logarithm of an output with the variance of its error.
 struct log_estimate {
   double Center = 0;
-  /// Of the requests with the same key, from the common center.
+  /// That of the requests with the same key around Center.
   double KeyVariance = PriorVariance;
-  /// KeyVariance and that of the center.
+  /// The sum of KeyVariance and the variance of Center.
   double Variance = PriorVariance;
 };
 
@@ -133,8 +134,8 @@
   return Features.OutputHint && *Features.OutputHint > 0;
 }
 
-/// What a hint says by the earlier hints of its customer, which may be exact
-/// in most cases and far off in the others.
+/// The estimate by a hint, corrected by the earlier hints of its customer,
+/// which may be exact in most cases and far off in the others.
 struct hint_estimate {
   double Center = 0;
   double CoreVariance = PriorVariance;
--- a/Libraries/LibScheduling/grant_shares.h
+++ b/Libraries/LibScheduling/grant_shares.h
@@ -15,8 +15,8 @@
 /// Grants to more urgent requests after which waiting requests of a less urgent
 /// kind get one.
 inline constexpr std::uint32_t UrgentGrantsPerTurn = 8;
-/// How many grants of weight 1 a customer that asked for none may get ahead of
-/// customers that did.
+/// How many grants of weight 1 a customer that requested none for a time may
+/// get ahead of customers that did.
 inline constexpr double MaxGrantCredit = 2;
 
 /// What a customer was granted.
@@ -31,15 +31,16 @@
 /// The grants to the requests of one urgency.
 struct urgency_grants {
   std::unordered_map<customer_id, customer_grants> Customers;
-  /// What the customers that got grants had been granted before; never falls.
+  /// The virtual time of start-time fair queueing: the highest Granted that a
+  /// customer had before a grant to it.
   double VirtualTime = 0;
   /// Grants that went to more urgent requests since the last grant.
   std::uint32_t PassedOver = 0;
 };
 
-/// The grants of something short, such as adapter slots, to urgencies and
+/// The grants of something scarce, such as adapter slots, to urgencies and
 /// customers. Answers the load pattern in which one customer, or one kind of
-/// request, asks for far more than there is: the others would wait behind it
+/// request, requests far more than there is: the others would wait behind it
 /// forever.
 ///
 /// More urgent requests go first. A kind that was passed over
@@ -56,7 +57,8 @@
   std::uint64_t LastGrant = 0;
 };
 
-/// A customer's requests of one urgency. Lower urgencies are more urgent.
+/// A customer's requests of one urgency, as they compete for grants. A smaller
+/// number is more urgent. Not the claim of an order (LibOrders).
 struct share_claim {
   int Urgency = 0;
   customer_id Customer;
@@ -77,11 +79,11 @@
 
 /// The rank of \p Claim. Takes O(log urgencies).
 share_rank rankOf(const grant_shares &Shares, const share_claim &Claim);
-/// Records a grant that serves the claims \p Served, each of which pays an even
-/// part, while the claims \p Waiting competed for it. Less urgent kinds count
-/// it \p Passes times: a grant of little use, such as one to a late request,
-/// that counts UrgentGrantsPerTurn times, makes it their turn. Precondition: \p
-/// Served is not empty.
+/// Records a grant that serves the claims \p Served, each of which is charged
+/// an even part, while the claims \p Waiting competed for it. Less urgent kinds
+/// count it \p Passes times: a grant of little use, such as one to a late
+/// request, that counts UrgentGrantsPerTurn times, makes it their turn.
+/// Precondition: \p Served is not empty.
 void noteGrant(grant_shares &Shares, std::span<const share_claim> Served,
                const std::set<share_claim> &Waiting, std::uint32_t Passes);
 /// How many grants go to others before \p Claim has got \p OwnGrants, if the
--- a/Libraries/LibScheduling/prompt_queue.cpp
+++ b/Libraries/LibScheduling/prompt_queue.cpp
@@ -46,8 +46,8 @@
                     Rank.Granted, Rank.LastGrant, Prompt.OnTimeUntil, Arrival);
 }
 
-bool goesFirst(const prompt_queue &Queue, std::uint64_t Ticket,
-               const waiting_prompt &Prompt, time_point Now) {
+bool hasPriority(const prompt_queue &Queue, std::uint64_t Ticket,
+                 const waiting_prompt &Prompt, time_point Now) {
   const auto Own = orderOf(Queue, Ticket, Prompt, Now);
   return std::none_of(
       Queue.Waiting.begin(), Queue.Waiting.end(), [&](const auto &Entry) {
--- a/Libraries/LibScheduling/prompt_queue.h
+++ b/Libraries/LibScheduling/prompt_queue.h
@@ -23,13 +23,13 @@
   time_point UsefulUntil;
 };
 
-/// The requests that wait at one place for the engines of a zone. Answers the
+/// The requests that wait at a zone's leader for its engines. Answers the
 /// load pattern in which more prompts arrive than engines can read: sent at
 /// once, they wait at the engines in the order of arrival, and all are late.
 ///
 /// Those that can still be in time go first, by urgency and customers' shares
 /// (grant_shares), then by when they are due. Requests that are late get what
-/// these leave. Modify it only through the functions below, none of which is
+/// those leave. Modify it only through the functions below, none of which is
 /// thread-safe.
 struct prompt_queue {
   std::map<std::uint64_t, waiting_prompt> Waiting;
@@ -41,7 +41,8 @@
 bool isLate(const waiting_prompt &Prompt, time_point Now);
 /// Adds a request and returns its ticket.
 std::uint64_t enterQueue(prompt_queue &Queue, const waiting_prompt &Prompt);
-/// Replaces what is stated of a request. Precondition: it waits.
+/// Replaces the entry of a request, as after a new choice of its engine.
+/// Precondition: it waits.
 void updatePrompt(prompt_queue &Queue, std::uint64_t Ticket,
                   const waiting_prompt &Prompt);
 /// Removes a request that leaves or is sent. Does nothing if it does not wait.
@@ -50,8 +51,8 @@
 void noteSent(prompt_queue &Queue, std::uint64_t Ticket);
 /// Whether no other request that waits for the same engine goes before
 /// \p Prompt. \p Ticket is its own, or 0 if it does not wait yet.
-bool goesFirst(const prompt_queue &Queue, std::uint64_t Ticket,
-               const waiting_prompt &Prompt, time_point Now);
+bool hasPriority(const prompt_queue &Queue, std::uint64_t Ticket,
+                 const waiting_prompt &Prompt, time_point Now);
 /// How long it takes until \p Engines engines have read the prompts that go
 /// before \p Prompt. Precondition: \p Engines is not 0.
 nanoseconds expectedWait(const prompt_queue &Queue, std::uint64_t Ticket,
--- a/Libraries/LibScheduling/retry_time.cpp
+++ b/Libraries/LibScheduling/retry_time.cpp
@@ -9,9 +9,10 @@
 
 // Callers that were refused together are spread over at least this time.
 static constexpr milliseconds MinSpread{200};
-// Callers that are refused once more would return too rarely to be served.
+// With a longer spread, callers that are refused once more would have too
+// little time left.
 static constexpr milliseconds MaxSpread{5'000};
-// Time that the way of a response to the caller and back may take.
+// The time that the response to the caller and its next request may take.
 static constexpr milliseconds TravelReserve{20};
 // With fewer requests served lately the rate is unknown.
 static constexpr double MinServed = 3;
@@ -31,10 +32,10 @@
   milliseconds Last = First + spreadOf(Facts);
   const bool HasTime = First < Facts.TimeLeft;
   const milliseconds Longest = std::max(
-      Facts.TimeLeft / HonouredFraction - TravelReserve, milliseconds(1));
+      Facts.TimeLeft / AcceptedWaitDivisor - TravelReserve, milliseconds(1));
   if (HasTime && Last > Longest) {
     Last = Longest;
-    // The last half, as earlier returns find no room.
+    // Only the last half of the time, as earlier returns find no room.
     First = std::min(First, Longest / 2);
   }
   const fractional_milliseconds Spread = Last - First;
--- a/Libraries/LibScheduling/retry_time.h
+++ b/Libraries/LibScheduling/retry_time.h
@@ -7,11 +7,11 @@
 
 namespace spindle {
 
-/// Clients wait as long as they are told up to this fraction of the time that
-/// they have left, and don't return if they are told to wait longer.
-inline constexpr int HonouredFraction = 3;
+/// Callers return after the stated time if it is at most the time that they
+/// have left divided by this; after a longer one they don't return.
+inline constexpr int AcceptedWaitDivisor = 3;
 
-/// What is known when a request is refused.
+/// What the time of return of a refused caller is computed from.
 struct retry_facts {
   /// Until there is room for a request like this one.
   milliseconds UntilRoom{0};
@@ -25,11 +25,12 @@
 
 /// How long a refused caller should wait before it returns: until there is
 /// room, and then over the time that serving all who return takes. Answers the
-/// load pattern in which many callers are refused at the same moment: told the
-/// same time, they return together, and most are refused again.
+/// load pattern in which many callers are refused at the same moment: with the
+/// same stated time they return together, and most are refused again.
 ///
-/// A caller that can be served before its time is over is told no more than
-/// clients wait for. One that can't is told the truth and doesn't return.
+/// For a caller that can be served before its time is over, it is at most what
+/// AcceptedWaitDivisor allows. For one that can't, it is not shortened, and the
+/// caller doesn't return.
 /// \p Draw is a random number in [0, 1). Thread-safe. Never throws.
 milliseconds retryAfter(const retry_facts &Facts, double Draw);
 
@@ -42,7 +43,7 @@
   time_point At;
 };
 
-/// How far back the pace reaches.
+/// The time over which the counts of a pace decay.
 inline constexpr milliseconds RetryPaceTime{1'000};
 
 void noteServed(retry_pace &Pace, time_point Now);
--- a/Tests/LibScheduling/test_prompt_queue.cpp
+++ b/Tests/LibScheduling/test_prompt_queue.cpp
@@ -26,7 +26,7 @@
 /// The ticket of the request that goes first; none if none waits.
 std::optional<std::uint64_t> first(const prompt_queue &Queue, time_point Now) {
   for (const auto &[Ticket, Prompt] : Queue.Waiting)
-    if (goesFirst(Queue, Ticket, Prompt, Now))
+    if (hasPriority(Queue, Ticket, Prompt, Now))
       return Ticket;
   return std::nullopt;
 }
@@ -73,7 +73,7 @@
   waiting_prompt Elsewhere = prompt(milliseconds(300), 0);
   Elsewhere.Engine = upstream_id::ofName("e2");
   enterQueue(Queue, Elsewhere);
-  REQUIRE(goesFirst(Queue, Urgent, Queue.Waiting.at(Urgent), Start));
+  REQUIRE(hasPriority(Queue, Urgent, Queue.Waiting.at(Urgent), Start));
 }
 
 // Guards against a burst in which every prompt waits its turn and all are late.
--- a/Tests/LibScheduling/test_retry_time.cpp
+++ b/Tests/LibScheduling/test_retry_time.cpp
@@ -30,7 +30,7 @@
   std::vector<int> Tenths(600);
   for (int Caller = 0; Caller < Callers; ++Caller) {
     const milliseconds Told = Wait(Caller);
-    if (Told <= TimeLeft / HonouredFraction)
+    if (Told <= TimeLeft / AcceptedWaitDivisor)
       ++Tenths[static_cast<std::size_t>(Told.count() / 100)];
   }
   crowd_result Result;
@@ -96,7 +96,8 @@
     if (UntilRoom >= TimeLeft)
       RC_ASSERT(Told >= UntilRoom);
     else
-      RC_ASSERT(Told <= std::max(TimeLeft / HonouredFraction, milliseconds(1)));
+      RC_ASSERT(Told <=
+                std::max(TimeLeft / AcceptedWaitDivisor, milliseconds(1)));
   });
 }
 
