LibGateway: Name the placer's and the facts' private parts for what they do

Cause: private names spoke of news, of engines that left, of placing instead and of what was asked; comments had a placer that knows, and engines shut out. Change: OwnUnreported, RelayedUnreported and their functions in fleet_table; dropRemovedEngines(), reserveAlternative(), excludeNewCopies() in work_placer; excludeTried() in attempt_loop; comments. No behaviour changes, and nothing that leaves the process is renamed. Result: spindled builds. TestLibGateway, two runs: 137 of 138 cases pass in each. Nothing measured.

--- a/Libraries/LibGateway/attempt_loop.cpp
+++ b/Libraries/LibGateway/attempt_loop.cpp
@@ -229,7 +229,7 @@
 private:
   bool attemptOnce();
   bool isPlaced(const chosen_upstream &Chosen) const;
-  void avoidAsked(const chosen_upstream &Chosen);
+  void excludeTried(const chosen_upstream &Chosen);
   std::optional<held_engine> hold(const chosen_upstream &Chosen);
   void recordSent(const upstream_entry &Upstream);
   void finishWithoutRetry(const std::string &Cause);
@@ -262,8 +262,9 @@
          Request.Services.Placement.appliesTo(Chosen.EnginesInZone);
 }
 
-/// Excludes the engines on which the adapter could not be held.
-void attempt_loop::avoidAsked(const chosen_upstream &Chosen) {
+/// Excludes the engines on which the adapter could not be held from the next
+/// choice: all of the zone if its leader has compared them.
+void attempt_loop::excludeTried(const chosen_upstream &Chosen) {
   if (isPlaced(Chosen)) {
     const std::vector<upstream_id> Engines = Request.Services.Fleet.enginesIn(
         Chosen.Upstream->Zone, Request.Service.Name);
@@ -294,7 +295,7 @@
     if (const retry_after_error *const Refusal =
             dynamic_cast<const retry_after_error *>(&Error))
       Request.UntilSlot = Refusal->retryAfter();
-    avoidAsked(Chosen);
+    excludeTried(Chosen);
     IsFinished = Target.Only || ++ZonesAsked >= MaxZonesAsked;
     if (IsFinished)
       finishWithoutRetry(Error.what());
--- a/Libraries/LibGateway/attempt_upstream.cpp
+++ b/Libraries/LibGateway/attempt_upstream.cpp
@@ -158,7 +158,7 @@
 /// read the prompt.
 void noteProgress(forwarded_request &Request, const upstream_entry &Upstream,
                   time_point SentAt) {
-  // Shorter times say more of the network than of the upstream.
+  // Shorter times depend on the network more than on the upstream.
   static constexpr milliseconds MinReading{100};
   const time_point Now = Request.Services.Clock.now();
   const bool IsFirst = !Request.Timing.FirstEventAt;
--- a/Libraries/LibGateway/fleet_facts.cpp
+++ b/Libraries/LibGateway/fleet_facts.cpp
@@ -6,14 +6,15 @@
 namespace spindle {
 
 static constexpr int MaxFactsPerMessage = 128;
-/// News older than this is not passed on.
-static constexpr milliseconds NewsValidity{3'000};
+/// Facts older than this are not passed on.
+static constexpr milliseconds UnreportedValidity{3'000};
 static constexpr std::uint32_t MaxUnreportedReads = 64;
 static constexpr double MinReadRatio = 0.1;
 static constexpr double MaxReadRatio = 10;
 static constexpr double PercentAsExpected = 100;
 static constexpr double SlowedFactor = 1.5;
-/// The name of the own leader among the recipients, which are zones else.
+/// The recipient of reports to the leader of this host's zone; leaders of other
+/// zones have the names of their zones.
 static constexpr std::string_view OwnLeader;
 
 /// Precondition: Mutex is held.
@@ -22,12 +23,12 @@
   return Found == Upstreams.end() ? nullptr : &Found->second;
 }
 
-void fleet_table::addReadTimes(unreported_facts &News,
+void fleet_table::addReadTimes(unreported_facts &Unreported,
                                const read_time_samples &Added, time_point Now) {
-  read_time_samples &Sum = News.ReadTimes;
+  read_time_samples &Sum = Unreported.ReadTimes;
   Sum.RatioSum += Added.RatioSum;
   Sum.Count += Added.Count;
-  News.LastReadTime = Now;
+  Unreported.LastReadTime = Now;
   if (Sum.Count <= MaxUnreportedReads)
     return;
   Sum.RatioSum *= static_cast<double>(MaxUnreportedReads) / Sum.Count;
@@ -41,8 +42,8 @@
   if (!Known || (Known->Facts.Reading && At < Known->Facts.ReadAt))
     return;
   spindle::noteReading(Known->Facts, Reading, At);
-  Known->OwnNews.HasReading = true;
-  Known->PassedNews.HasReading = false;
+  Known->OwnUnreported.HasReading = true;
+  Known->RelayedUnreported.HasReading = false;
 }
 
 void fleet_table::noteReadTime(upstream_id Id, double ExpectedMilliseconds,
@@ -57,7 +58,7 @@
   if (!Known)
     return;
   spindle::noteReadTimes(Known->Facts, Sample, Clock.now());
-  addReadTimes(Known->OwnNews, Sample, Clock.now());
+  addReadTimes(Known->OwnUnreported, Sample, Clock.now());
 }
 
 engine_facts fleet_table::facts(upstream_id Id) const {
@@ -66,17 +67,19 @@
   return Found == Upstreams.end() ? engine_facts{} : Found->second.Facts;
 }
 
-bool fleet_table::hasNews(const unreported_facts &News) {
-  return News.HasReading || News.ReadTimes.Count > 0;
+bool fleet_table::hasUnreported(const unreported_facts &Unreported) {
+  return Unreported.HasReading || Unreported.ReadTimes.Count > 0;
 }
 
 /// Precondition: Mutex is held.
-void fleet_table::dropOldNews(known_upstream &Known) const {
-  const time_point Since = Clock.now() - NewsValidity;
-  for (unreported_facts *const News : {&Known.OwnNews, &Known.PassedNews}) {
-    News->HasReading = News->HasReading && Known.Facts.ReadAt >= Since;
-    if (News->LastReadTime < Since)
-      News->ReadTimes = {};
+void fleet_table::dropExpiredUnreported(known_upstream &Known) const {
+  const time_point Since = Clock.now() - UnreportedValidity;
+  for (unreported_facts *const Unreported :
+       {&Known.OwnUnreported, &Known.RelayedUnreported}) {
+    Unreported->HasReading =
+        Unreported->HasReading && Known.Facts.ReadAt >= Since;
+    if (Unreported->LastReadTime < Since)
+      Unreported->ReadTimes = {};
   }
 }
 
@@ -93,29 +96,29 @@
   Message.set_age_ms(std::max<std::int64_t>(0, Age.count()));
 }
 
-/// Writes all news of an engine and marks it as reported.
+/// Writes the unreported facts of an engine and marks them as reported.
 /// Precondition: Mutex is held.
-void fleet_table::writeNews(known_upstream &Known,
-                            host_link::EngineFacts &Message) const {
+void fleet_table::writeUnreported(known_upstream &Known,
+                                  host_link::EngineFacts &Message) const {
   Message.set_upstream(Known.Entry->Id.Value);
-  if (Known.OwnNews.HasReading || Known.PassedNews.HasReading)
+  if (Known.OwnUnreported.HasReading || Known.RelayedUnreported.HasReading)
     writeReading(Known.Facts, Clock.now(), Message);
-  const std::uint32_t Reads =
-      Known.OwnNews.ReadTimes.Count + Known.PassedNews.ReadTimes.Count;
-  const double RatioSum =
-      Known.OwnNews.ReadTimes.RatioSum + Known.PassedNews.ReadTimes.RatioSum;
+  const std::uint32_t Reads = Known.OwnUnreported.ReadTimes.Count +
+                              Known.RelayedUnreported.ReadTimes.Count;
+  const double RatioSum = Known.OwnUnreported.ReadTimes.RatioSum +
+                          Known.RelayedUnreported.ReadTimes.RatioSum;
   if (Reads > 0) {
     Message.set_reads(Reads);
     Message.set_reading_percent(static_cast<std::uint32_t>(
         std::lround(RatioSum / Reads * PercentAsExpected)));
   }
-  Known.OwnNews = {};
-  Known.PassedNews = {};
+  Known.OwnUnreported = {};
+  Known.RelayedUnreported = {};
 }
 
-/// Writes the news of engines of \p Zone, or of all. A report begins after the
-/// engine at which the recipient's last one ended, so that each gets its turn.
-/// Precondition: Mutex is held.
+/// Writes the unreported facts of the engines of \p Zone, or of all. A report
+/// begins after the engine at which the recipient's last one ended, so that
+/// each gets its turn. Precondition: Mutex is held.
 void fleet_table::writeFacts(std::string_view Recipient,
                              std::optional<std::string_view> Zone,
                              facts_field &Message) {
@@ -128,10 +131,11 @@
     known_upstream &Known = Next->second;
     if (Zone && Known.Entry->Zone != *Zone)
       continue;
-    dropOldNews(Known);
-    if (!hasNews(Known.OwnNews) && !hasNews(Known.PassedNews))
+    dropExpiredUnreported(Known);
+    if (!hasUnreported(Known.OwnUnreported) &&
+        !hasUnreported(Known.RelayedUnreported))
       continue;
-    writeNews(Known, *Message.Add());
+    writeUnreported(Known, *Message.Add());
     Last = Next->first;
   }
 }
@@ -141,7 +145,7 @@
   // What hosts reported to a former leader came from the recipient or will be
   // reported to it.
   for (auto &[Id, Known] : Upstreams)
-    Known.PassedNews = {};
+    Known.RelayedUnreported = {};
   writeFacts(OwnLeader, std::nullopt, Message);
 }
 
@@ -160,7 +164,7 @@
     Reading.Slowdown = Reported.slowdown_percent() / PercentAsExpected;
   const milliseconds Age{Reported.age_ms()};
   if (Reading == engine_reading{} || Age < milliseconds(0) ||
-      Age > NewsValidity)
+      Age > UnreportedValidity)
     return;
   const time_point At = Clock.now() - Age;
   // It is of the engine before its restart.
@@ -170,8 +174,8 @@
   spindle::noteReading(Known.Facts, Reading, At);
   if (!IsNewer)
     return;
-  Known.OwnNews.HasReading = false;
-  Known.PassedNews.HasReading =
+  Known.OwnUnreported.HasReading = false;
+  Known.RelayedUnreported.HasReading =
       Source == facts_source::HostOfZone && Known.Entry->Zone != OwnZone;
 }
 
@@ -188,7 +192,7 @@
   const read_time_samples Samples{Ratio * Count, Count};
   spindle::noteReadTimes(Known.Facts, Samples, Clock.now());
   if (Source == facts_source::HostOfZone && Known.Entry->Zone != OwnZone)
-    addReadTimes(Known.PassedNews, Samples, Clock.now());
+    addReadTimes(Known.RelayedUnreported, Samples, Clock.now());
 }
 
 void fleet_table::mergeFacts(const facts_field &Message, facts_source Source) {
@@ -204,7 +208,7 @@
 
 std::size_t fleet_table::slowedEngines() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  const time_point Since = Clock.now() - NewsValidity;
+  const time_point Since = Clock.now() - UnreportedValidity;
   return static_cast<std::size_t>(std::count_if(
       Upstreams.begin(), Upstreams.end(), [Since](const auto &Pair) {
         const engine_facts &Facts = Pair.second.Facts;
--- a/Libraries/LibGateway/fleet_table.h
+++ b/Libraries/LibGateway/fleet_table.h
@@ -227,8 +227,8 @@
     engine_facts Facts;
     /// What this host has learned itself, and what hosts of its zone have
     /// reported of an engine elsewhere.
-    unreported_facts OwnNews;
-    unreported_facts PassedNews;
+    unreported_facts OwnUnreported;
+    unreported_facts RelayedUnreported;
   };
 
   /// Candidates, each with its state.
@@ -238,11 +238,12 @@
   };
 
   known_upstream *findKnown(upstream_id Id);
-  static void addReadTimes(unreported_facts &News,
+  static void addReadTimes(unreported_facts &Unreported,
                            const read_time_samples &Added, time_point Now);
-  static bool hasNews(const unreported_facts &News);
-  void dropOldNews(known_upstream &Known) const;
-  void writeNews(known_upstream &Known, host_link::EngineFacts &Message) const;
+  static bool hasUnreported(const unreported_facts &Unreported);
+  void dropExpiredUnreported(known_upstream &Known) const;
+  void writeUnreported(known_upstream &Known,
+                       host_link::EngineFacts &Message) const;
   void writeFacts(std::string_view Recipient,
                   std::optional<std::string_view> Zone, facts_field &Message);
   void mergeReading(known_upstream &Known,
--- a/Libraries/LibGateway/forwarded_request.h
+++ b/Libraries/LibGateway/forwarded_request.h
@@ -59,7 +59,7 @@
   /// The events with data that were received, over all attempts.
   std::int64_t EventCount = 0;
   /// How long an engine of the usual speed would read the prompt; 0 if its time
-  /// would say little of the engine's speed.
+  /// is no sample of the engine's speed.
   milliseconds UsualReading{0};
   stream_timing Timing{};
 
--- a/Libraries/LibGateway/gateway_services.h
+++ b/Libraries/LibGateway/gateway_services.h
@@ -41,7 +41,7 @@
 /// Whether the leader of a zone places requests by their work.
 struct placement_settings {
   /// It does where the zone has at least so many engines of the service; 0
-  /// turns it off. With few engines, each host knows enough of each.
+  /// turns it off. With few engines, each host has enough facts of each.
   std::uint32_t MinEnginesPerZone = 0;
 
   bool appliesTo(std::size_t EnginesInZone) const {
--- a/Libraries/LibGateway/placement_message.cpp
+++ b/Libraries/LibGateway/placement_message.cpp
@@ -4,7 +4,7 @@
 
 namespace spindle {
 
-// No request is waited for as long as this.
+// The bound of the times that a peer may state; no request lasts this long.
 static constexpr milliseconds MaxStatedTime{600'000};
 
 static std::int64_t toMilliseconds(nanoseconds Time) {
--- a/Libraries/LibGateway/work_placer.cpp
+++ b/Libraries/LibGateway/work_placer.cpp
@@ -9,21 +9,22 @@
 
 // How far below the best value that of an alternative engine may be.
 static constexpr double MaxValueGap = 0.05;
-// The same while all slots are in use: the first that is free will do.
+// The same while all slots are in use: the request takes the first free one.
 static constexpr double MaxValueGapWithoutSlot = 0.3;
-// Waits that are not known of, such as for requests of hosts that could not
-// reach the leader, look like slowness; they must not shut an engine out.
+// The highest factor that an engine's times are expected to have. Waits for
+// requests that are not in the placer's records, as of hosts that could not
+// reach the leader, seem to be slowness; they must not exclude an engine.
 static constexpr double MaxTimeFactor = 2;
 static constexpr milliseconds RoomPollInterval{10};
 static constexpr milliseconds ReplanInterval{60};
-static constexpr milliseconds DropLeftInterval{1'000};
-// A prompt that would be late at its engine waits here until the engine has at
-// most this left to read.
+static constexpr milliseconds DropInterval{1'000};
+// A prompt that would be late at its engine waits at the leader until the
+// engine has at most this left to read.
 static constexpr milliseconds MaxBacklogIfLate{250};
 // The part of an engine's memory that holds the parts of earlier prompts.
 static constexpr double CachedPartsShare = 0.7;
-// A reading time says something of the engine's speed if the prompt waited for
-// at most this part of it.
+// A reading time is a sample of the engine's speed only if the prompt waited
+// for at most the time divided by this.
 static constexpr int MaxWaitDivisor = 10;
 
 work_placer::work_placer(const runtime_clock &Clock, fleet_table &Fleet,
@@ -32,12 +33,12 @@
     : Clock(Clock), Fleet(Fleet), Controller(Controller), Zone(std::move(Zone)),
       Capacity(std::move(Capacity)) {}
 
-/// A request's place in the work of an engine; ends with the object unless the
-/// request is sent.
+/// A request's entry in the work of an engine; removed on destruction unless
+/// keep() was called.
 class work_placer::reservation {
 public:
-  /// Takes the place if the engine still has room: others may have been placed
-  /// since \p Engine was planned.
+  /// Adds the entry if the engine still has room: other requests may have been
+  /// placed since \p Engine was planned.
   reservation(work_placer &Placer, const planned_engine &Engine,
               const placement_query &Query, const request_work &Work,
               nanoseconds Delay)
@@ -93,10 +94,10 @@
 }
 
 /// Drops the engines that have left. Precondition: Mutex is held.
-void work_placer::dropLeft(time_point Now) {
-  if (Now < DropLeftAt)
+void work_placer::dropRemovedEngines(time_point Now) {
+  if (Now < NextDropAt)
     return;
-  DropLeftAt = Now + DropLeftInterval;
+  NextDropAt = Now + DropInterval;
   std::erase_if(Engines, [this](const auto &Entry) {
     return Fleet.find(Entry.first) == nullptr;
   });
@@ -117,8 +118,8 @@
   return Uses;
 }
 
-/// Sets how long reading and writing take on the engine, as they will while
-/// this request is read and written.
+/// Sets how long reading and writing are expected to take on the engine during
+/// the request.
 static void applyFacts(engine_candidate &Candidate, const engine_facts &Facts,
                        const placement_query &Query, time_point Now) {
   const request_work Usual = workOn(Candidate, Query, placement_costs{});
@@ -129,8 +130,8 @@
 }
 
 /// How long an engine of the usual speed would read the prompt; 0 if it waits
-/// for others or a part may be kept, so that its time would say little of the
-/// engine's speed.
+/// for others or the engine may have kept a part of it, so that its time is no
+/// sample of the engine's speed.
 static milliseconds usualReading(const engine_candidate &Engine,
                                  const placement_query &Query, time_point Now) {
   engine_candidate Usual = Engine;
@@ -142,10 +143,10 @@
   return std::chrono::duration_cast<milliseconds>(Reading);
 }
 
-/// While adapters without a copy wait for slots, one that has a copy gets no
-/// further ones. Load pattern: more adapters are asked for than there are
-/// slots.
-static void keepToCopies(std::span<adapter_outlook> Outlooks) {
+/// Makes engines without the adapter unavailable if others have it; called
+/// while other adapters wait for slots. Load pattern: more adapters are asked
+/// for than there are slots.
+static void excludeNewCopies(std::span<adapter_outlook> Outlooks) {
   if (copiesIn(Outlooks) == 0)
     return;
   for (adapter_outlook &Outlook : Outlooks)
@@ -178,7 +179,7 @@
   View.Outlooks =
       Controller.outlooks(Entries, {Adapter, Request.AdapterVersion});
   if (Controller.othersWaitForSlots(Request.Service, Adapter))
-    keepToCopies(View.Outlooks);
+    excludeNewCopies(View.Outlooks);
   return View;
 }
 
@@ -236,7 +237,7 @@
   Query.AdapterUses = usesIn(View.Outlooks);
   Query.AdapterCopies = copiesIn(View.Outlooks);
   const std::lock_guard<std::mutex> Lock(Mutex);
-  dropLeft(Now);
+  dropRemovedEngines(Now);
   std::vector<engine_candidate> Candidates;
   Candidates.reserve(View.Engines.size());
   for (std::size_t Index = 0; Index < View.Engines.size(); ++Index)
@@ -282,10 +283,11 @@
   return Controller.hold(Wanted, Slot, Until);
 }
 
-/// Takes the place on another engine than the best, which came to hold the
-/// adapter first. Returns whether it has room.
-bool work_placer::placeInstead(const work_request &Request,
-                               const placement_plan &Plan, upstream_id Engine) {
+/// Reserves room on an engine other than the best, as the adapter was loaded
+/// there first. Returns whether it has room.
+bool work_placer::reserveAlternative(const work_request &Request,
+                                     const placement_plan &Plan,
+                                     upstream_id Engine) {
   const auto Planned = std::find_if(
       Plan.Engines.begin(), Plan.Engines.end(),
       [Engine](const planned_engine &Each) { return Each.Id == Engine; });
@@ -318,7 +320,7 @@
   }
   if (Placed.Engine == Best.Id)
     Reserved.keep();
-  else if (!placeInstead(Request, Plan, Placed.Engine))
+  else if (!reserveAlternative(Request, Plan, Placed.Engine))
     return std::nullopt;
   if (Placed.Engine == Best.Id && Plan.Best.Loading == nanoseconds(0))
     Placed.UsualReading = Plan.UsualReading;
@@ -329,8 +331,7 @@
   return Placed;
 }
 
-/// A request's place among those that wait for engines; it leaves on
-/// destruction.
+/// A request's entry in the prompt queue; removed on destruction.
 class work_placer::queue_position {
 public:
   queue_position(work_placer &Placer, const work_request &Request)
--- a/Libraries/LibGateway/work_placer.h
+++ b/Libraries/LibGateway/work_placer.h
@@ -20,19 +20,20 @@
 
 namespace spindle {
 
+/// The engine on which a request was placed.
 struct placed_engine {
   upstream_id Engine;
   /// The version of the adapter there; 0 if the request names none.
   std::uint64_t Version = 0;
   /// How long an engine of the usual speed would read the prompt; 0 if its time
-  /// would say little of the engine's speed.
+  /// is no sample of the engine's speed.
   milliseconds UsualReading{0};
 };
 
 /// Chooses the engines of a zone for the requests of all hosts while this host
-/// is the zone's leader. As all requests pass here, it knows what each engine
-/// has to do without waiting for reports. What it has placed is kept in memory
-/// only; a successor begins with none. Thread-safe.
+/// is the zone's leader. As all requests pass here, its records contain what
+/// each engine has to do, without reports. They are kept in memory only; the
+/// next leader begins with none. Thread-safe.
 class work_placer {
 public:
   /// Returns the capacity of the engines of a service; none if it has none.
@@ -77,8 +78,8 @@
     upstream_id Id;
     engine_candidate Candidate;
   };
-  /// The engines on which the request may run, the best first, with what it
-  /// asks of that one.
+  /// The engines on which the request may run, the best first, and what is
+  /// expected of it on the best.
   struct placement_plan {
     std::vector<planned_engine> Engines;
     engine_choice Best;
@@ -100,9 +101,9 @@
   std::optional<adapter_location> holdAdapter(const work_request &Request,
                                               const placement_plan &Plan,
                                               time_point Until);
-  void dropLeft(time_point Now);
-  bool placeInstead(const work_request &Request, const placement_plan &Plan,
-                    upstream_id Engine);
+  void dropRemovedEngines(time_point Now);
+  bool reserveAlternative(const work_request &Request,
+                          const placement_plan &Plan, upstream_id Engine);
   std::optional<placed_engine> carryOut(const work_request &Request,
                                         const placement_plan &Plan,
                                         time_point Until);
@@ -117,7 +118,7 @@
   /// The last ticket of any engine.
   std::uint64_t LastTicket = 0;
   /// When engines that have left are dropped next.
-  time_point DropLeftAt;
+  time_point NextDropAt;
   prompt_queue Queue;
 };
 
