--- a/Benchmarks/benchmark_placement.cpp
+++ b/Benchmarks/benchmark_placement.cpp
@@ -58,7 +58,7 @@
     enterQueue(Queue, Prompt);
   }
   for ([[maybe_unused]] const auto Step : State)
-    benchmark::DoNotOptimize(goesFirst(Queue, 1, Queue.Waiting.at(1), Start));
+    benchmark::DoNotOptimize(hasPriority(Queue, 1, Queue.Waiting.at(1), Start));
 }
 BENCHMARK(findTurn)->Arg(10)->Arg(100)->Arg(1'000);
 
