Tests/EndToEnd: Give each test process ports of its own

Change: ports below those that the kernel assigns to connections, a block for each process, checked to be free.

--- a/Tests/EndToEnd/forwarding_fleet.cpp
+++ b/Tests/EndToEnd/forwarding_fleet.cpp
@@ -6,6 +6,8 @@
 #include <fstream>
 #include <stdexcept>
 
+#include <unistd.h>
+
 namespace spindle {
 
 using json = nlohmann::json;
@@ -14,9 +16,26 @@
 static constexpr std::size_t AnswerLimit = 1U << 20U;
 static constexpr seconds ReadyLimit{20};
 
-/// A port that is free now. The kernel assigns it to no other socket for a
-/// while.
-static endpoint freePort() { return parseEndpoint(occupied_port().address()); }
+/// A port that is free now, and that no other fleet takes until the program
+/// listens there: each test process has ports of its own, below those that the
+/// kernel assigns to connections.
+static endpoint freePort() {
+  static constexpr int FirstPort = 10'000;
+  static constexpr int ProcessCount = 1'000;
+  static constexpr int PortsPerProcess = 20;
+  static int Next = 0;
+  const int First = FirstPort + ::getpid() % ProcessCount * PortsPerProcess;
+  for (int Tries = 0; Tries < PortsPerProcess; ++Tries) {
+    const int Port = First + Next++ % PortsPerProcess;
+    try {
+      return parseEndpoint(
+          occupied_port(static_cast<std::uint16_t>(Port)).address());
+    } catch (const std::runtime_error &) {
+      // Another program listens there.
+    }
+  }
+  throw std::runtime_error("no port is free");
+}
 
 static std::string zoneOf(std::size_t Host) { return Host < 2 ? "a" : "b"; }
 
--- a/Tests/EndToEnd/occupied_port.cpp
+++ b/Tests/EndToEnd/occupied_port.cpp
@@ -8,11 +8,15 @@
 
 namespace spindle {
 
-occupied_port::occupied_port()
+occupied_port::occupied_port(std::uint16_t Port)
     : Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   sockaddr_in Bound{};
   Bound.sin_family = AF_INET;
   Bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Bound.sin_port = htons(Port);
+  // Connections that have ended there must not count as a listener.
+  const int Reuse = 1;
+  ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Reuse, sizeof Reuse);
   socklen_t Size = sizeof Bound;
   sockaddr *const Generic = reinterpret_cast<sockaddr *>(&Bound);
   if (::bind(Socket, Generic, Size) != 0 || ::listen(Socket, 1) != 0 ||
--- a/Tests/EndToEnd/occupied_port.h
+++ b/Tests/EndToEnd/occupied_port.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYSPINDLE_TESTS_ENDTOEND_OCCUPIED_PORT_H
 #define PARSLEYSPINDLE_TESTS_ENDTOEND_OCCUPIED_PORT_H
 
+#include <cstdint>
 #include <string>
 
 namespace spindle {
@@ -9,7 +10,9 @@
 /// as the object exists.
 class occupied_port {
 public:
-  occupied_port();
+  /// Listens at \p Port, or at one that the kernel chooses if that is 0.
+  /// \throws std::runtime_error if the port is in use.
+  explicit occupied_port(std::uint16_t Port = 0);
   ~occupied_port();
   occupied_port(const occupied_port &) = delete;
   occupied_port &operator=(const occupied_port &) = delete;
