--- a/review/standins-2/engine.h
+++ b/review/standins-2/engine.h
@@ -101,6 +101,9 @@
   /// Decides for each answer whether a second copy of it is sent late, where
   /// the next answer on its connection is due. Set before start().
   std::function<bool(const std::string &Path, int Status)> RepeatsLate;
+  /// Decides for each order whether it is left unanswered and carried out
+  /// late. Set before start().
+  std::function<bool()> LeavesUnanswered;
   std::atomic<int> Answers{0};
   /// Requests that the current process has run.
   std::atomic<int> RunsSinceStart{0};
@@ -295,6 +298,8 @@
 
   bool order(process &Process, connection &Connection, const message &Request) {
     const json Order = json::parse(Request.Body);
+    if (LeavesUnanswered && LeavesUnanswered())
+      return carryOutLate(Process, Connection, Request, Order);
     received_order Received;
     {
       const std::lock_guard<std::mutex> Lock(Process.Mutex);
@@ -311,6 +316,28 @@
     return answer(Connection, "/order", Received.Status, {}, "");
   }
 
+  /// Gives no answer to the order; it is carried out when its caller has gone
+  /// and LateSeconds have passed.
+  bool carryOutLate(process &Process, const connection &Connection,
+                    const message &Request, const json &Order) {
+    constexpr double LateSeconds = 2.0;
+    Record.line("engine %s: order %s is not answered", Process.Id.c_str(),
+                Request.Body.c_str());
+    const double Until = now() + LateSeconds;
+    while (now() < Until)
+      sleepSeconds(0.05);
+    if (Process.Dead.load())
+      return false;
+    int Status = 0;
+    {
+      const std::lock_guard<std::mutex> Lock(Process.Mutex);
+      Status = apply(Process, Order);
+    }
+    Record.line("engine %s: late order %s -> %d", Process.Id.c_str(),
+                Request.Body.c_str(), Status);
+    return !isClosed(Connection.Socket);
+  }
+
   bool run(process &Process, connection &Connection, const message &Request,
            header_fields Echo, const std::string &Id) {
     const std::string Name = Request.field("X-Parsleyspindle-Model");
