LibHTTP: Take an answer whose status is none of HTTP for no answer

What callers saw: an upstream in trouble sent an answer whose status was 000, and the caller got it as an answer, with the upstream's seal and body. The same held for 042, 099, 600 and 999.

Cause: Boost.Beast's parser takes any three digits for a status, and beast_call took what the parser had taken. Whoever reads an answer later asks only for a success or for 500 and above; the rest passed as an answer.

Change: beast_call checks the head of each answer before anyone sees it. A status outside 100 to 599 is bytes that are no answer: the connection is closed, nothing of it goes on, and the request may have run (UpstreamLost), so that it is sent again only where the route allows it. All readers of answers use this client, so that the check holds for callers' requests, orders, reports, the store and the command line.

--- a/Libraries/LibHTTP/beast_call.cpp
+++ b/Libraries/LibHTTP/beast_call.cpp
@@ -1,6 +1,7 @@
 #include "LibHTTP/beast_call.h"
 
 #include "LibCore/result_code.h"
+#include "LibHTTP/status_code.h"
 
 #include <algorithm>
 #include <charconv>
@@ -166,6 +167,20 @@
   }
   Head.Status = static_cast<int>(Parser->get().result_int());
   Head.Fields = toFields(Parser->get());
+  checkHead();
+}
+
+/// The parser takes any three digits for a status. Bytes that are no answer of
+/// the protocol say nothing of the request, which may have run.
+void beast_call::checkHead() const {
+  if (!isHttpStatus(Head.Status))
+    throwNoAnswer("a status of " + std::to_string(Head.Status));
+}
+
+void beast_call::throwNoAnswer(const std::string &Problem) const {
+  throw spindle_error(result_code::UpstreamLost, toText(Connection->Peer) +
+                                                     " sent no answer but " +
+                                                     Problem);
 }
 
 /// Reads the rest of an answer that belongs to an earlier request.
--- a/Libraries/LibHTTP/beast_call.h
+++ b/Libraries/LibHTTP/beast_call.h
@@ -42,6 +42,9 @@
   void dropAnswer();
   void send(const http_request_head &Request, std::string_view Body);
   void readHead();
+  /// \throws spindle_error UpstreamLost if the head is none of an answer.
+  void checkHead() const;
+  [[noreturn]] void throwNoAnswer(const std::string &Problem) const;
   void armCancellation();
   void throwIfCancelled() const;
   void finish();
--- a/Tests/EndToEnd/forwarding_fleet.cpp
+++ b/Tests/EndToEnd/forwarding_fleet.cpp
@@ -87,6 +87,14 @@
       Store.put("servers", Upstream->name(), Upstream->registration());
 }
 
+void forwarding_fleet::moveService(std::size_t Service,
+                                   const endpoint &Address) {
+  json Entry = Services[Service]->registration();
+  Entry["address"] = toText(Address);
+  Entry["born"] = 2;
+  Store.put("servers", Services[Service]->name(), Entry);
+}
+
 void forwarding_fleet::configure(std::uint64_t Version,
                                  const std::vector<std::string> &Keys) {
   const auto Route = [](const std::string &Path, const std::string &Kind,
@@ -105,7 +113,8 @@
       Route("/once/", "stream", "models", 1, false),
       Route("/resume/", "stream", "models", 2, true),
       Route("/order/", "non_idempotent", "shop", 1, false),
-      Route("/check/", "idempotent", "shop", 2, false)};
+      Route("/check/", "idempotent", "shop", 2, false),
+      Route("/events/", "stream", "shop", 1, false)};
   Configuration["services"] = {
       {{"name", "models"},
        {"health-path", "/health"},
--- a/Tests/EndToEnd/forwarding_fleet.h
+++ b/Tests/EndToEnd/forwarding_fleet.h
@@ -49,6 +49,12 @@
   }
   /// The value of a host's metric without labels; 0 if it has none.
   double metric(std::size_t Host, const std::string &Name);
+  /// Where a host listens for callers.
+  const endpoint &callersOf(std::size_t Host) const {
+    return Hosts[Host].Callers;
+  }
+  /// Registers a plain service at another address, as if it had started anew.
+  void moveService(std::size_t Service, const endpoint &Address);
   /// Writes the operator's configuration, with these keys of customer c1.
   void configure(std::uint64_t Version, const std::vector<std::string> &Keys);
 
@@ -60,7 +66,8 @@
   /// Requests a stream and closes the connection after \p Time.
   void askAndLeave(std::size_t Host, const std::string &Id,
                    const std::string &Adapter, milliseconds Time);
-  /// Calls the plain service: "/order/x" at most once, "/check/x" idempotent.
+  /// Calls the plain service: "/order/x" at most once, "/check/x" idempotent,
+  /// "/events/x" for a stream that may not be resumed.
   forwarded_answer call(std::size_t Host, const std::string &Id,
                         const std::string &Path, const std::string &Body);
 
--- /dev/null
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -0,0 +1,100 @@
+// Guards against answers of an upstream in trouble that are none of the
+// protocol, or end early, and reach a caller as the upstream's answer. The
+// callers and the upstreams here send and read bytes, not messages.
+
+#include "EndToEnd/fleet.h"
+#include "EndToEnd/forwarding_fleet.h"
+#include "Support/raw_server.h"
+
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace spindle;
+
+namespace {
+
+const std::string LastChunk = "0\r\n\r\n";
+const std::string BodyOfUpstream = "body of the upstream";
+const std::string SealOfUpstream = "seal-of-the-upstream";
+const std::string WholeBody =
+    "Content-Length: " + std::to_string(BodyOfUpstream.size()) + "\r\n\r\n" +
+    BodyOfUpstream;
+
+/// The fields by which a host takes an answer for that to \p Request.
+std::string signedFields(const http_request_head &Request) {
+  return "X-Parsleyspindle-Request-Id: " +
+         std::string(findField(Request.Fields, "X-Parsleyspindle-Request-Id")) +
+         "\r\nX-Parsleyspindle-Server-Seal: " + SealOfUpstream + "\r\n";
+}
+
+/// An answer that is sent in two parts around the signed fields.
+raw_answerer around(const std::string &Before, const std::string &After,
+                    connection_end End = connection_end::StaysOpen,
+                    bool BeforeBody = false) {
+  return [=](const http_request_head &Request) {
+    return raw_answer{Before + signedFields(Request) + After, End, BeforeBody};
+  };
+}
+
+/// A fleet whose plain services send \p Answerer's bytes.
+struct broken_services {
+  explicit broken_services(const raw_answerer &Answerer)
+      : First(Answerer), Second(Answerer) {
+    Fleet.moveService(0, First.address());
+    Fleet.moveService(1, Second.address());
+    // The hosts receive the registrations a moment later.
+    sleepFor(milliseconds(1'500));
+  }
+
+  std::size_t requests() const { return First.requests() + Second.requests(); }
+
+  raw_server First;
+  raw_server Second;
+  forwarding_fleet Fleet;
+};
+
+/// A caller's request, which asks for its connection to be closed.
+std::string requestText(const std::string &Method, const std::string &Path,
+                        const std::string &Body,
+                        const std::string &Connection = "close") {
+  static int Number = 0;
+  return Method + " " + Path +
+         " HTTP/1.1\r\nHost: a.example\r\nX-Parsleyspindle-Request-Id: r" +
+         std::to_string(++Number) +
+         "\r\nX-Parsleyspindle-Deadline-Ms: 4000\r\n"
+         "X-Parsleyspindle-Key: k1\r\nConnection: " +
+         Connection + "\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
+}
+
+const std::vector<std::string> ServicePaths = {"/order/x", "/check/x",
+                                               "/events/x"};
+
+/// Sends a request of each kind of route and requires that each is answered
+/// with a gateway's error, and that nothing of the upstream's answer reaches
+/// the caller.
+void requireBadGateway(broken_services &Broken, const std::string &Body = "b") {
+  for (const std::string &Path : ServicePaths) {
+    const std::size_t Before = Broken.requests();
+    const std::string Answer = exchangeBytes(Broken.Fleet.callersOf(0),
+                                             requestText("POST", Path, Body));
+    CAPTURE(Path, Answer);
+    REQUIRE(Answer.starts_with("HTTP/1.1 502 "));
+    REQUIRE(Answer.find(SealOfUpstream) == std::string::npos);
+    REQUIRE(Answer.find(BodyOfUpstream) == std::string::npos);
+    // Only what may run more than once is sent again.
+    REQUIRE(Broken.requests() - Before == (Path == "/check/x" ? 2 : 1));
+  }
+}
+
+} // namespace
+
+TEST_CASE("forwarding: an answer whose status is none of the protocol reaches "
+          "no caller") {
+  const std::string Status = GENERATE("000", "999");
+  broken_services Broken(
+      around("HTTP/1.1 " + Status + " Trouble\r\n", WholeBody));
+  requireBadGateway(Broken);
+}
--- a/Tests/Platform/test_object_store.cpp
+++ b/Tests/Platform/test_object_store.cpp
@@ -1,6 +1,7 @@
 #include "LibCore/result_code.h"
 #include "LibHTTP/http_server.h"
 #include "LibPlatform/platform_version.h"
+#include "Support/raw_server.h"
 #include "platform/object_store.h"
 
 #include <functional>
@@ -231,3 +232,34 @@
   Store.Era = "3";
   CHECK(Store.list().Version == makeVersion(3, 9));
 }
+
+// An era that no answer states would end all that is of the real one.
+TEST_CASE("the era of an answer whose status is none of the protocol counts") {
+  bool IsBroken = true;
+  raw_server Server([&IsBroken](const http_request_head &) {
+    const std::string Body =
+        R"({"items": [], "has-more": false, "current-rev": 5})";
+    const std::string Status = IsBroken ? "000 Trouble" : "200 OK";
+    const std::string Era = IsBroken ? "9" : "1";
+    return raw_answer{"HTTP/1.1 " + Status + "\r\nStore-Era: " + Era +
+                      "\r\nContent-Length: " + std::to_string(Body.size()) +
+                      "\r\n\r\n" + Body};
+  });
+  fiber_runtime Runtime{1};
+  http_client Client;
+  const platform_port Port =
+      makeObjectStore(Client, Server.address(), CallTimeout);
+  std::optional<result_code> Broken;
+  platform_list List;
+  Runtime.runBlocking([&] {
+    try {
+      Port.List("servers");
+    } catch (const spindle_error &Error) {
+      Broken = Error.code();
+    }
+    IsBroken = false;
+    List = Port.List("servers");
+  });
+  REQUIRE(Broken == result_code::PlatformUnavailable);
+  REQUIRE(eraOf(List.Version) == 1);
+}
