Tests: Check answers whose field names hold blanks or control bytes

What callers of other systems saw: an answer in whose head the name of a field held a blank or a control byte reached them, with that line passed on or with a body that was not the engine's.

Here the parser refuses each such line, and the caller gets 502; nothing is changed but the tests. They passed on too: 14 kinds of lines (a blank in or after the name, control bytes in name or value, bare CR and LF, no name, no colon) as the first, a middle and the last field of a head, a blank before the first field, four kinds after the last chunk, and on the three kinds of route through the whole host, where an answer that ends in such a field gives 502 or a stream that is cut.

--- a/Tests/EndToEnd/test_broken_answers.cpp
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -2,7 +2,6 @@
 // protocol, or end early, and reach a caller as the upstream's answer. The
 // callers and the upstreams here send and read bytes, not messages.
 
-#include "EndToEnd/fleet.h"
 #include "EndToEnd/forwarding_fleet.h"
 #include "Support/raw_server.h"
 
@@ -16,7 +15,7 @@
 namespace {
 
 const std::string LastChunk = "0\r\n\r\n";
-const std::string BodyOfUpstream = "body of the upstream";
+const std::string BodyOfUpstream = "data: from the upstream\n\n";
 const std::string SealOfUpstream = "seal-of-the-upstream";
 const std::string WholeBody =
     "Content-Length: " + std::to_string(BodyOfUpstream.size()) + "\r\n\r\n" +
@@ -89,6 +88,17 @@
   }
 }
 
+/// Requires that the answer to a request to \p Path is a gateway's error, or a
+/// stream that was cut after it had begun.
+void requireCutOrBadGateway(const std::string &Path,
+                            const std::string &Answer) {
+  CAPTURE(Path, Answer.substr(0, 500));
+  const bool IsCutStream = Path == "/events/x" &&
+                           Answer.starts_with("HTTP/1.1 200 ") &&
+                           !Answer.ends_with(LastChunk);
+  REQUIRE((IsCutStream || Answer.starts_with("HTTP/1.1 502 ")));
+}
+
 } // namespace
 
 TEST_CASE("forwarding: an answer whose status is none of the protocol reaches "
@@ -98,3 +108,20 @@
       around("HTTP/1.1 " + Status + " Trouble\r\n", WholeBody));
   requireBadGateway(Broken);
 }
+
+TEST_CASE("forwarding: an answer whose field name holds a blank or a control "
+          "byte reaches no caller") {
+  const std::string Line = GENERATE("X A: b\r\n", "X\x01: b\r\n");
+  broken_services Broken(around("HTTP/1.1 200 OK\r\n", Line + WholeBody));
+  requireBadGateway(Broken);
+}
+
+TEST_CASE("forwarding: an answer that ends in a field that is none does not "
+          "look complete") {
+  broken_services Broken(around("HTTP/1.1 200 OK\r\n",
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "7\r\nbody of\r\n0\r\nX A: b\r\n\r\n"));
+  for (const std::string &Path : ServicePaths)
+    requireCutOrBadGateway(Path, exchangeBytes(Broken.Fleet.callersOf(0),
+                                               requestText("POST", Path, "b")));
+}
--- a/Tests/LibHTTP/test_broken_answers.cpp
+++ b/Tests/LibHTTP/test_broken_answers.cpp
@@ -68,3 +68,35 @@
   for (const std::string Status : {"000", "042", "099", "600", "999"})
     requireNoAnswer("HTTP/1.1 " + Status + " Trouble\r\n" + Whole);
 }
+
+TEST_CASE("an answer whose field name holds a blank or a control byte is no "
+          "answer") {
+  const std::vector<std::string> Lines = {
+      "X A: b",   "X-A : b",  "X-A\t: b",  "X\x01-A: b", "X\x7f-A: b",
+      "X\x80: b", ": b",      "no colon",  "X-A: \x01",  "X-A: b\x7f",
+      "X\r-A: b", "X\n-A: b", "X-A: b\rc", "(X): b"};
+  for (const std::string &Line : Lines) {
+    requireNoAnswer("HTTP/1.1 200 OK\r\n" + Line + "\r\n" + Whole);
+    requireNoAnswer("HTTP/1.1 200 OK\r\nX-B: c\r\n" + Line + "\r\n" + Whole);
+    requireNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + Line +
+                    "\r\n\r\nbody");
+  }
+  requireNoAnswer("HTTP/1.1 200 OK\r\n X-A: b\r\n" + Whole);
+}
+
+TEST_CASE("fields after the last chunk that are none cut the answer short") {
+  const std::string Head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                           "\r\n4\r\nbody\r\n0\r\n";
+  raw_server Sound(always(Head + "X-A: b\r\n\r\n"));
+  const call_end SoundEnd = call(Sound);
+  REQUIRE(SoundEnd.Answer);
+  REQUIRE(SoundEnd.Answer->Body == "body");
+  for (const std::string Line : {"X A: b", "X-A : b", "X\x01: b", "no colon"}) {
+    CAPTURE(Line);
+    raw_server Server(always(Head + Line + "\r\n\r\n"));
+    const call_end End = call(Server);
+    REQUIRE_FALSE(End.Answer);
+    REQUIRE(End.Error == result_code::AnswerCutShort);
+    REQUIRE(Server.closedWithin(CloseLimit));
+  }
+}
