LibHTTP: Take an answer with a folded field for no answer

What callers saw: a line of an answer's head that begins with a blank reached them inside the field before it, which may be the seal: "seal-of-the-upstream X-A: b". A field whose name begins with a blank looks the same.

Cause: Boost.Beast's parser joins such a line, an obsolete fold, to the value before it, and shows nothing of that later.

Change: beast_call receives the bytes of a head itself and passes them to the parser through parseHead(), which sees them before they are consumed and refuses a fold, as RFC 9112, section 5.2, lets a gateway do. Time and cancellation are checked before each read, as before each other step of a call.

A body that begins with a blank still arrives.

--- a/Libraries/LibHTTP/beast_call.cpp
+++ b/Libraries/LibHTTP/beast_call.cpp
@@ -8,6 +8,7 @@
 #include <limits>
 
 #include <boost/asio/post.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -148,17 +149,45 @@
   fail(Sent, result_code::UpstreamLost, Step);
 }
 
+/// Receives what has arrived, or arrives next, into the buffer.
+io_result beast_call::receiveSome() {
+  static constexpr std::size_t MaxReadBytes = 16 * 1024;
+  beast::flat_buffer &Buffer = Connection->Buffer;
+  const std::size_t Space = beast::read_size(Buffer, MaxReadBytes);
+  if (Space == 0)
+    return {http::error::buffer_overflow, 0};
+  const io_result Read = awaitIo([&](auto Handler) {
+    Connection->Stream.async_read_some(Buffer.prepare(Space),
+                                       std::move(Handler));
+  });
+  Buffer.commit(Read.Bytes);
+  return Read;
+}
+
+/// Receives until the parser has the whole head.
+io_result beast_call::receiveHead(std::string_view Step) {
+  while (true) {
+    const beast::error_code Parsed = parseHead(Connection->Buffer, *Parser);
+    if (Parsed != http::error::need_more)
+      return {Parsed, 0};
+    expireAfter(Limits.FirstByte, HeadUntil, result_code::UpstreamLost, Step);
+    const io_result Read = receiveSome();
+    if (Read.Error == asio::error::eof)
+      return {Parser->got_some() ? http::error::partial_message
+                                 : http::error::end_of_stream,
+              0};
+    if (Read.Error)
+      return Read;
+  }
+}
+
 void beast_call::readHead() {
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   Parser->skip(HeadOnly);
   static constexpr std::string_view Step = "waiting for the answer";
-  expireAfter(Limits.FirstByte, HeadUntil, result_code::UpstreamLost, Step);
-  const io_result Read = awaitIo([&](auto Handler) {
-    http::async_read_header(Connection->Stream, Connection->Buffer, *Parser,
-                            std::move(Handler));
-  });
+  const io_result Read = receiveHead(Step);
   if (Read.Error) {
     const bool NothingCame =
         Connection->Buffer.size() == 0 && !Parser->got_some();
--- a/Libraries/LibHTTP/beast_call.h
+++ b/Libraries/LibHTTP/beast_call.h
@@ -1,14 +1,12 @@
 #ifndef PARSLEYSPINDLE_LIBHTTP_BEAST_CALL_H
 #define PARSLEYSPINDLE_LIBHTTP_BEAST_CALL_H
 
+#include "LibHTTP/answer_parser.h"
 #include "LibHTTP/connection_pool.h"
 #include "LibHTTP/http_client.h"
 
 #include <optional>
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
 namespace spindle {
 
 /// One call on one connection.
@@ -34,13 +32,12 @@
   std::string readAll(std::size_t LimitBytes) override;
 
 private:
-  using response_parser =
-      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
   void expireAfter(milliseconds Limit, time_point Until, result_code Lost,
                    std::string_view Step);
   void dropAnswer();
   void send(const http_request_head &Request, std::string_view Body);
+  io_result receiveSome();
+  io_result receiveHead(std::string_view Step);
   void readHead();
   /// \throws spindle_error UpstreamLost if the head is none of an answer.
   void checkHead() const;
@@ -55,7 +52,7 @@
   client_connection_pointer Connection;
   const std::uint64_t Number;
   http_call_limits Limits;
-  std::optional<response_parser> Parser;
+  std::optional<answer_parser> Parser;
   http_response_head Head;
   /// When the head of the answer must have arrived.
   time_point HeadUntil = time_point::max();
--- a/Tests/EndToEnd/test_broken_answers.cpp
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -125,3 +125,9 @@
     requireCutOrBadGateway(Path, exchangeBytes(Broken.Fleet.callersOf(0),
                                                requestText("POST", Path, "b")));
 }
+
+TEST_CASE("forwarding: an answer with a folded field reaches no caller") {
+  broken_services Broken(
+      around("HTTP/1.1 200 OK\r\n", " X-A: b\r\n" + WholeBody));
+  requireBadGateway(Broken);
+}
--- a/Tests/LibHTTP/test_broken_answers.cpp
+++ b/Tests/LibHTTP/test_broken_answers.cpp
@@ -100,3 +100,19 @@
     REQUIRE(Server.closedWithin(CloseLimit));
   }
 }
+
+TEST_CASE("an answer with a folded field is no answer") {
+  for (const std::string Fold : {" X-A: b", "\tX-A: b", " ", "  more"}) {
+    requireNoAnswer("HTTP/1.1 200 OK\r\nX-B: c\r\n" + Fold + "\r\n" + Whole);
+    requireNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-B: c\r\n" +
+                    Fold + "\r\n\r\nbody");
+  }
+}
+
+TEST_CASE("a body that begins with a blank is no folded field") {
+  raw_server Server(always("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n "
+                           "a\r\n b"));
+  const call_end End = call(Server);
+  REQUIRE(End.Answer);
+  REQUIRE(End.Answer->Body == " a\r\n b");
+}
