Tests: Check early answers that are reset beside the upload

What callers of other systems saw: an upstream answered a long upload at once with a 200 that had no length, sent a part and reset the connection while the upload was being written, and they got that part as complete.

A call reads only after it has written the whole request, and ends when a write fails. So nothing is read from a connection after another operation has consumed its reset, which a read would show as an ordinary end.

- http_client: 48 combinations of upload (0 to 16 MB), part (0 to 20,000 bytes) and delay of the reset (0 to 200 ms), none complete.
With a length or chunks that did not arrive whole: reset, ended, or ended and closed, never complete.
- Whole host, uploads of 20,000 and 900,000 bytes: 502 for an order and a check; for a stream 502, or 200 and a connection that is cut without the last chunk.
- Without a length, an end of the connection (FIN) is the answer's end: complete for 20,000 bytes to 16 MB if the upstream reads on.

--- a/Tests/EndToEnd/test_broken_answers.cpp
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -116,6 +116,20 @@
   requireBadGateway(Broken);
 }
 
+TEST_CASE("forwarding: an early answer that is reset beside the upload does "
+          "not look complete") {
+  broken_services Broken(around("HTTP/1.1 200 OK\r\n", "\r\nbody of",
+                                connection_end::Resets, true));
+  // The smaller one is written whole before the reset.
+  const std::size_t UploadBytes = GENERATE(20'000, 900'000);
+  const std::string Upload(UploadBytes, 'u');
+  for (const std::string &Path : ServicePaths) {
+    const std::string Answer = exchangeBytes(Broken.Fleet.callersOf(0),
+                                             requestText("POST", Path, Upload));
+    requireCutOrBadGateway(Path, Answer);
+  }
+}
+
 TEST_CASE("forwarding: an answer that ends in a field that is none does not "
           "look complete") {
   broken_services Broken(around("HTTP/1.1 200 OK\r\n",
--- a/Tests/LibHTTP/test_broken_answers.cpp
+++ b/Tests/LibHTTP/test_broken_answers.cpp
@@ -101,6 +101,52 @@
   }
 }
 
+TEST_CASE("an early answer without a length that is reset beside the upload "
+          "is not complete") {
+  const std::size_t Upload = GENERATE(0, 20'000, 300'000, 16'000'000);
+  const std::size_t Part = GENERATE(0, 4, 20'000);
+  const int Delay = GENERATE(0, 1, 20, 200);
+  CAPTURE(Upload, Part, Delay);
+  raw_server Server([&](const http_request_head &) {
+    return raw_answer{"HTTP/1.1 200 OK\r\n\r\n" + std::string(Part, 'p'),
+                      connection_end::Resets, true, milliseconds(Delay)};
+  });
+  const call_end End = call(Server, Upload);
+  REQUIRE_FALSE(End.Answer);
+  REQUIRE(End.Error);
+}
+
+TEST_CASE("an early answer whose stated length did not arrive before a reset "
+          "is not complete") {
+  const std::size_t Upload = GENERATE(0, 300'000, 16'000'000);
+  const std::string Framing = GENERATE("Content-Length: 9\r\n\r\nbody",
+                                       "Transfer-Encoding: chunked\r\n\r\n"
+                                       "4\r\nbody\r\n");
+  const connection_end How =
+      GENERATE(connection_end::Resets, connection_end::EndsSending,
+               connection_end::EndsSendingAndCloses);
+  CAPTURE(Upload, Framing, static_cast<int>(How));
+  raw_server Server([&](const http_request_head &) {
+    return raw_answer{"HTTP/1.1 200 OK\r\n" + Framing, How, true};
+  });
+  const call_end End = call(Server, Upload);
+  REQUIRE_FALSE(End.Answer);
+  REQUIRE(End.Error);
+}
+
+TEST_CASE("an early answer without a length is complete if its connection ends "
+          "properly") {
+  const std::size_t Upload = GENERATE(20'000, 300'000, 16'000'000);
+  CAPTURE(Upload);
+  raw_server Server([](const http_request_head &) {
+    return raw_answer{"HTTP/1.1 200 OK\r\n\r\nbody",
+                      connection_end::EndsSending, true};
+  });
+  const call_end End = call(Server, Upload);
+  REQUIRE(End.Answer);
+  REQUIRE(End.Answer->Body == "body");
+}
+
 TEST_CASE("an answer with a folded field is no answer") {
   for (const std::string Fold : {" X-A: b", "\tX-A: b", " ", "  more"}) {
     requireNoAnswer("HTTP/1.1 200 OK\r\nX-B: c\r\n" + Fold + "\r\n" + Whole);
