LibHTTP: Take an answer that switches protocols for no answer

What callers saw: an upstream in trouble answered 101, and the caller got "101 Switching Protocols" as the final answer, with the upstream's seal, on the three kinds of route.

Cause: 101 is a status of HTTP, and the client skipped only 100. No request asks for another protocol: the fields that would are left out.

Change: an answer is interim (100 to 199 but 101), final (200 to 599), or none; 101 is none and ends the connection as UpstreamLost.

Evidence: on "an answer that switches protocols unasked is no answer" (LibHTTP) and "forwarding: an answer that switches protocols unasked reaches no caller" fail, the latter with the answer above. Now the caller gets 502 on the three kinds of route.

--- a/Libraries/LibHTTP/beast_call.cpp
+++ b/Libraries/LibHTTP/beast_call.cpp
@@ -202,7 +202,7 @@
 /// The parser takes any three digits for a status. Bytes that are no answer of
 /// the protocol say nothing of the request, which may have run.
 void beast_call::checkHead() const {
-  if (!isHttpStatus(Head.Status))
+  if (!isInterimStatus(Head.Status) && !isFinalStatus(Head.Status))
     throwNoAnswer("a status of " + std::to_string(Head.Status));
 }
 
--- a/Libraries/LibHTTP/status_code.cpp
+++ b/Libraries/LibHTTP/status_code.cpp
@@ -2,11 +2,18 @@
 
 namespace spindle {
 
-static constexpr int FirstStatus = 100;
+static constexpr int FirstInterimStatus = 100;
+static constexpr int SwitchingProtocols = 101;
+static constexpr int FirstFinalStatus = 200;
 static constexpr int LastStatus = 599;
 
-bool isHttpStatus(int Status) {
-  return Status >= FirstStatus && Status <= LastStatus;
+bool isInterimStatus(int Status) {
+  return Status >= FirstInterimStatus && Status < FirstFinalStatus &&
+         Status != SwitchingProtocols;
+}
+
+bool isFinalStatus(int Status) {
+  return Status >= FirstFinalStatus && Status <= LastStatus;
 }
 
 } // namespace spindle
--- a/Libraries/LibHTTP/status_code.h
+++ b/Libraries/LibHTTP/status_code.h
@@ -3,9 +3,14 @@
 
 namespace spindle {
 
-/// Whether \p Status is one that HTTP defines classes for, 100 to 599. A status
-/// line may hold any three digits. Thread-safe.
-bool isHttpStatus(int Status);
+// A status line may hold any three digits. A status that is neither interim nor
+// final stands for no answer of HTTP to a request of ours.
+
+/// Whether the final answer is still to follow: 100 to 199, but for 101, which
+/// switches to a protocol that no request asks for. Thread-safe.
+bool isInterimStatus(int Status);
+/// Whether it is the status of a final answer: 200 to 599. Thread-safe.
+bool isFinalStatus(int Status);
 
 } // namespace spindle
 
--- a/Tests/EndToEnd/test_broken_answers.cpp
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -145,3 +145,11 @@
       around("HTTP/1.1 200 OK\r\n", " X-A: b\r\n" + WholeBody));
   requireBadGateway(Broken);
 }
+
+TEST_CASE("forwarding: an answer that switches protocols unasked reaches no "
+          "caller") {
+  broken_services Broken(around("HTTP/1.1 101 Switching Protocols\r\n"
+                                "Connection: Upgrade\r\nUpgrade: other\r\n",
+                                "\r\n"));
+  requireBadGateway(Broken);
+}
--- a/Tests/LibHTTP/test_broken_answers.cpp
+++ b/Tests/LibHTTP/test_broken_answers.cpp
@@ -162,3 +162,11 @@
   REQUIRE(End.Answer);
   REQUIRE(End.Answer->Body == " a\r\n b");
 }
+
+TEST_CASE("an answer that switches protocols unasked is no answer") {
+  requireNoAnswer("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
+                  "Upgrade: other\r\n\r\n");
+  requireNoAnswer("HTTP/1.1 101 Switching Protocols\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\n" +
+                  Whole);
+}
