LibHTTP: Drop every interim answer, also after a late one

What callers saw: an upstream sent 103, and then its answer. The caller got 502, though the upstream had run the request and answered, as the 103 was taken for the answer and has no seal. Readers without a seal (orders, reports, the store) got the 103 as the answer.

Cause: only 100 was dropped, and only before the first final answer: behind a late answer to another request, an interim one was taken for the own one, 100 too.

Change: each head that is read drops all interim answers before it. The limit for the head holds for them together, as it did for 100.

Evidence: on fail, of "an interim answer is not the answer, nor one to another request" (LibHTTP), all but 100 without a late answer; "bytes without end..." with 103 without end, which came out as an answer; and "forwarding: an interim answer is taken for the answer", with 502. Now they pass: 200 with the upstream's seal and body on the three kinds of route. All 51 cases of TestLibHTTP pass.

--- a/Libraries/LibHTTP/beast_call.cpp
+++ b/Libraries/LibHTTP/beast_call.cpp
@@ -212,6 +212,13 @@
                                                      Problem);
 }
 
+/// Reads the head of the next answer and drops the interim ones before it.
+void beast_call::readFinalHead() {
+  do
+    readHead();
+  while (isInterimStatus(Head.Status));
+}
+
 /// Reads the rest of an answer that belongs to an earlier request.
 void beast_call::dropAnswer() {
   if (!Parser->is_done() && Parser->need_eof())
@@ -239,12 +246,10 @@
   throwIfCancelled();
   send(Request, Body);
   HeadUntil = std::min(Limits.Until, boot_clock::now() + Limits.FirstByte);
-  do
-    readHead();
-  while (Head.Status == 100);
+  readFinalHead();
   while (Limits.IsOwnAnswer && !Limits.IsOwnAnswer(Head)) {
     dropAnswer();
-    readHead();
+    readFinalHead();
   }
   if (Parser->is_done())
     finish();
--- a/Libraries/LibHTTP/beast_call.h
+++ b/Libraries/LibHTTP/beast_call.h
@@ -39,6 +39,7 @@
   io_result receiveSome();
   io_result receiveHead(std::string_view Step);
   void readHead();
+  void readFinalHead();
   /// \throws spindle_error UpstreamLost if the head is none of an answer.
   void checkHead() const;
   [[noreturn]] void throwNoAnswer(const std::string &Problem) const;
--- a/Tests/EndToEnd/test_broken_answers.cpp
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -153,3 +153,19 @@
                                 "\r\n"));
   requireBadGateway(Broken);
 }
+
+TEST_CASE("forwarding: an interim answer is taken for the answer") {
+  broken_services Broken(around("HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
+                                "HTTP/1.1 199 Trouble\r\n\r\n"
+                                "HTTP/1.1 200 OK\r\n",
+                                WholeBody));
+  for (const std::string &Path : ServicePaths) {
+    const std::string Answer = exchangeBytes(Broken.Fleet.callersOf(0),
+                                             requestText("POST", Path, "b"));
+    CAPTURE(Path, Answer);
+    REQUIRE(Answer.starts_with("HTTP/1.1 200 "));
+    REQUIRE(Answer.find(SealOfUpstream) != std::string::npos);
+    REQUIRE(Answer.find(BodyOfUpstream) != std::string::npos);
+    REQUIRE(Answer.find("Link") == std::string::npos);
+  }
+}
--- a/Tests/LibHTTP/test_broken_answers.cpp
+++ b/Tests/LibHTTP/test_broken_answers.cpp
@@ -170,3 +170,24 @@
                   "HTTP/1.1 200 OK\r\n" +
                   Whole);
 }
+
+TEST_CASE("an interim answer is not the answer, nor one to another request") {
+  const std::string Status = GENERATE("100", "102", "103", "199");
+  const bool IsAfterLate = GENERATE(false, true);
+  const std::string Interim =
+      "HTTP/1.1 " + Status + " Interim\r\nX-Id: 1\r\nX-A: b\r\n\r\n";
+  const std::string Late =
+      IsAfterLate ? "HTTP/1.1 200 OK\r\nX-Id: 0\r\n" + Whole : "";
+  raw_server Server(always(Interim + Late + Interim + Interim +
+                           "HTTP/1.1 201 Created\r\nX-Id: 1\r\n" + Whole));
+  http_call_limits Limits;
+  Limits.IsOwnAnswer = [](const http_response_head &Head) {
+    return findField(Head.Fields, "X-Id") == "1";
+  };
+  CAPTURE(Status, IsAfterLate);
+  const call_end End = call(Server, 0, Limits);
+  REQUIRE(End.Answer);
+  REQUIRE(End.Answer->Head.Status == 201);
+  REQUIRE(findField(End.Answer->Head.Fields, "X-A").empty());
+  REQUIRE(End.Answer->Body == "body");
+}
--- a/Tests/LibHTTP/test_endless_answers.cpp
+++ b/Tests/LibHTTP/test_endless_answers.cpp
@@ -85,6 +85,8 @@
     {"bytes that are no answer", "", "\x01z"},
     {"blank lines", "", "\r\n"},
     {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"interim answers of another kind", "",
+     "HTTP/1.1 103 Early Hints\r\nX-More: a\r\n\r\n"},
     {"answers to other requests", "", OtherHead + "Content-Length: 0\r\n\r\n"},
     {"the body of another answer",
      OtherHead + "Transfer-Encoding: chunked\r\n\r\n", Chunk},
