--- a/Tests/EndToEnd/test_broken_answers.cpp
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -169,3 +169,13 @@
     REQUIRE(Answer.find("Link") == std::string::npos);
   }
 }
+
+TEST_CASE("forwarding: an answer in a transfer coding other than chunked "
+          "reaches a caller undecoded") {
+  const std::string Coding = GENERATE("gzip", "gzip, chunked", "chunked, gzip");
+  broken_services Broken(
+      around("HTTP/1.1 200 OK\r\n",
+             "Transfer-Encoding: " + Coding + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+             connection_end::EndsSending));
+  requireBadGateway(Broken);
+}
--- a/Tests/LibHTTP/test_broken_answers.cpp
+++ b/Tests/LibHTTP/test_broken_answers.cpp
@@ -191,3 +191,26 @@
   REQUIRE(findField(End.Answer->Head.Fields, "X-A").empty());
   REQUIRE(End.Answer->Body == "body");
 }
+
+TEST_CASE("an answer in a transfer coding other than chunked is no answer") {
+  const std::string Chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+  const std::vector<std::string> Codings = {
+      "gzip",
+      "gzip, chunked",
+      "chunked, gzip",
+      "xgzip",
+      "chunked, chunked",
+      "chunked;q=1",
+      "chunked a",
+      "gzip\r\nTransfer-Encoding: chunked"};
+  for (const std::string &Coding : Codings) {
+    const std::string Bytes =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + Coding + "\r\n" + Chunks;
+    requireNoAnswer(Bytes);
+  }
+  raw_server Sound(
+      always("HTTP/1.1 200 OK\r\nTransfer-Encoding:  Chunked \r\n" + Chunks));
+  const call_end End = call(Sound);
+  REQUIRE(End.Answer);
+  REQUIRE(End.Answer->Body == "body");
+}
