LibHTTP: Send no body where an answer has none

What callers saw: an upstream answered 204 on a stream route, and the caller got 204 with "Transfer-Encoding: chunked" and the bytes of a last chunk, which it takes for the start of the next answer on its connection. It was the same with 304, and for HEAD on a stream route. On other routes 204 went out with "Content-Length: 0", which HTTP rules out, and HEAD was told that the body has 0 bytes.

Cause: startStream() and finishStream() know neither the status nor the method, and respond() always states the length of what it was given.

Change: the exchange decides by status and method. An answer with 204 or 304, or to HEAD, is its head alone, whatever is written to it. To HEAD, a length is stated only if the body that is left out is at hand.

Now two answers on one connection are the bytes of their heads alone, on the three kinds of route.

--- a/Libraries/LibHTTP/beast_exchange.cpp
+++ b/Libraries/LibHTTP/beast_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/result_code.h"
 #include "LibCore/retry_after_error.h"
+#include "LibHTTP/status_code.h"
 
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/read.hpp>
@@ -122,6 +123,10 @@
          !Parser.is_done() || !Parser.get().keep_alive();
 }
 
+bool beast_exchange::answersHead() const {
+  return Parser.get().method() == http::verb::head;
+}
+
 template <typename message>
 void beast_exchange::setFields(message &Message,
                                const http_response_head &Response) {
@@ -151,8 +156,11 @@
   http::response<http::span_body<const char>> Message;
   setFields(Message, Response);
   Message.body() = {Body.data(), Body.size()};
-  Message.content_length(Body.size());
-  const bool HeadOnly = Parser.get().method() == http::verb::head;
+  const bool HasBody = !isStatusWithoutBody(Response.Status);
+  // To HEAD, the length is that of the body that is left out, if it is known.
+  if (HasBody && !(answersHead() && Body.empty()))
+    Message.content_length(Body.size());
+  HeadOnly = answersHead() || !HasBody;
   Phase = phase::Finished;
   http::serializer<false, http::span_body<const char>> Serializer(Message);
   write([&](auto Handler) {
@@ -167,7 +175,8 @@
   throwIfEnding("the stream has begun");
   http::response<http::empty_body> Message;
   setFields(Message, Response);
-  Message.chunked(true);
+  HeadOnly = answersHead() || isStatusWithoutBody(Response.Status);
+  Message.chunked(!HeadOnly);
   Phase = phase::Streaming;
   http::serializer<false, http::empty_body> Serializer(Message);
   write([&](auto Handler) {
@@ -176,7 +185,7 @@
 }
 
 void beast_exchange::writeSome(std::string_view Data) {
-  if (Data.empty())
+  if (Data.empty() || HeadOnly)
     return;
   const asio::const_buffer Chunk(Data.data(), Data.size());
   write([&](auto Handler) {
@@ -186,6 +195,8 @@
 
 void beast_exchange::finishStream() {
   Phase = phase::Finished;
+  if (HeadOnly)
+    return;
   write([&](auto Handler) {
     asio::async_write(Stream, http::make_chunk_last(), std::move(Handler));
   });
--- a/Libraries/LibHTTP/beast_exchange.h
+++ b/Libraries/LibHTTP/beast_exchange.h
@@ -65,6 +65,7 @@
   void throwIfEnding(std::string_view Awaited) const;
   void stopWatching();
   bool closesAfter() const;
+  bool answersHead() const;
   template <typename message>
   void setFields(message &Message, const http_response_head &Response);
   template <typename start> void write(start Start);
@@ -78,6 +79,8 @@
   http_request_head Head;
   phase Phase = phase::Waiting;
   bool ContinueSent = false;
+  /// Whether the response is its head alone.
+  bool HeadOnly = false;
   /// Whether the response was sent with "Connection: close".
   bool AnnouncedClose = false;
   bool IsReadingBody = false;
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -43,10 +43,12 @@
   /// Reads a part of the body into \p Buffer; 0 means the body has ended.
   /// \throws spindle_error BodyIncomplete, CallerTooSlow, HostStops.
   virtual std::size_t readSome(std::span<char> Buffer) = 0;
-  /// Sends a whole response. Precondition: nothing was sent before.
+  /// Sends a whole response, or its head alone if it has no body: to HEAD, and
+  /// with 204 or 304. Precondition: nothing was sent before.
   virtual void respond(const http_response_head &Head,
                        std::string_view Body) = 0;
-  /// Starts a chunked response. Precondition: nothing was sent before.
+  /// Starts a chunked response. One that has no body, as for respond(), is its
+  /// head alone, whatever is written. Precondition: nothing was sent before.
   /// \throws spindle_error HostStops if the server ends the exchanges without
   /// an answer; a response may then still be sent. CallerTooSlow.
   virtual void startStream(const http_response_head &Head) = 0;
--- a/Libraries/LibHTTP/status_code.h
+++ b/Libraries/LibHTTP/status_code.h
@@ -11,6 +11,9 @@
 bool isInterimStatus(int Status);
 /// Whether it is the status of a final answer: 200 to 599. Thread-safe.
 bool isFinalStatus(int Status);
+/// Whether an answer with that status is its head alone, whatever the request
+/// was: interim ones, 101, 204 and 304. Thread-safe.
+bool isStatusWithoutBody(int Status);
 
 } // namespace spindle
 
--- a/Tests/EndToEnd/test_broken_answers.cpp
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -99,6 +99,28 @@
   REQUIRE((IsCutStream || Answer.starts_with("HTTP/1.1 502 ")));
 }
 
+/// Sends a request twice on one connection and requires that both answers are
+/// heads alone, so that the second is found where the first one ends.
+void requireNoBodies(const endpoint &Host, const std::string &Method,
+                     const std::string &Path, const std::string &StatusLine) {
+  const std::string Answers =
+      exchangeBytes(Host, requestText(Method, Path, "", "keep-alive") +
+                              requestText(Method, Path, ""));
+  CAPTURE(Method, Path, Answers);
+  static constexpr std::string_view HeadEnd = "\r\n\r\n";
+  const std::size_t FirstEnd = Answers.find(HeadEnd);
+  REQUIRE(FirstEnd != std::string::npos);
+  const std::string First = Answers.substr(0, FirstEnd + HeadEnd.size());
+  const std::string Second = Answers.substr(First.size());
+  for (const std::string &Answer : {First, Second}) {
+    REQUIRE(Answer.starts_with(StatusLine));
+    REQUIRE(Answer.find(SealOfUpstream) != std::string::npos);
+    REQUIRE(Answer.find("Transfer-Encoding") == std::string::npos);
+    REQUIRE(Answer.find("Content-Length: 0") == std::string::npos);
+  }
+  REQUIRE(Second.find(HeadEnd) == Second.size() - HeadEnd.size());
+}
+
 } // namespace
 
 TEST_CASE("forwarding: an answer whose status is none of the protocol reaches "
@@ -170,6 +192,21 @@
   }
 }
 
+TEST_CASE("forwarding: an answer that has no body is sent with one") {
+  const std::string Status = GENERATE("204 No Content", "304 Not Modified");
+  broken_services Broken(around("HTTP/1.1 " + Status + "\r\n", "\r\n"));
+  for (const std::string &Path : ServicePaths)
+    requireNoBodies(Broken.Fleet.callersOf(0), "POST", Path,
+                    "HTTP/1.1 " + Status);
+}
+
+TEST_CASE("forwarding: an answer to HEAD is sent with a body") {
+  broken_services Broken(
+      around("HTTP/1.1 200 OK\r\n", "Content-Length: 9\r\n\r\n"));
+  for (const std::string &Path : ServicePaths)
+    requireNoBodies(Broken.Fleet.callersOf(0), "HEAD", Path, "HTTP/1.1 200 OK");
+}
+
 TEST_CASE("forwarding: an answer in a transfer coding other than chunked "
           "reaches a caller undecoded") {
   const std::string Coding = GENERATE("gzip", "gzip, chunked", "chunked, gzip");
