LibOrders: Treat a stored response without a valid status as unknown

What callers saw: the repeat of an order was answered from its record with whatever status that held.

Cause: the status of a stored response was taken as any integer.

Change: a stored response whose status is none of a final answer is no response. The order ran, or may have: its outcome is unknown, as after a lost answer, and it isn't run again.

Evidence: "A stored response whose status is none of HTTP is sent to a repeat" fails on the code before for 0, 99, 101, 600, 1000 and -200, and passes now.

--- a/Libraries/LibOrders/order_record.cpp
+++ b/Libraries/LibOrders/order_record.cpp
@@ -4,9 +4,11 @@
 #include "LibCore/digest.h"
 #include "LibCore/result_code.h"
 #include "LibCore/utf8.h"
+#include "LibHTTP/status_code.h"
 
 #include <array>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -94,9 +96,14 @@
   return Object;
 }
 
-static http_response parseResponse(const json &Object) {
+/// Returns none if the status is that of no answer, which an earlier version
+/// may have stored, or another writer.
+static std::optional<http_response> parseResponse(const json &Object) {
+  const int Status = Object.at("status").get<int>();
+  if (!isFinalStatus(Status))
+    return std::nullopt;
   http_response Response;
-  Response.Head.Status = Object.at("status").get<int>();
+  Response.Head.Status = Status;
   for (const json &Item : Object.at("fields"))
     Response.Head.Fields.push_back(
         {getBytes(Item, "name"), getBytes(Item, "value")});
@@ -125,9 +132,14 @@
     Record.ClaimedAt = {Object.at("claimedAtMs").get<std::int64_t>()};
     Record.InProgressUntil = {
         Object.at("inProgressUntilMs").get<std::int64_t>()};
-    Record.ResponseStored = Object.contains("answer");
-    if (Record.ResponseStored)
-      Record.Response = parseResponse(Object.at("answer"));
+    if (!Object.contains("answer"))
+      return Record;
+    std::optional<http_response> Response = parseResponse(Object.at("answer"));
+    Record.ResponseStored = Response.has_value();
+    if (Response)
+      Record.Response = *std::move(Response);
+    else
+      Record.State = order_state::Unknown;
     return Record;
   } catch (const json::exception &Error) {
     throw spindle_error(result_code::Internal,
--- a/Libraries/LibOrders/order_record.h
+++ b/Libraries/LibOrders/order_record.h
@@ -45,7 +45,8 @@
 /// Serializes a record as JSON. Strings that are not UTF-8 are preserved byte
 /// for byte. Thread-safe.
 std::string toJson(const order_record &Record);
-/// Parses the output of toJson(). Thread-safe.
+/// Parses the output of toJson(). A stored response whose status is none of a
+/// final answer is dropped, and the outcome is Unknown. Thread-safe.
 /// \throws spindle_error Internal if \p Text is not a valid record.
 order_record parseOrderRecord(std::string_view Text);
 
--- a/Tests/LibOrders/test_order_executor.cpp
+++ b/Tests/LibOrders/test_order_executor.cpp
@@ -84,6 +84,18 @@
   CHECK(Fixture.send(Executor) == number(result_code::OrderAnswerNotKept));
 }
 
+// Records of earlier versions may hold what was no answer.
+TEST_CASE("A stored response whose status is none of HTTP is sent to a "
+          "repeat") {
+  const int Status = GENERATE(0, 99, 101, 600, 1'000, -200);
+  order_desk_fixture Fixture;
+  order_executor Executor = Fixture.makeExecutor(1);
+  Fixture.Answer.Head.Status = Status;
+  REQUIRE(Fixture.send(Executor) == Answered);
+  CHECK(Fixture.send(Executor) == number(result_code::OrderOutcomeUnknown));
+  CHECK(Fixture.Runs["key"] == 1);
+}
+
 TEST_CASE("A claim whose response is lost is confirmed by reading it back") {
   order_desk_fixture Fixture;
   order_executor Executor = Fixture.makeExecutor(1);
