--- a/Tests/EndToEnd/test_broken_answers.cpp
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -2,6 +2,7 @@
 // protocol, or end early, and reach a caller as the upstream's answer. The
 // callers and the upstreams here send and read bytes, not messages.
 
+#include "EndToEnd/fleet.h"
 #include "EndToEnd/forwarding_fleet.h"
 #include "Support/raw_server.h"
 
@@ -121,6 +122,15 @@
   REQUIRE(Second.find(HeadEnd) == Second.size() - HeadEnd.size());
 }
 
+/// Requires that the answer is an error of the host's own, which doesn't state
+/// that the request has not run.
+void requireOwnError(const std::string &Answer) {
+  CAPTURE(Answer);
+  REQUIRE(Answer.starts_with("HTTP/1.1 50"));
+  REQUIRE(Answer.find("\"state\":\"maybe run\"") != std::string::npos);
+  REQUIRE(Answer.find(BodyOfUpstream) == std::string::npos);
+}
+
 } // namespace
 
 TEST_CASE("forwarding: an answer whose status is none of the protocol reaches "
@@ -216,3 +226,67 @@
              connection_end::EndsSending));
   requireBadGateway(Broken);
 }
+
+TEST_CASE("a service's answer that is none of the protocol reaches a caller, "
+          "or is replayed for an order") {
+  raw_server Server([](const http_request_head &) {
+    return raw_answer{"HTTP/1.1 000 Trouble\r\n" + WholeBody};
+  });
+  fleet Fleet({1, 1, 1});
+  Fleet.applyIntent([&](nlohmann::json &Intent) {
+    for (nlohmann::json &Upstream : Intent["upstreams"])
+      if (Upstream["kind"] == "service")
+        Upstream["address"] = toText(Server.address());
+  });
+  const std::string End = "Host: a\r\nConnection: close\r\nAuthorization: "
+                          "Bearer " +
+                          std::string(fleet::KeyOfAalst) +
+                          "\r\nContent-Length: 0\r\n\r\n";
+  const auto Send = [&](const std::string &Line) {
+    return exchangeBytes(Fleet.hostAddress(0), Line + End);
+  };
+  const std::string Check = Send("GET /stock/7 HTTP/1.1\r\n");
+  requireOwnError(Check);
+  const std::size_t Before = Server.requests();
+  const std::string Order =
+      "POST /orders/lids HTTP/1.1\r\nIdempotency-Key: k\r\n";
+  const std::string First = Send(Order);
+  const std::string Repeat = Send(Order);
+  requireOwnError(First);
+  CAPTURE(Repeat);
+  REQUIRE(Repeat.find("OrderOutcomeUnknown") != std::string::npos);
+  REQUIRE(Server.requests() == Before + 1);
+}
+
+TEST_CASE("an engine's answer that is none of the protocol reaches a caller") {
+  const bool IsStream = GENERATE(false, true);
+  raw_server Engine([](const http_request_head &Request) {
+    const std::string_view Path = pathOf(Request.Target);
+    std::string Status = "200 OK";
+    std::string Body = "{}";
+    if (Path == "/load")
+      Body = R"({"incarnation": 1, "loaded": ["pickler@1"], "slots": 8,
+                 "batch_size": 16})";
+    else if (Path == "/cache_events")
+      Body = R"({"events": []})";
+    else if (Path.ends_with("/completions"))
+      Status = "042 Trouble";
+    return raw_answer{"HTTP/1.1 " + Status + "\r\nContent-Length: " +
+                      std::to_string(Body.size()) + "\r\n\r\n" + Body};
+  });
+  fleet Fleet({1, 1, 0});
+  Fleet.applyIntent([&](nlohmann::json &Intent) {
+    Intent["upstreams"][0]["address"] = toText(Engine.address());
+  });
+  const nlohmann::json Body = {{"model", "pickler@1"},
+                               {"prompt", "p"},
+                               {"max_tokens", 5},
+                               {"stream", IsStream}};
+  const std::string Answer = exchangeBytes(
+      Fleet.hostAddress(0),
+      "POST /v1/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Content-Type: application/json\r\nAuthorization: Bearer " +
+          std::string(fleet::KeyOfAalst) + "\r\nContent-Length: " +
+          std::to_string(Body.dump().size()) + "\r\n\r\n" + Body.dump());
+  requireOwnError(Answer);
+}
