--- a/Tests/LibHTTP/test_broken_answers.cpp
+++ b/Tests/LibHTTP/test_broken_answers.cpp
@@ -214,3 +214,23 @@
   REQUIRE(End.Answer);
   REQUIRE(End.Answer->Body == "body");
 }
+
+TEST_CASE("an answer with a broken status line is no answer") {
+  for (const std::string Line :
+       {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 -20 OK", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK",
+        "HTTP/1.2 200 OK", "http/1.1 200 OK", "HTTP/1.1 200 O\x01K", "200 OK",
+        " HTTP/1.1 200 OK", "HTTP/1.1\t200 OK"})
+    requireNoAnswer(std::string(Line) + "\r\n" + Whole);
+}
+
+TEST_CASE("an answer with contradictory lengths is no answer") {
+  for (const std::string Fields :
+       {"Content-Length: 4\r\nContent-Length: 5", "Content-Length: 4, 5",
+        "Content-Length: -4", "Content-Length: +4", "Content-Length: 4x",
+        "Content-Length: 99999999999999999999",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4"})
+    requireNoAnswer("HTTP/1.1 200 OK\r\n" + std::string(Fields) +
+                    "\r\n\r\nbody");
+}
