Tests: Register broken upstreams before the hosts start

test_broken_answers moved the services of a running fleet and then waited 1.5 s for the hosts to see it. The fleet now registers them where a test has them from the start, so that nothing depends on a wait.

--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -92,10 +92,10 @@
   http_client(const http_client &) = delete;
   http_client &operator=(const http_client &) = delete;
 
-  /// Sends a request and waits for the head of its response. What is no
-  /// response of the protocol closes the connection, as UpstreamLost. \throws
-  /// spindle_error UpstreamUnreachable (no byte was sent), UpstreamLost,
-  /// UpstreamTimeout (the request may have run).
+  /// Sends a request and waits for the head of its response. Bytes that are no
+  /// response of the protocol count as a lost connection, and close it.
+  /// \throws spindle_error UpstreamUnreachable (no byte was sent),
+  /// UpstreamLost, UpstreamTimeout (the request may have run).
   std::unique_ptr<http_call> start(const endpoint &Peer,
                                    const http_request_head &Request,
                                    std::string_view Body,
--- a/Tests/EndToEnd/forwarding_fleet.cpp
+++ b/Tests/EndToEnd/forwarding_fleet.cpp
@@ -82,17 +82,14 @@
 forwarding_fleet::~forwarding_fleet() = default;
 
 void forwarding_fleet::registerAll() {
-  for (const auto *const List : {&Engines, &Services})
-    for (const std::unique_ptr<upstream_stand_in> &Upstream : *List)
-      Store.put("servers", Upstream->name(), Upstream->registration());
-}
-
-void forwarding_fleet::moveService(std::size_t Service,
-                                   const endpoint &Address) {
-  json Entry = Services[Service]->registration();
-  Entry["address"] = toText(Address);
-  Entry["born"] = 2;
-  Store.put("servers", Services[Service]->name(), Entry);
+  for (const std::unique_ptr<upstream_stand_in> &Engine : Engines)
+    Store.put("servers", Engine->name(), Engine->registration());
+  for (std::size_t Index = 0; Index < Services.size(); ++Index) {
+    json Entry = Services[Index]->registration();
+    if (!Options.ServiceAddresses.empty())
+      Entry["address"] = toText(Options.ServiceAddresses.at(Index));
+    Store.put("servers", Services[Index]->name(), std::move(Entry));
+  }
 }
 
 void forwarding_fleet::configure(std::uint64_t Version,
--- a/Tests/EndToEnd/forwarding_fleet.h
+++ b/Tests/EndToEnd/forwarding_fleet.h
@@ -28,6 +28,9 @@
   std::size_t PlacementMinEngines = 0;
   /// The longest time of a planned stop.
   milliseconds Drain{7'500};
+  /// Where the plain services are, in the order of their zones; empty for the
+  /// fleet's own stand-ins.
+  std::vector<endpoint> ServiceAddresses = {};
 };
 
 /// Real hosts with the forwarding interface before stand-ins of the store and
@@ -53,8 +56,6 @@
   const endpoint &callersOf(std::size_t Host) const {
     return Hosts[Host].Callers;
   }
-  /// Registers a plain service at another address, as if it had started anew.
-  void moveService(std::size_t Service, const endpoint &Address);
   /// Writes the operator's configuration, with these keys of customer c1.
   void configure(std::uint64_t Version, const std::vector<std::string> &Keys);
 
--- a/Tests/EndToEnd/test_broken_answers.cpp
+++ b/Tests/EndToEnd/test_broken_answers.cpp
@@ -38,15 +38,18 @@
   };
 }
 
+forwarding_fleet_options withServicesAt(const raw_server &First,
+                                        const raw_server &Second) {
+  forwarding_fleet_options Options;
+  Options.ServiceAddresses = {First.address(), Second.address()};
+  return Options;
+}
+
 /// A fleet whose plain services send \p Answerer's bytes.
 struct broken_services {
   explicit broken_services(const raw_answerer &Answerer)
-      : First(Answerer), Second(Answerer) {
-    Fleet.moveService(0, First.address());
-    Fleet.moveService(1, Second.address());
-    // The hosts receive the registrations a moment later.
-    sleepFor(milliseconds(1'500));
-  }
+      : First(Answerer), Second(Answerer),
+        Fleet(withServicesAt(First, Second)) {}
 
   std::size_t requests() const { return First.requests() + Second.requests(); }
 
@@ -55,7 +58,7 @@
   forwarding_fleet Fleet;
 };
 
-/// A caller's request, which asks for its connection to be closed.
+/// A caller's request, each with an id of its own.
 std::string requestText(const std::string &Method, const std::string &Path,
                         const std::string &Body,
                         const std::string &Connection = "close") {
@@ -75,11 +78,11 @@
 /// Sends a request of each kind of route and requires that each is answered
 /// with a gateway's error, and that nothing of the upstream's answer reaches
 /// the caller.
-void requireBadGateway(broken_services &Broken, const std::string &Body = "b") {
+void requireBadGateway(broken_services &Broken) {
   for (const std::string &Path : ServicePaths) {
     const std::size_t Before = Broken.requests();
     const std::string Answer = exchangeBytes(Broken.Fleet.callersOf(0),
-                                             requestText("POST", Path, Body));
+                                             requestText("POST", Path, "b"));
     CAPTURE(Path, Answer);
     REQUIRE(Answer.starts_with("HTTP/1.1 502 "));
     REQUIRE(Answer.find(SealOfUpstream) == std::string::npos);
