--- a/Tests/LibHTTP/test_broken_answers.cpp
+++ b/Tests/LibHTTP/test_broken_answers.cpp
@@ -6,8 +6,10 @@
 #include "LibRuntime/fiber_runtime.h"
 #include "Support/raw_server.h"
 
+#include <initializer_list>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -44,6 +46,13 @@
   return End;
 }
 
+std::string joined(std::initializer_list<std::string_view> Parts) {
+  std::string Text;
+  for (const std::string_view Part : Parts)
+    Text.append(Part);
+  return Text;
+}
+
 /// A server that sends the same bytes for each request.
 raw_answerer always(const std::string &Bytes,
                     connection_end End = connection_end::StaysOpen) {
@@ -66,7 +75,7 @@
 
 TEST_CASE("an answer whose status is none of the protocol is no answer") {
   for (const std::string Status : {"000", "042", "099", "600", "999"})
-    requireNoAnswer("HTTP/1.1 " + Status + " Trouble\r\n" + Whole);
+    requireNoAnswer(joined({"HTTP/1.1 ", Status, " Trouble\r\n", Whole}));
 }
 
 TEST_CASE("an answer whose field name holds a blank or a control byte is no "
@@ -76,10 +85,11 @@
       "X\x80: b", ": b",      "no colon",  "X-A: \x01",  "X-A: b\x7f",
       "X\r-A: b", "X\n-A: b", "X-A: b\rc", "(X): b"};
   for (const std::string &Line : Lines) {
-    requireNoAnswer("HTTP/1.1 200 OK\r\n" + Line + "\r\n" + Whole);
-    requireNoAnswer("HTTP/1.1 200 OK\r\nX-B: c\r\n" + Line + "\r\n" + Whole);
-    requireNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + Line +
-                    "\r\n\r\nbody");
+    requireNoAnswer(joined({"HTTP/1.1 200 OK\r\n", Line, "\r\n", Whole}));
+    requireNoAnswer(
+        joined({"HTTP/1.1 200 OK\r\nX-B: c\r\n", Line, "\r\n", Whole}));
+    requireNoAnswer(joined(
+        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", Line, "\r\n\r\nbody"}));
   }
   requireNoAnswer("HTTP/1.1 200 OK\r\n X-A: b\r\n" + Whole);
 }
@@ -93,7 +103,7 @@
   REQUIRE(SoundEnd.Answer->Body == "body");
   for (const std::string Line : {"X A: b", "X-A : b", "X\x01: b", "no colon"}) {
     CAPTURE(Line);
-    raw_server Server(always(Head + Line + "\r\n\r\n"));
+    raw_server Server(always(joined({Head, Line, "\r\n\r\n"})));
     const call_end End = call(Server);
     REQUIRE_FALSE(End.Answer);
     REQUIRE(End.Error == result_code::AnswerCutShort);
@@ -149,9 +159,11 @@
 
 TEST_CASE("an answer with a folded field is no answer") {
   for (const std::string Fold : {" X-A: b", "\tX-A: b", " ", "  more"}) {
-    requireNoAnswer("HTTP/1.1 200 OK\r\nX-B: c\r\n" + Fold + "\r\n" + Whole);
-    requireNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-B: c\r\n" +
-                    Fold + "\r\n\r\nbody");
+    requireNoAnswer(
+        joined({"HTTP/1.1 200 OK\r\nX-B: c\r\n", Fold, "\r\n", Whole}));
+    requireNoAnswer(
+        joined({"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-B: c\r\n", Fold,
+                "\r\n\r\nbody"}));
   }
 }
 
@@ -203,11 +215,9 @@
       "chunked;q=1",
       "chunked a",
       "gzip\r\nTransfer-Encoding: chunked"};
-  for (const std::string &Coding : Codings) {
-    const std::string Bytes =
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + Coding + "\r\n" + Chunks;
-    requireNoAnswer(Bytes);
-  }
+  for (const std::string &Coding : Codings)
+    requireNoAnswer(joined(
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: ", Coding, "\r\n", Chunks}));
   raw_server Sound(
       always("HTTP/1.1 200 OK\r\nTransfer-Encoding:  Chunked \r\n" + Chunks));
   const call_end End = call(Sound);
@@ -221,7 +231,7 @@
         "HTTP/1.1 -20 OK", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK",
         "HTTP/1.2 200 OK", "http/1.1 200 OK", "HTTP/1.1 200 O\x01K", "200 OK",
         " HTTP/1.1 200 OK", "HTTP/1.1\t200 OK"})
-    requireNoAnswer(std::string(Line) + "\r\n" + Whole);
+    requireNoAnswer(joined({Line, "\r\n", Whole}));
 }
 
 TEST_CASE("an answer with contradictory lengths is no answer") {
@@ -231,6 +241,5 @@
         "Content-Length: 99999999999999999999",
         "Content-Length: 4\r\nTransfer-Encoding: chunked",
         "Transfer-Encoding: chunked\r\nContent-Length: 4"})
-    requireNoAnswer("HTTP/1.1 200 OK\r\n" + std::string(Fields) +
-                    "\r\n\r\nbody");
+    requireNoAnswer(joined({"HTTP/1.1 200 OK\r\n", Fields, "\r\n\r\nbody"}));
 }
