LibHTTP: Decide in parseHead() alone what an answer is

parseHead() refused folded fields, and beast_call then checked status and transfer coding of the same head.

--- a/Libraries/LibHTTP/beast_call.cpp
+++ b/Libraries/LibHTTP/beast_call.cpp
@@ -196,31 +196,6 @@
   }
   Head.Status = static_cast<int>(Parser->get().result_int());
   Head.Fields = toFields(Parser->get());
-  checkHead();
-}
-
-/// Whether the body comes in a coding beside that of chunks, which is the only
-/// one that is undone here. The parser looks at the last coding alone.
-static bool hasUnknownCoding(const http::fields &Fields) {
-  const auto [First, Last] = Fields.equal_range(http::field::transfer_encoding);
-  if (First == Last)
-    return false;
-  return std::next(First) != Last || !beast::iequals(First->value(), "chunked");
-}
-
-/// The parser takes any three digits for a status. Bytes that are no answer of
-/// the protocol say nothing of the request, which may have run.
-void beast_call::checkHead() const {
-  if (!isInterimStatus(Head.Status) && !isFinalStatus(Head.Status))
-    throwNoAnswer("a status of " + std::to_string(Head.Status));
-  if (!Parser->is_done() && hasUnknownCoding(Parser->get()))
-    throwNoAnswer("a body in an unknown transfer coding");
-}
-
-void beast_call::throwNoAnswer(const std::string &Problem) const {
-  throw spindle_error(result_code::UpstreamLost, toText(Connection->Peer) +
-                                                     " sent no answer but " +
-                                                     Problem);
 }
 
 /// Reads the head of the next answer and drops the interim ones before it.
--- a/Libraries/LibHTTP/beast_call.h
+++ b/Libraries/LibHTTP/beast_call.h
@@ -40,9 +40,6 @@
   io_result receiveHead(std::string_view Step);
   void readHead();
   void readFinalHead();
-  /// \throws spindle_error UpstreamLost if the head is none of an answer.
-  void checkHead() const;
-  [[noreturn]] void throwNoAnswer(const std::string &Problem) const;
   void armCancellation();
   void throwIfCancelled() const;
   void finish();
