--- a/Libraries/LibHTTP/beast_exchange.cpp
+++ b/Libraries/LibHTTP/beast_exchange.cpp
@@ -123,10 +123,6 @@
          !Parser.is_done() || !Parser.get().keep_alive();
 }
 
-bool beast_exchange::answersHead() const {
-  return Parser.get().method() == http::verb::head;
-}
-
 template <typename message>
 void beast_exchange::setFields(message &Message,
                                const http_response_head &Response) {
@@ -135,6 +131,8 @@
   for (const http_field &Field : Response.Fields)
     if (!isConnectionField(Field.Name))
       Message.insert(Field.Name, Field.Value);
+  HeadOnly = isStatusWithoutBody(Response.Status) ||
+             Parser.get().method() == http::verb::head;
   AnnouncedClose = closesAfter();
   Message.keep_alive(!AnnouncedClose);
 }
@@ -156,11 +154,9 @@
   http::response<http::span_body<const char>> Message;
   setFields(Message, Response);
   Message.body() = {Body.data(), Body.size()};
-  const bool HasBody = !isStatusWithoutBody(Response.Status);
   // To HEAD, the length is that of the body that is left out, if it is known.
-  if (HasBody && !(answersHead() && Body.empty()))
+  if (!isStatusWithoutBody(Response.Status) && !(HeadOnly && Body.empty()))
     Message.content_length(Body.size());
-  HeadOnly = answersHead() || !HasBody;
   Phase = phase::Finished;
   http::serializer<false, http::span_body<const char>> Serializer(Message);
   write([&](auto Handler) {
@@ -175,7 +171,6 @@
   throwIfEnding("the stream has begun");
   http::response<http::empty_body> Message;
   setFields(Message, Response);
-  HeadOnly = answersHead() || isStatusWithoutBody(Response.Status);
   Message.chunked(!HeadOnly);
   Phase = phase::Streaming;
   http::serializer<false, http::empty_body> Serializer(Message);
--- a/Libraries/LibHTTP/beast_exchange.h
+++ b/Libraries/LibHTTP/beast_exchange.h
@@ -65,7 +65,6 @@
   void throwIfEnding(std::string_view Awaited) const;
   void stopWatching();
   bool closesAfter() const;
-  bool answersHead() const;
   template <typename message>
   void setFields(message &Message, const http_response_head &Response);
   template <typename start> void write(start Start);
