Tests: Let raw_server and exchangeBytes() serve TestLibHTTP as a whole

test_endless_answers had a server of its own that sends raw bytes, and test_http a caller; raw_server.h had brought both again. A raw answer can now repeat a part of itself without end, and a raw caller can end its side.

--- a/Tests/LibHTTP/test_endless_answers.cpp
+++ b/Tests/LibHTTP/test_endless_answers.cpp
@@ -2,17 +2,14 @@
 #include "LibHTTP/http_client.h"
 #include "LibHTTP/http_server.h"
 #include "LibRuntime/fiber_runtime.h"
+#include "Support/raw_server.h"
 
-#include <atomic>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <thread>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
@@ -31,49 +28,13 @@
   std::string Repeated;
 };
 
-/// A server that answers one request with bytes without end.
-class endless_server {
-public:
-  explicit endless_server(const endless_bytes &Bytes)
-      : Acceptor(Loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-        Thread([this, Bytes] { serve(Bytes); }) {}
-  ~endless_server() { Thread.join(); }
-  endless_server(const endless_server &) = delete;
-  endless_server &operator=(const endless_server &) = delete;
-
-  endpoint address() const {
-    return {"127.0.0.1", Acceptor.local_endpoint().port()};
-  }
-  /// Whether the connection was closed within \p Limit.
-  bool closedWithin(milliseconds Limit) const {
-    const time_point End = boot_clock::now() + Limit;
-    while (!Closed.load() && boot_clock::now() < End)
-      std::this_thread::sleep_for(milliseconds(5));
-    return Closed.load();
-  }
-
-private:
-  void serve(const endless_bytes &Bytes) {
-    tcp::socket Socket(Loop);
-    Acceptor.accept(Socket);
-    boost::asio::streambuf Request;
-    boost::asio::read_until(Socket, Request, "\r\n\r\n");
-    boost::system::error_code Error;
-    boost::asio::write(Socket, boost::asio::buffer(Bytes.Beginning), Error);
-    std::string Block;
-    while (Block.size() < BlockBytes)
-      Block += Bytes.Repeated;
-    while (!Error)
-      boost::asio::write(Socket, boost::asio::buffer(Block), Error);
-    Closed.store(true);
-  }
-
-  static constexpr std::size_t BlockBytes = 4'096;
-  boost::asio::io_context Loop;
-  tcp::acceptor Acceptor;
-  std::atomic<bool> Closed{false};
-  std::thread Thread;
-};
+raw_answerer withoutEnd(const endless_bytes &Bytes) {
+  return [Bytes](const http_request_head &) {
+    raw_answer Answer{Bytes.Beginning};
+    Answer.Repeated = Bytes.Repeated;
+    return Answer;
+  };
+}
 
 const std::string OwnHead = "HTTP/1.1 200 OK\r\nX-Id: own\r\n";
 const std::string OtherHead = "HTTP/1.1 200 OK\r\nX-Id: other\r\n";
@@ -122,7 +83,7 @@
   constexpr milliseconds Margin{700};
   for (const endless_bytes &Bytes : AllCases) {
     INFO(Bytes.Name);
-    endless_server Server(Bytes);
+    raw_server Server(withoutEnd(Bytes));
     fiber_runtime Runtime{1};
     http_client Client;
     http_call_limits Limits;
@@ -143,7 +104,8 @@
 TEST_CASE("answers to other requests do not extend the wait for the own one") {
   constexpr milliseconds Wait{200};
   constexpr milliseconds Margin{700};
-  endless_server Server({"", "", OtherHead + "Content-Length: 0\r\n\r\n"});
+  raw_server Server(
+      withoutEnd({"", "", OtherHead + "Content-Length: 0\r\n\r\n"}));
   fiber_runtime Runtime{1};
   http_client Client;
   http_call_limits Limits;
--- a/Tests/LibHTTP/test_http.cpp
+++ b/Tests/LibHTTP/test_http.cpp
@@ -2,15 +2,11 @@
 #include "LibHTTP/error_response.h"
 #include "LibHTTP/http_client.h"
 #include "LibHTTP/http_server.h"
-
-#include "LibRuntime/await_io.h"
+#include "Support/raw_server.h"
 
 #include <atomic>
 #include <map>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-
 #include <catch2/catch.hpp>
 
 using namespace spindle;
@@ -316,28 +312,9 @@
 namespace {
 
 /// Sends raw bytes to a server and returns all that it answers.
-std::string exchangeRaw(loopback &Loopback, const std::string &Bytes,
-                        bool EndsSending = true) {
-  std::string Answer;
-  Loopback.Runtime.runBlocking([&] {
-    boost::asio::ip::tcp::socket Socket(currentIoContext());
-    const endpoint Address = Loopback.Server.address();
-    Socket.connect(
-        {boost::asio::ip::make_address(Address.Address), Address.Port});
-    boost::asio::write(Socket, boost::asio::buffer(Bytes));
-    if (EndsSending)
-      Socket.shutdown(boost::asio::socket_base::shutdown_send);
-    char Space[4096];
-    while (true) {
-      const io_result Read = awaitIo([&](auto Handler) {
-        Socket.async_read_some(boost::asio::buffer(Space), std::move(Handler));
-      });
-      if (Read.Error)
-        return;
-      Answer.append(Space, Read.Bytes);
-    }
-  });
-  return Answer;
+std::string exchangeRaw(const loopback &Loopback, const std::string &Bytes,
+                        caller_end End = caller_end::EndsSending) {
+  return exchangeBytes(Loopback.Server.address(), Bytes, End);
 }
 
 std::size_t answersIn(const std::string &Text) {
@@ -544,7 +521,8 @@
     Server->refuseNew();
     Server->endUnanswered();
   });
-  const std::string Answer = exchangeRaw(Loopback, Request, false);
+  const std::string Answer =
+      exchangeRaw(Loopback, Request, caller_end::StaysOpen);
   REQUIRE(answersIn(Answer) == 1);
   REQUIRE(Answer.find("Connection: close") != std::string::npos);
   const bool IsStream = Answer.starts_with("HTTP/1.1 200");
--- a/Tests/Support/raw_server.cpp
+++ b/Tests/Support/raw_server.cpp
@@ -37,6 +37,17 @@
     Socket.read_some(asio::buffer(Space), Error);
 }
 
+/// Writes \p Bytes over and over until the peer closes the connection.
+static void repeat(tcp::socket &Socket, const std::string &Bytes) {
+  static constexpr std::size_t MinBlockBytes = 4'096;
+  std::string Block;
+  while (Block.size() < MinBlockBytes)
+    Block += Bytes;
+  boost::system::error_code Error;
+  while (!Error)
+    asio::write(Socket, asio::buffer(Block), Error);
+}
+
 raw_server::raw_server(raw_answerer Answerer)
     : Answerer(std::move(Answerer)),
       Acceptor(Loop, {asio::ip::make_address("127.0.0.1"), 0}),
@@ -93,6 +104,8 @@
       http::read(Socket, Buffer, Reader, Error);
     if (!Error)
       asio::write(Socket, asio::buffer(Answer.Bytes), Error);
+    if (!Answer.Repeated.empty())
+      return repeat(Socket, Answer.Repeated);
     if (Answer.End != connection_end::StaysOpen)
       return end(Socket, Answer);
     if (Answer.BeforeBody && !Error)
@@ -123,16 +136,18 @@
   return OpenConnections.load() == 0;
 }
 
-std::string exchangeBytes(const endpoint &Server, const std::string &Request,
-                          milliseconds Limit) {
+std::string exchangeBytes(const endpoint &Server, const std::string &Requests,
+                          caller_end End) {
+  static constexpr timeval Limit{6, 0};
   asio::io_context Loop;
   tcp::socket Socket(Loop);
   Socket.connect(toAsio(Server));
-  const timeval Time{Limit.count() / 1'000, Limit.count() % 1'000 * 1'000};
-  ::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Time,
-               sizeof Time);
+  ::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Limit,
+               sizeof Limit);
   boost::system::error_code Error;
-  asio::write(Socket, asio::buffer(Request), Error);
+  asio::write(Socket, asio::buffer(Requests), Error);
+  if (End == caller_end::EndsSending)
+    Socket.shutdown(tcp::socket::shutdown_send, Error);
   std::string Answer;
   std::array<char, 16 * 1024> Space{};
   while (true) {
--- a/Tests/Support/raw_server.h
+++ b/Tests/Support/raw_server.h
@@ -39,6 +39,8 @@
   bool BeforeBody = false;
   /// The time between the last byte and the end of the connection.
   milliseconds EndDelay{0};
+  /// Sent over and over after Bytes until the peer closes; empty for nothing.
+  std::string Repeated = {};
 };
 
 /// Answers a request by its head. Called on the server's threads.
@@ -79,10 +81,13 @@
   std::thread Accepting;
 };
 
-/// Sends \p Request and returns all bytes that come back until the server
-/// closes the connection, or none has come for \p Limit. Blocks the thread.
-std::string exchangeBytes(const endpoint &Server, const std::string &Request,
-                          milliseconds Limit = milliseconds(6'000));
+/// Whether a caller ends its own side of a connection after its last request.
+enum class caller_end { StaysOpen, EndsSending };
+
+/// Sends \p Requests and returns all bytes that come back until the server
+/// closes the connection, or none has come for 6 s. Blocks the thread.
+std::string exchangeBytes(const endpoint &Server, const std::string &Requests,
+                          caller_end End = caller_end::StaysOpen);
 
 } // namespace spindle
 
