Tests: Check that proper answers are still taken

HTTP/1.0, no length, an empty reason or one beyond ASCII, unusual statuses of a class, 204, 304, and answers to HEAD.

--- a/Tests/LibHTTP/test_broken_answers.cpp
+++ b/Tests/LibHTTP/test_broken_answers.cpp
@@ -30,14 +30,15 @@
 
 /// Calls the server with a body of \p UploadBytes.
 call_end call(const raw_server &Server, std::size_t UploadBytes = 0,
-              const http_call_limits &Limits = {}) {
+              const http_call_limits &Limits = {},
+              const std::string &Method = "POST") {
   call_end End;
   fiber_runtime Runtime{1};
   http_client Client;
   const std::string Body(UploadBytes, 'u');
   Runtime.runBlocking([&] {
     try {
-      End.Answer = Client.call(Server.address(), {"POST", "/", {}}, Body,
+      End.Answer = Client.call(Server.address(), {Method, "/", {}}, Body,
                                Limits, connection_use::FreshOnce, BodyLimit);
     } catch (const spindle_error &Error) {
       End.Error = Error.code();
@@ -56,9 +57,17 @@
 /// A server that sends the same bytes for each request.
 raw_answerer always(const std::string &Bytes,
                     connection_end End = connection_end::StaysOpen) {
-  return [Bytes, End](const http_request_head &) {
-    return raw_answer{Bytes, End};
-  };
+  return [=](const http_request_head &) { return raw_answer{Bytes, End}; };
+}
+
+/// The answer that \p Bytes are, on a connection that ends after them.
+http_response answerFrom(const std::string &Bytes,
+                         const std::string &Method = "POST") {
+  CAPTURE(Bytes);
+  raw_server Server(always(Bytes, connection_end::EndsSending));
+  const call_end End = call(Server, 0, {}, Method);
+  REQUIRE(End.Answer);
+  return *End.Answer;
 }
 
 /// Requires that \p Bytes are no answer and that their connection is closed.
@@ -97,10 +106,7 @@
 TEST_CASE("fields after the last chunk that are none cut the answer short") {
   const std::string Head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
                            "\r\n4\r\nbody\r\n0\r\n";
-  raw_server Sound(always(Head + "X-A: b\r\n\r\n"));
-  const call_end SoundEnd = call(Sound);
-  REQUIRE(SoundEnd.Answer);
-  REQUIRE(SoundEnd.Answer->Body == "body");
+  REQUIRE(answerFrom(Head + "X-A: b\r\n\r\n").Body == "body");
   for (const std::string Line : {"X A: b", "X-A : b", "X\x01: b", "no colon"}) {
     CAPTURE(Line);
     raw_server Server(always(joined({Head, Line, "\r\n\r\n"})));
@@ -168,11 +174,10 @@
 }
 
 TEST_CASE("a body that begins with a blank is no folded field") {
-  raw_server Server(always("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n "
-                           "a\r\n b"));
-  const call_end End = call(Server);
-  REQUIRE(End.Answer);
-  REQUIRE(End.Answer->Body == " a\r\n b");
+  const std::string Body = " a\r\n b";
+  REQUIRE(
+      answerFrom("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n" + Body).Body ==
+      Body);
 }
 
 TEST_CASE("an answer that switches protocols unasked is no answer") {
@@ -218,11 +223,9 @@
   for (const std::string &Coding : Codings)
     requireNoAnswer(joined(
         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: ", Coding, "\r\n", Chunks}));
-  raw_server Sound(
-      always("HTTP/1.1 200 OK\r\nTransfer-Encoding:  Chunked \r\n" + Chunks));
-  const call_end End = call(Sound);
-  REQUIRE(End.Answer);
-  REQUIRE(End.Answer->Body == "body");
+  REQUIRE(
+      answerFrom("HTTP/1.1 200 OK\r\nTransfer-Encoding:  Chunked \r\n" + Chunks)
+          .Body == "body");
 }
 
 TEST_CASE("an answer with a broken status line is no answer") {
@@ -243,3 +246,24 @@
         "Transfer-Encoding: chunked\r\nContent-Length: 4"})
     requireNoAnswer(joined({"HTTP/1.1 200 OK\r\n", Fields, "\r\n\r\nbody"}));
 }
+
+TEST_CASE("a proper answer is still taken") {
+  for (const std::string_view Line :
+       {"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 200 OK",
+        "HTTP/1.1 200 caf\xe9", "HTTP/1.1 299 Own", "HTTP/1.1 599 Own"}) {
+    const http_response Sized =
+        answerFrom(joined({Line, "\r\nX-A:\r\n", Whole}));
+    REQUIRE(Sized.Body == "body");
+    REQUIRE(Sized.Head.Status == std::stoi(std::string(Line.substr(9, 3))));
+    REQUIRE(answerFrom(joined({Line, "\r\n\r\nuntil the end"})).Body ==
+            "until the end");
+  }
+  REQUIRE(answerFrom("HTTP/1.1 204 No Content\r\n\r\n").Head.Status == 204);
+  REQUIRE(answerFrom("HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n")
+              .Body.empty());
+  REQUIRE(answerFrom("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", "HEAD")
+              .Body.empty());
+  REQUIRE(
+      answerFrom("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", "HEAD")
+          .Head.Status == 200);
+}
